--- /dev/null
+++ b/cmake/libraries.cmake
@@ -0,0 +1,11 @@
+# The libraries the project is built on, one imported target each.
+find_package(PkgConfig REQUIRED)
+find_package(Threads REQUIRED)
+find_package(OpenSSL REQUIRED)
+find_package(Boost 1.74 REQUIRED)
+pkg_check_modules(event REQUIRED IMPORTED_TARGET libevent libevent_pthreads)
+pkg_check_modules(log4cxx REQUIRED IMPORTED_TARGET liblog4cxx)
+pkg_check_modules(inih REQUIRED IMPORTED_TARGET inih)
+pkg_check_modules(xxhash REQUIRED IMPORTED_TARGET libxxhash)
+pkg_check_modules(cppunit REQUIRED IMPORTED_TARGET cppunit)
+pkg_check_modules(grpc REQUIRED IMPORTED_TARGET grpc++ protobuf)
--- /dev/null
+++ b/src/answers/answer_sequencer.h
@@ -0,0 +1,35 @@
+// Cuts one answer into numbered frames at the sending side.
+#pragma once
+
+#include "base/digest.h"
+#include "base/types/result.h"
+#include "protocol/types/attempt_name.h"
+
+#include <string>
+#include <string_view>
+#include <tanager.pb.h>
+
+namespace tanager {
+
+class answer_sequencer {
+public:
+    explicit answer_sequencer(const attempt_name& attempt);
+
+    protocol::answer_frame make_head(int status) const;
+    protocol::answer_frame make_data(std::string_view data);
+
+    // Ends the answer with its length and checksum.
+    protocol::answer_frame make_end() const;
+
+    // Ends the attempt without a whole answer.
+    protocol::answer_frame make_failure(const error& cause, bool not_run) const;
+
+private:
+    protocol::answer_frame make_frame() const;
+
+    attempt_name attempt;
+    std::uint64_t offset = 0;
+    running_checksum checksum;
+};
+
+} // namespace tanager
--- /dev/null
+++ b/src/answers/tests/answers_tests.cpp
@@ -0,0 +1,155 @@
+#include "answers/answer_assembler.h"
+#include "answers/answer_sequencer.h"
+#include "answers/event_stream_check.h"
+#include "testing/story.h"
+
+#include <algorithm>
+#include <cppunit/extensions/HelperMacros.h>
+#include <random>
+
+using tanager::testing::section;
+
+namespace tanager {
+
+namespace {
+
+std::vector<protocol::answer_frame> make_answer(const attempt_name& attempt, const std::vector<std::string>& parts)
+{
+    answer_sequencer sequencer(attempt);
+    std::vector<protocol::answer_frame> frames{sequencer.make_head(200)};
+    for (const auto& part : parts) {
+        frames.push_back(sequencer.make_data(part));
+    }
+    frames.push_back(sequencer.make_end());
+    return frames;
+}
+
+} // namespace
+
+class answers_tests : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(answers_tests);
+    CPPUNIT_TEST(an_answer_arrives_whole);
+    CPPUNIT_TEST(what_does_not_belong_is_dropped);
+    CPPUNIT_TEST(a_hole_is_never_passed_on);
+    CPPUNIT_TEST(random_deliveries_pass_a_prefix_or_the_whole);
+    CPPUNIT_TEST(event_streams_are_checked);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void an_answer_arrives_whole()
+    {
+        answer_assembler assembler({1, 1});
+        for (const auto& frame : make_answer({1, 1}, {"lee ", "119"})) {
+            CPPUNIT_ASSERT(!assembler.is_whole());
+            CPPUNIT_ASSERT(assembler.accept(frame) == frame_verdict::pass);
+        }
+        CPPUNIT_ASSERT(assembler.is_whole());
+    }
+
+    void what_does_not_belong_is_dropped()
+    {
+        answer_assembler assembler({1, 1});
+        const auto own = make_answer({1, 1}, {"lee ", "119"});
+        const auto other = make_answer({1, 2}, {"rosco"});
+        assembler.accept(own[0]);
+        assembler.accept(own[1]);
+        CPPUNIT_ASSERT(assembler.accept(other[1]) == frame_verdict::foreign);
+        CPPUNIT_ASSERT(assembler.accept(own[0]) == frame_verdict::duplicate);
+        CPPUNIT_ASSERT(assembler.accept(own[1]) == frame_verdict::duplicate);
+        CPPUNIT_ASSERT(assembler.accept(own[2]) == frame_verdict::pass);
+        CPPUNIT_ASSERT(assembler.accept(own[3]) == frame_verdict::pass);
+        CPPUNIT_ASSERT(assembler.accept(own[3]) == frame_verdict::duplicate);
+    }
+
+    void a_hole_is_never_passed_on()
+    {
+        const auto frames = make_answer({1, 1}, {"lee ", "119"});
+        section("a missing frame", [&] {
+            answer_assembler assembler({1, 1});
+            assembler.accept(frames[0]);
+            CPPUNIT_ASSERT(assembler.accept(frames[2]) == frame_verdict::gap);
+        });
+        section("a missing tail", [&] {
+            answer_assembler assembler({1, 1});
+            assembler.accept(frames[0]);
+            assembler.accept(frames[1]);
+            CPPUNIT_ASSERT(assembler.accept(frames[3]) == frame_verdict::gap);
+            CPPUNIT_ASSERT(!assembler.is_whole());
+        });
+        section("a changed byte", [&] {
+            auto changed = frames;
+            changed[1].set_data("lea ");
+            answer_assembler assembler({1, 1});
+            assembler.accept(changed[0]);
+            assembler.accept(changed[1]);
+            assembler.accept(changed[2]);
+            CPPUNIT_ASSERT(assembler.accept(changed[3]) == frame_verdict::mismatch);
+        });
+    }
+
+    void random_deliveries_pass_a_prefix_or_the_whole()
+    {
+        constexpr std::uint64_t seed = 11;
+        constexpr int rounds = 3'000;
+        std::mt19937_64 random(seed);
+        const std::vector<std::string> parts{"a", "bc", "def", "ghij", "k"};
+        const std::string whole = "abcdefghijk";
+        const auto own = make_answer({1, 1}, parts);
+        const auto other = make_answer({9, 1}, {"zz", "zz", "zz"});
+        int whole_count = 0;
+        for (int round = 0; round < rounds; ++round) {
+            answer_assembler assembler({1, 1});
+            std::string passed;
+            for (std::size_t next = 0; next < own.size() && !assembler.is_whole();) {
+                const auto draw = random() % 10;
+                const bool is_late = draw == 0 && next > 0;
+                const auto& frame = is_late     ? own[random() % next]
+                                    : draw == 1 ? other[random() % other.size()]
+                                    : draw == 2 ? own[std::min<std::size_t>(next + 1, own.size() - 1)]
+                                                : own[next];
+                next += draw > 2 ? 1 : 0;
+                const auto verdict = assembler.accept(frame);
+                if (verdict == frame_verdict::gap || verdict == frame_verdict::mismatch) {
+                    break;
+                }
+                passed += verdict == frame_verdict::pass && frame.has_data() ? frame.data() : "";
+            }
+            CPPUNIT_ASSERT(whole.starts_with(passed));
+            CPPUNIT_ASSERT(!assembler.is_whole() || passed == whole);
+            whole_count += assembler.is_whole() ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(whole_count > 100);
+        CPPUNIT_ASSERT(whole_count < rounds);
+    }
+
+    void event_streams_are_checked()
+    {
+        const std::string stream = "data: {\"a\":1}\n\n: note\n\ndata: {\"a\":2}\r\n\ndata: [DONE]\n\n";
+        section("in any cuts", [&] {
+            for (std::size_t cut = 0; cut <= stream.size(); ++cut) {
+                event_stream_check check;
+                CPPUNIT_ASSERT(check.feed(stream.substr(0, cut)));
+                CPPUNIT_ASSERT(check.feed(stream.substr(cut)));
+                CPPUNIT_ASSERT(check.is_whole());
+                CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, check.events());
+            }
+        });
+        section("a cut stream is not whole", [&] {
+            event_stream_check check;
+            check.feed(stream.substr(0, 30));
+            CPPUNIT_ASSERT(!check.is_whole());
+        });
+        section("garbage is refused", [&] {
+            event_stream_check check;
+            CPPUNIT_ASSERT(!check.feed("data: {}\n\x01\x02 no event\n"));
+        });
+        section("so is anything after the end", [&] {
+            event_stream_check check;
+            CPPUNIT_ASSERT(!check.feed("data: [DONE]\n\ndata: {}\n"));
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(answers_tests);
+
+} // namespace tanager
--- /dev/null
+++ b/src/base/system_clock.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "base/clock.h"
+
+namespace tanager {
+
+// The machine's own clocks.
+class system_clock final : public clock {
+public:
+    time_point now() const override;
+    wall_time_point wall_now() const override;
+};
+
+} // namespace tanager
--- /dev/null
+++ b/src/base/tests/base_tests.cpp
@@ -0,0 +1,69 @@
+#include "base/digest.h"
+#include "base/text.h"
+#include "base/types/result.h"
+#include "testing/story.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using tanager::testing::section;
+
+namespace tanager {
+
+class base_tests : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(base_tests);
+    CPPUNIT_TEST(digests_are_stable);
+    CPPUNIT_TEST(words_are_compared);
+    CPPUNIT_TEST(codes_are_named);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void digests_are_stable()
+    {
+        section("SHA-256 matches the published vector", [] {
+            const std::string expected = "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad";
+            CPPUNIT_ASSERT_EQUAL(expected, sha256_hex("abc"));
+        });
+        section("a running checksum does not depend on the cuts", [] {
+            running_checksum whole;
+            whole.update("swatch R119");
+            running_checksum pieces;
+            pieces.update("swat");
+            pieces.update("");
+            pieces.update("ch R119");
+            CPPUNIT_ASSERT_EQUAL(whole.value(), pieces.value());
+            section("but on every byte", [&] {
+                pieces.update("!");
+                CPPUNIT_ASSERT(whole.value() != pieces.value());
+            });
+        });
+        section("constant-time comparison still compares", [] {
+            CPPUNIT_ASSERT(equal_in_constant_time("abc", "abc"));
+            CPPUNIT_ASSERT(!equal_in_constant_time("abc", "abd"));
+            CPPUNIT_ASSERT(!equal_in_constant_time("abc", "ab"));
+        });
+    }
+
+    void words_are_compared()
+    {
+        section("a misspelt word finds its neighbour", [] {
+            const std::vector<std::string> known{"port", "address", "data_centre"};
+            CPPUNIT_ASSERT_EQUAL(std::string{"data_centre"}, nearest_word("datacentre", known).value());
+            CPPUNIT_ASSERT(!nearest_word("zzzzzz", known).has_value());
+        });
+        section("lists are split and trimmed", [] {
+            const std::vector<std::string> expected{"a", "b"};
+            CPPUNIT_ASSERT(split_list(" a, ,b ,") == expected);
+        });
+        CPPUNIT_ASSERT_EQUAL(std::string{"00000000000000ff"}, to_hex(255));
+    }
+
+    void codes_are_named()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::string{"member_over_cap"}, std::string{name_of(result_code::member_over_cap)});
+        CPPUNIT_ASSERT_EQUAL(429, http_status_of(result_code::member_over_cap));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(base_tests);
+
+} // namespace tanager
--- /dev/null
+++ b/src/base/types/result_code.h
@@ -0,0 +1,86 @@
+// Numbered result codes of the whole product, grouped by module.
+//
+// Each module owns a block of one hundred numbers. A number is never reused for another meaning; the table
+// in docs/RESULT_CODES.md lists every code with its cause and the HTTP status that callers see.
+#pragma once
+
+#include <string_view>
+
+namespace tanager {
+
+enum class result_code : int {
+    ok = 0,
+
+    // 100: base and settings
+    invalid_argument = 101,
+    settings_unreadable = 102,
+    settings_invalid = 103,
+
+    // 200: net
+    address_invalid = 201,
+    listen_failed = 202,
+    connect_failed = 203,
+    connection_lost = 204,
+    reply_malformed = 205,
+    timed_out = 206,
+    loop_unavailable = 207,
+
+    // 300: requests refused by an entry
+    request_malformed = 301,
+    field_missing = 302,
+    field_invalid = 303,
+    body_too_large = 304,
+    caller_unknown = 305,
+    entry_unknown = 306,
+    entry_not_owned = 307,
+    path_unknown = 308,
+    method_not_allowed = 309,
+    not_ready = 310,
+    stopping = 311,
+
+    // 400: admission, routing and retries
+    member_over_cap = 401,
+    agent_share_full = 402,
+    agent_queue_full = 403,
+    no_agent_available = 404,
+    deadline_unreachable = 405,
+    retry_budget_spent = 406,
+    request_too_large_for_pool = 407,
+    agent_leaving = 408,
+    agent_incarnation_changed = 409,
+    agent_not_ready = 410,
+    attempt_cancelled = 411,
+    attempt_repeated = 412,
+
+    // 500: backend servers and answers
+    backend_unreachable = 501,
+    backend_failed = 502,
+    backend_answer_truncated = 503,
+    backend_answer_malformed = 504,
+    answer_incomplete = 505,
+    outcome_unknown = 506,
+    agent_connection_lost = 507,
+
+    // 600: platform and catalogue
+    store_unavailable = 601,
+    version_conflict = 602,
+    object_unknown = 603,
+    catalogue_invalid = 604,
+
+    // 700: non-idempotent work with an idempotency key
+    claim_in_progress = 701,
+    claim_key_reused = 702,
+    claim_outcome_unknown = 703,
+    claim_window_closed = 704,
+    claim_store_unavailable = 705,
+    claim_store_full = 706,
+    claim_answer_not_kept = 707,
+};
+
+// Returns the stable lower-case name of a code, as written in logs, replies and docs.
+std::string_view name_of(result_code code);
+
+// Returns the HTTP status that reports a code to a caller.
+int http_status_of(result_code code);
+
+} // namespace tanager
--- /dev/null
+++ b/src/catalogue/types/catalogue_entry.h
@@ -0,0 +1,84 @@
+// The kinds of entry that operators put into the catalogue.
+#pragma once
+
+#include "base/types/result.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace tanager {
+
+// What one member may have in flight in one pool, in pieces of about 2,000 tokens.
+struct pool_cap {
+    std::string pool;
+    std::uint32_t pieces = 0;
+
+    friend bool operator==(const pool_cap&, const pool_cap&) = default;
+};
+
+struct member_entry {
+    std::string name;
+    std::vector<std::string> key_digests; // SHA-256 in hexadecimal
+    std::vector<pool_cap> caps;
+
+    friend bool operator==(const member_entry&, const member_entry&) = default;
+
+    // Returns the cap in a pool; 0 when none was agreed.
+    std::uint32_t cap_in(const std::string& pool) const;
+};
+
+enum class pool_kind { model, plain_service };
+
+// One agent of a pool and the share slot that it fills.
+struct pool_agent {
+    std::string host;
+    std::string data_centre;
+    std::string address; // ip:port of the agent
+    std::uint32_t slot = 0;
+    bool draining = false;
+
+    friend bool operator==(const pool_agent&, const pool_agent&) = default;
+};
+
+// Backend servers of one model, or of one plain service, in one region. Caps are split over a fixed number of
+// slots, so that adding or removing an agent never changes the share of another.
+struct pool_entry {
+    std::string name;
+    pool_kind kind = pool_kind::model;
+    std::string model;
+    std::string region;
+    std::uint32_t slots = 1;
+    std::vector<pool_agent> agents;
+
+    friend bool operator==(const pool_entry&, const pool_entry&) = default;
+};
+
+// One class of work of one member.
+struct work_entry {
+    std::string name;
+    std::string owner;
+    std::string work_class;
+    std::string pool;
+    bool idempotent = true;
+    std::uint32_t priority = 0; // higher runs first
+    std::chrono::milliseconds deadline{60'000};
+    std::chrono::milliseconds first_token_target{1'100};
+    std::chrono::milliseconds token_target{48};
+    std::uint32_t max_output_tokens = 4'096;
+
+    friend bool operator==(const work_entry&, const work_entry&) = default;
+};
+
+using catalogue_entry = std::variant<member_entry, pool_entry, work_entry>;
+
+// Parses and checks one entry. `object_name` is `member/<name>`, `pool/<name>` or `work/<name>`.
+// Fails with catalogue_invalid and every reason found.
+result<catalogue_entry> parse_catalogue_entry(const std::string& object_name, const std::string& json);
+
+// Returns the share of a cap that belongs to one slot; the shares of all slots add up to the cap.
+std::uint32_t share_of_slot(std::uint32_t cap, std::uint32_t slots, std::uint32_t slot);
+
+} // namespace tanager
--- /dev/null
+++ b/src/limits/types/queued_work.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "base/clock.h"
+
+#include <cstdint>
+#include <string>
+
+namespace tanager {
+
+// Work that waits at an agent. `ticket` is the queue's own name for it.
+struct queued_work {
+    std::uint64_t ticket = 0;
+    std::string member;
+    std::uint32_t pieces = 0;
+    std::uint32_t priority = 0; // higher first
+    time_point deadline;
+
+    friend bool operator==(const queued_work&, const queued_work&) = default;
+};
+
+} // namespace tanager
--- /dev/null
+++ b/src/logging/internal/log_event.cpp
@@ -0,0 +1,65 @@
+#include "logging/types/log_event.h"
+
+#include <algorithm>
+#include <array>
+
+namespace tanager {
+
+namespace {
+
+struct event_row {
+    log_event event;
+    std::string_view name;
+    log_level level;
+};
+
+constexpr std::array event_rows{
+    event_row{log_event::program_started, "program_started", log_level::info},
+    event_row{log_event::program_listening, "program_listening", log_level::info},
+    event_row{log_event::stop_requested, "stop_requested", log_level::info},
+    event_row{log_event::program_stopped, "program_stopped", log_level::info},
+    event_row{log_event::program_failed, "program_failed", log_level::error},
+    event_row{log_event::invariant_violated, "invariant_violated", log_level::error},
+    event_row{log_event::catalogue_applied, "catalogue_applied", log_level::info},
+    event_row{log_event::catalogue_rejected, "catalogue_rejected", log_level::error},
+    event_row{log_event::store_unavailable, "store_unavailable", log_level::warning},
+    event_row{log_event::store_recovered, "store_recovered", log_level::info},
+    event_row{log_event::host_list_changed, "host_list_changed", log_level::info},
+    event_row{log_event::catalogue_pulled, "catalogue_pulled", log_level::info},
+    event_row{log_event::request_refused, "request_refused", log_level::info},
+    event_row{log_event::request_completed, "request_completed", log_level::debug},
+    event_row{log_event::request_failed, "request_failed", log_level::warning},
+    event_row{log_event::caller_left, "caller_left", log_level::info},
+    event_row{log_event::attempt_retried, "attempt_retried", log_level::info},
+    event_row{log_event::frame_dropped, "frame_dropped", log_level::warning},
+    event_row{log_event::agent_connected, "agent_connected", log_level::info},
+    event_row{log_event::agent_suspected, "agent_suspected", log_level::warning},
+    event_row{log_event::agent_leaving, "agent_leaving", log_level::info},
+    event_row{log_event::attempt_settled, "attempt_settled", log_level::info},
+    event_row{log_event::claim_recorded, "claim_recorded", log_level::debug},
+    event_row{log_event::claim_failed, "claim_failed", log_level::warning},
+    event_row{log_event::attempt_refused, "attempt_refused", log_level::info},
+    event_row{log_event::attempt_finished, "attempt_finished", log_level::debug},
+    event_row{log_event::attempt_failed, "attempt_failed", log_level::warning},
+    event_row{log_event::attempt_cancelled, "attempt_cancelled", log_level::info},
+    event_row{log_event::entry_connected, "entry_connected", log_level::info},
+    event_row{log_event::entry_disconnected, "entry_disconnected", log_level::info},
+    event_row{log_event::backend_unreachable, "backend_unreachable", log_level::warning},
+    event_row{log_event::fault_switched, "fault_switched", log_level::info},
+};
+
+} // namespace
+
+std::string_view name_of(log_event event)
+{
+    const auto* const row = std::ranges::find(event_rows, event, &event_row::event);
+    return row == event_rows.end() ? "unlisted" : row->name;
+}
+
+log_level level_of(log_event event)
+{
+    const auto* const row = std::ranges::find(event_rows, event, &event_row::event);
+    return row == event_rows.end() ? log_level::error : row->level;
+}
+
+} // namespace tanager
--- /dev/null
+++ b/src/logging/types/log_event.h
@@ -0,0 +1,60 @@
+// The numbered events that the programs write to their logs; docs/LOG_EVENTS.md is the catalogue.
+#pragma once
+
+#include <string_view>
+
+namespace tanager {
+
+enum class log_level { debug, info, warning, error };
+
+enum class log_event : int {
+    // 1000: every program
+    program_started = 1001,
+    program_listening = 1002,
+    stop_requested = 1003,
+    program_stopped = 1004,
+    program_failed = 1005,
+    invariant_violated = 1006,
+
+    // 2000: catalogue and platform
+    catalogue_applied = 2001,
+    catalogue_rejected = 2002,
+    store_unavailable = 2003,
+    store_recovered = 2004,
+    host_list_changed = 2005,
+    catalogue_pulled = 2006,
+
+    // 3000: entry
+    request_refused = 3001,
+    request_completed = 3002,
+    request_failed = 3003,
+    caller_left = 3004,
+    attempt_retried = 3005,
+    frame_dropped = 3006,
+    agent_connected = 3007,
+    agent_suspected = 3008,
+    agent_leaving = 3009,
+    attempt_settled = 3010,
+    claim_recorded = 3011,
+    claim_failed = 3012,
+
+    // 4000: agent
+    attempt_refused = 4001,
+    attempt_finished = 4002,
+    attempt_failed = 4003,
+    attempt_cancelled = 4004,
+    entry_connected = 4005,
+    entry_disconnected = 4006,
+    backend_unreachable = 4007,
+
+    // 5000: stand-ins
+    fault_switched = 5001,
+};
+
+// Returns the stable lower-case name of an event.
+std::string_view name_of(log_event event);
+
+// Returns the level at which an event is written.
+log_level level_of(log_event event);
+
+} // namespace tanager
--- /dev/null
+++ b/src/membership/peer_monitor.h
@@ -0,0 +1,64 @@
+// Decides which peers take new work, from heartbeats, broken connections and reports of leaving.
+#pragma once
+
+#include "base/clock.h"
+#include "membership/types/peer_state.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace tanager {
+
+// A change of belief, for logs and metrics.
+struct peer_change {
+    std::string peer;
+    peer_state before = peer_state::unknown;
+    peer_state after = peer_state::unknown;
+
+    friend bool operator==(const peer_change&, const peer_change&) = default;
+};
+
+// Heartbeats carry the incarnation of the process. One from an incarnation that has been superseded is ignored,
+// whatever order the network delivers them in.
+class peer_monitor {
+public:
+    peer_monitor(const clock& time, duration suspicion_after);
+
+    // Records a sign of life. Returns whether it was from the newest incarnation.
+    bool record_heartbeat(const std::string& peer, std::uint64_t incarnation, bool is_leaving);
+
+    // Records that the connection to a peer broke; a heartbeat lifts the suspicion.
+    void record_broken_connection(const std::string& peer);
+
+    // Records the platform's or an operator's word; `false` takes an earlier `true` back.
+    void record_listed_leaving(const std::string& peer, bool is_leaving);
+
+    void forget(const std::string& peer);
+
+    peer_state state_of(const std::string& peer) const;
+    std::uint64_t incarnation_of(const std::string& peer) const;
+
+    // Returns the changes since the last call.
+    std::vector<peer_change> collect_changes();
+
+private:
+    struct peer_record {
+        std::uint64_t incarnation = 0;
+        time_point last_heard;
+        bool said_leaving = false;
+        bool listed_leaving = false;
+        bool is_broken = false;
+        std::vector<std::uint64_t> superseded;
+        peer_state reported = peer_state::unknown;
+    };
+
+    peer_state judge(const peer_record& record) const;
+
+    const clock& time;
+    duration suspicion_after;
+    std::map<std::string, peer_record> peers;
+};
+
+} // namespace tanager
--- /dev/null
+++ b/src/membership/tests/membership_tests.cpp
@@ -0,0 +1,99 @@
+#include "base/mocks/manual_clock.h"
+#include "membership/peer_monitor.h"
+#include "membership/watcher_election.h"
+#include "testing/story.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using tanager::testing::section;
+
+namespace tanager {
+
+class membership_tests : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(membership_tests);
+    CPPUNIT_TEST(silence_is_suspicion);
+    CPPUNIT_TEST(incarnations_only_move_forward);
+    CPPUNIT_TEST(either_source_may_say_leaving);
+    CPPUNIT_TEST(watchers_are_few_and_never_none);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void silence_is_suspicion()
+    {
+        manual_clock time;
+        peer_monitor monitor(time, std::chrono::seconds{2});
+        CPPUNIT_ASSERT(monitor.state_of("a") == peer_state::unknown);
+        monitor.record_heartbeat("a", 1, false);
+        CPPUNIT_ASSERT(monitor.state_of("a") == peer_state::live);
+        section("after the suspicion time", [&] {
+            time.advance(std::chrono::milliseconds{2'001});
+            CPPUNIT_ASSERT(monitor.state_of("a") == peer_state::suspected);
+            monitor.record_heartbeat("a", 1, false);
+            CPPUNIT_ASSERT(monitor.state_of("a") == peer_state::live);
+        });
+        section("and at once when the connection breaks", [&] {
+            monitor.record_broken_connection("a");
+            CPPUNIT_ASSERT(monitor.state_of("a") == peer_state::suspected);
+        });
+        const auto changes = monitor.collect_changes();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, changes.size());
+        CPPUNIT_ASSERT(changes.front() == (peer_change{"a", peer_state::unknown, peer_state::suspected}));
+        CPPUNIT_ASSERT(monitor.collect_changes().empty());
+    }
+
+    void incarnations_only_move_forward()
+    {
+        manual_clock time;
+        peer_monitor monitor(time, std::chrono::seconds{2});
+        monitor.record_heartbeat("a", 7, true);
+        CPPUNIT_ASSERT(monitor.state_of("a") == peer_state::leaving);
+        section("a successor starts afresh", [&] {
+            CPPUNIT_ASSERT(monitor.record_heartbeat("a", 9, false));
+            CPPUNIT_ASSERT(monitor.state_of("a") == peer_state::live);
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, monitor.incarnation_of("a"));
+        });
+        section("a late heartbeat of its predecessor changes nothing", [&] {
+            CPPUNIT_ASSERT(!monitor.record_heartbeat("a", 7, true));
+            CPPUNIT_ASSERT(monitor.state_of("a") == peer_state::live);
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, monitor.incarnation_of("a"));
+        });
+    }
+
+    void either_source_may_say_leaving()
+    {
+        manual_clock time;
+        peer_monitor monitor(time, std::chrono::seconds{2});
+        monitor.record_heartbeat("a", 1, false);
+        monitor.record_listed_leaving("a", true);
+        CPPUNIT_ASSERT(monitor.state_of("a") == peer_state::leaving);
+        section("heartbeats do not contradict the list", [&] {
+            monitor.record_heartbeat("a", 1, false);
+            CPPUNIT_ASSERT(monitor.state_of("a") == peer_state::leaving);
+        });
+        section("the list may take its word back, the peer may not", [&] {
+            monitor.record_listed_leaving("a", false);
+            CPPUNIT_ASSERT(monitor.state_of("a") == peer_state::live);
+            monitor.record_heartbeat("a", 1, true);
+            monitor.record_heartbeat("a", 1, false);
+            CPPUNIT_ASSERT(monitor.state_of("a") == peer_state::leaving);
+        });
+    }
+
+    void watchers_are_few_and_never_none()
+    {
+        std::vector<std::string> hosts;
+        for (int i = 0; i < 40; ++i) {
+            hosts.push_back("entry-" + std::to_string(i));
+        }
+        std::size_t elected = 0;
+        for (const auto& host : hosts) {
+            elected += is_elected_watcher(host, hosts, 3) ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, elected);
+        CPPUNIT_ASSERT(is_elected_watcher("alone", {}, 1));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(membership_tests);
+
+} // namespace tanager
--- /dev/null
+++ b/src/metrics/types/metric_label.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <string>
+
+namespace tanager {
+
+// Whose work a sample belongs to. Both come from the catalogue, so their number is bounded by it.
+struct metric_label {
+    std::string member;
+    std::string work_class;
+
+    friend auto operator<=>(const metric_label&, const metric_label&) = default;
+};
+
+} // namespace tanager
--- /dev/null
+++ b/src/net/http_server.h
@@ -0,0 +1,51 @@
+// Accepts HTTP requests on one address.
+#pragma once
+
+#include "base/types/result.h"
+#include "net/event_loop.h"
+#include "net/http_exchange.h"
+#include "net/types/http_types.h"
+
+#include <chrono>
+#include <memory>
+
+namespace tanager {
+
+// What a server accepts at most.
+struct http_server_limits {
+    std::size_t header_bytes = 16 * 1024;
+    std::size_t body_bytes = 4 * 1024 * 1024;
+    int descriptors = 4096;
+    std::chrono::seconds idle_timeout{60};
+
+    friend bool operator==(const http_server_limits&, const http_server_limits&) = default;
+};
+
+class http_server {
+public:
+    using handler = std::function<void(std::shared_ptr<http_exchange>)>;
+
+    // Listens at once; port 0 takes a free port. Fails with listen_failed or address_invalid.
+    static result<std::unique_ptr<http_server>> create(event_loop& loop,
+                                                       const std::string& address,
+                                                       const http_server_limits& limits,
+                                                       handler serve);
+
+    http_server() = default;
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+    http_server(http_server&&) = delete;
+    http_server& operator=(http_server&&) = delete;
+    virtual ~http_server() = default;
+
+    // Returns the address with the port that was taken.
+    virtual std::string address() const = 0;
+
+    // Refuses new connections and closes each kept-alive one after its next reply.
+    virtual void stop_accepting() = 0;
+
+    // Returns the requests received and not yet answered in full.
+    virtual std::size_t open_exchanges() const = 0;
+};
+
+} // namespace tanager
--- /dev/null
+++ b/src/net/internal/evhttp_exchange.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "net/event_loop.h"
+#include "net/http_exchange.h"
+
+struct evhttp_connection;
+struct evhttp_request;
+struct evbuffer;
+struct evbuffer_cb_entry;
+struct evbuffer_cb_info;
+
+namespace tanager {
+
+// An exchange over evhttp.
+class evhttp_exchange final : public http_exchange, public std::enable_shared_from_this<evhttp_exchange> {
+public:
+    evhttp_exchange(event_loop& loop, evhttp_request* native, bool close_after, notice on_finished);
+    ~evhttp_exchange() override;
+    evhttp_exchange(const evhttp_exchange&) = delete;
+    evhttp_exchange& operator=(const evhttp_exchange&) = delete;
+    evhttp_exchange(evhttp_exchange&&) = delete;
+    evhttp_exchange& operator=(evhttp_exchange&&) = delete;
+
+    // Starts listening for the caller's leaving; keeps itself alive until the reply is finished.
+    void attach();
+
+    const http_request& request() const override;
+    void start(int status, const http_headers& headers) override;
+    void write(std::string_view data) override;
+    void finish() override;
+    void abort() override;
+    void reply(const http_reply& whole) override;
+    std::size_t unsent_bytes() const override;
+    void on_drained(notice callback) override;
+    void on_caller_left(notice callback) override;
+    bool caller_has_left() const override;
+
+private:
+    static void on_connection_closed(evhttp_connection* connection, void* self);
+    static void on_peer_shutdown(int descriptor, short what, void* self); // NOLINT(*-runtime-int)
+    static void on_output_changed(evbuffer* buffer, const evbuffer_cb_info* info, void* self);
+    static http_request read_request(evhttp_request* native);
+    void add_headers(const http_headers& headers);
+    void note_caller_left();
+    void release();
+
+    event_loop& loop;
+    evhttp_request* native;
+    evhttp_connection* connection;
+    http_request received;
+    bool close_after;
+    bool started = false;
+    bool finished = false;
+    bool left = false;
+    bool left_reported = false;
+    event* shutdown_watch = nullptr;
+    evbuffer_cb_entry* output_watch = nullptr;
+    notice finished_callback;
+    notice drained_callback;
+    notice left_callback;
+    std::shared_ptr<evhttp_exchange> self_reference;
+};
+
+} // namespace tanager
--- /dev/null
+++ b/src/net/internal/http_client.cpp
@@ -0,0 +1,318 @@
+#include "net/http_client.h"
+
+#include "net/internal/http_connection_pool.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+namespace tanager {
+
+namespace {
+
+constexpr int status_no_content = 204;
+constexpr int status_not_modified = 304;
+constexpr ev_ssize_t longest_reply_bytes = 64 * 1024 * 1024;
+
+evhttp_cmd_type to_command(const std::string& method)
+{
+    if (method == "POST") {
+        return EVHTTP_REQ_POST;
+    }
+    if (method == "PUT") {
+        return EVHTTP_REQ_PUT;
+    }
+    if (method == "DELETE") {
+        return EVHTTP_REQ_DELETE;
+    }
+    return EVHTTP_REQ_GET;
+}
+
+http_headers read_headers(evhttp_request* native)
+{
+    http_headers headers;
+    const evkeyvalq* const input = evhttp_request_get_input_headers(native);
+    for (const evkeyval* header = input->tqh_first; header != nullptr; header = header->next.tqe_next) {
+        headers.push_back({header->key, header->value});
+    }
+    return headers;
+}
+
+class evhttp_call final : public http_call, public std::enable_shared_from_this<evhttp_call> {
+public:
+    evhttp_call(event_loop& loop,
+                http_connection_pool& pool,
+                socket_address peer,
+                std::shared_ptr<http_reply_handler> handler)
+        : loop(loop), pool(pool), peer(std::move(peer)), handler(std::move(handler))
+    {
+    }
+
+    void begin(const http_request& request, const http_call_options& options)
+    {
+        this->self_reference = this->shared_from_this();
+        this->connection = this->pool.take(this->peer, options.reuse_connection);
+        this->set_timeout(options.timeout);
+        evhttp_connection_set_max_body_size(this->connection, longest_reply_bytes);
+        this->output_watch = evbuffer_add_cb(this->output(), &evhttp_call::on_output_changed, this);
+        this->native = evhttp_request_new(&evhttp_call::on_complete, this);
+        evhttp_request_set_header_cb(this->native, &evhttp_call::on_header);
+        evhttp_request_set_chunked_cb(this->native, &evhttp_call::on_chunk);
+        evhttp_request_set_error_cb(this->native, &evhttp_call::on_error);
+        this->fill(request);
+        // evhttp owns the request from here on, also when this fails.
+        const int made = evhttp_make_request(
+            this->connection, this->native, to_command(request.method), request.path.c_str());
+        if (made != 0 && !this->done) {
+            this->native = nullptr;
+            this->loop.post([self = this->shared_from_this()] { self->end_with_failure(); });
+        }
+    }
+
+    void cancel() override
+    {
+        if (this->done) {
+            return;
+        }
+        this->done = true;
+        if (this->native != nullptr) {
+            evhttp_cancel_request(this->native);
+            this->native = nullptr;
+        }
+        auto* const broken = this->connection;
+        this->release();
+        this->pool.discard(broken);
+    }
+
+    void pause() override
+    {
+        if (!this->done) {
+            bufferevent_disable(evhttp_connection_get_bufferevent(this->connection), EV_READ);
+        }
+    }
+
+    void resume() override
+    {
+        if (!this->done) {
+            bufferevent_enable(evhttp_connection_get_bufferevent(this->connection), EV_READ);
+        }
+    }
+
+private:
+    void set_timeout(std::chrono::milliseconds timeout)
+    {
+        constexpr std::int64_t milliseconds_per_second = 1000;
+        constexpr std::int64_t microseconds_per_millisecond = 1000;
+        timeval span{};
+        span.tv_sec = timeout.count() / milliseconds_per_second;
+        span.tv_usec = (timeout.count() % milliseconds_per_second) * microseconds_per_millisecond;
+        evhttp_connection_set_timeout_tv(this->connection, &span);
+    }
+
+    void fill(const http_request& request)
+    {
+        evkeyvalq* const headers = evhttp_request_get_output_headers(this->native);
+        evhttp_add_header(headers, "Host", to_text(this->peer).c_str());
+        for (const auto& header : request.headers) {
+            evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
+        }
+        evbuffer_add(evhttp_request_get_output_buffer(this->native), request.body.data(), request.body.size());
+    }
+
+    evbuffer* output() const
+    {
+        return bufferevent_get_output(evhttp_connection_get_bufferevent(this->connection));
+    }
+
+    // Nothing is put into the output before the connection is made, so what leaves it went to the peer.
+    static void on_output_changed(evbuffer* /*buffer*/, const evbuffer_cb_info* info, void* self)
+    {
+        if (info->n_deleted > 0) {
+            static_cast<evhttp_call*>(self)->sent = true;
+        }
+    }
+
+    static int on_header(evhttp_request* request, void* self)
+    {
+        auto& call = *static_cast<evhttp_call*>(self);
+        const auto keep_alive = call.shared_from_this();
+        const int status = evhttp_request_get_response_code(request);
+        const auto headers = read_headers(request);
+        const bool is_delimited = !find_header(headers, "Content-Length").empty() ||
+                                  !find_header(headers, "Transfer-Encoding").empty() ||
+                                  status == status_no_content || status == status_not_modified;
+        call.head_seen = true;
+        if (!is_delimited) {
+            // Without a length, a cut connection could not be told from the end of the reply.
+            call.failure_code = result_code::reply_malformed;
+            return -1;
+        }
+        call.handler->on_head(status, headers);
+        return 0;
+    }
+
+    static void on_chunk(evhttp_request* request, void* self)
+    {
+        auto& call = *static_cast<evhttp_call*>(self);
+        const auto keep_alive = call.shared_from_this();
+        evbuffer* const input = evhttp_request_get_input_buffer(request);
+        const std::size_t length = evbuffer_get_length(input);
+        if (call.done || length == 0) {
+            return;
+        }
+        const auto* const bytes = evbuffer_pullup(input, -1);
+        call.handler->on_data({reinterpret_cast<const char*>(bytes), length}); // NOLINT(*-reinterpret-cast)
+    }
+
+    static void on_error(evhttp_request_error cause, void* self)
+    {
+        auto& call = *static_cast<evhttp_call*>(self);
+        if (cause == EVREQ_HTTP_TIMEOUT) {
+            call.failure_code = result_code::timed_out;
+        } else if (cause == EVREQ_HTTP_INVALID_HEADER || cause == EVREQ_HTTP_DATA_TOO_LONG) {
+            call.failure_code = result_code::reply_malformed;
+        }
+    }
+
+    static void on_complete(evhttp_request* request, void* self)
+    {
+        auto& call = *static_cast<evhttp_call*>(self);
+        if (call.done) {
+            return;
+        }
+        call.native = nullptr;
+        const bool is_whole = request != nullptr && evhttp_request_get_response_code(request) != 0 &&
+                              call.head_seen && call.failure_code == result_code::connection_lost;
+        if (!is_whole) {
+            call.end_with_failure();
+            return;
+        }
+        call.end_with_success();
+    }
+
+    void end_with_success()
+    {
+        const auto keep_alive = this->shared_from_this();
+        this->done = true;
+        auto* const reusable = this->connection;
+        const auto receiver = this->handler;
+        this->release();
+        this->pool.give_back(this->peer, reusable);
+        receiver->on_end();
+    }
+
+    void end_with_failure()
+    {
+        const auto keep_alive = this->shared_from_this();
+        if (this->done) {
+            return;
+        }
+        this->done = true;
+        const bool never_sent = !this->head_seen && !this->sent;
+        auto* const broken = this->connection;
+        const auto receiver = this->handler;
+        this->release();
+        this->pool.discard(broken);
+        const auto code = never_sent && this->failure_code == result_code::connection_lost
+                              ? result_code::connect_failed
+                              : this->failure_code;
+        const auto progress = never_sent ? call_progress::not_sent : call_progress::maybe_sent;
+        receiver->on_failure({{code, std::string{name_of(code)} + " at " + to_text(this->peer)}, progress});
+    }
+
+    void release()
+    {
+        if (this->connection != nullptr) {
+            evbuffer_remove_cb_entry(this->output(), this->output_watch);
+            this->connection = nullptr;
+        }
+        this->handler.reset();
+        this->self_reference.reset();
+    }
+
+    event_loop& loop;
+    http_connection_pool& pool;
+    socket_address peer;
+    std::shared_ptr<http_reply_handler> handler;
+    evhttp_connection* connection = nullptr;
+    evhttp_request* native = nullptr;
+    evbuffer_cb_entry* output_watch = nullptr;
+    bool head_seen = false;
+    bool sent = false;
+    bool done = false;
+    result_code failure_code = result_code::connection_lost;
+    std::shared_ptr<evhttp_call> self_reference;
+};
+
+class evhttp_client final : public http_client {
+public:
+    explicit evhttp_client(event_loop& loop) : loop(loop), pool(loop)
+    {
+    }
+
+    std::shared_ptr<http_call> start(const socket_address& peer,
+                                     const http_request& request,
+                                     const http_call_options& options,
+                                     std::shared_ptr<http_reply_handler> handler) override
+    {
+        auto call = std::make_shared<evhttp_call>(this->loop, this->pool, peer, std::move(handler));
+        call->begin(request, options);
+        return call;
+    }
+
+private:
+    event_loop& loop;
+    http_connection_pool pool;
+};
+
+// Collects a reply in memory.
+class collecting_handler final : public http_reply_handler {
+public:
+    explicit collecting_handler(http_client::whole_reply_callback callback) : callback(std::move(callback))
+    {
+    }
+
+    void on_head(int status, const http_headers& headers) override
+    {
+        this->whole.status = status;
+        this->whole.headers = headers;
+    }
+
+    void on_data(std::string_view data) override
+    {
+        this->whole.body += data;
+    }
+
+    void on_end() override
+    {
+        this->callback(this->whole);
+    }
+
+    void on_failure(const http_failure& failure) override
+    {
+        this->callback(tl::make_unexpected(failure));
+    }
+
+private:
+    http_client::whole_reply_callback callback;
+    http_reply whole;
+};
+
+} // namespace
+
+std::unique_ptr<http_client> http_client::create(event_loop& loop)
+{
+    return std::make_unique<evhttp_client>(loop);
+}
+
+std::shared_ptr<http_call> http_client::fetch(const socket_address& peer,
+                                              const http_request& request,
+                                              const http_call_options& options,
+                                              whole_reply_callback callback)
+{
+    return this->start(peer, request, options, std::make_shared<collecting_handler>(std::move(callback)));
+}
+
+} // namespace tanager
--- /dev/null
+++ b/src/net/internal/http_connection_pool.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "net/event_loop.h"
+#include "net/types/http_types.h"
+
+#include <map>
+#include <vector>
+
+struct evhttp_connection;
+
+namespace tanager {
+
+// Keeps idle connections for the next call to the same peer.
+class http_connection_pool {
+public:
+    explicit http_connection_pool(event_loop& loop);
+    ~http_connection_pool();
+    http_connection_pool(const http_connection_pool&) = delete;
+    http_connection_pool& operator=(const http_connection_pool&) = delete;
+    http_connection_pool(http_connection_pool&&) = delete;
+    http_connection_pool& operator=(http_connection_pool&&) = delete;
+
+    // Returns an idle connection, or a new one that connects on its first request.
+    evhttp_connection* take(const socket_address& peer, bool reuse);
+
+    // Keeps a connection whose last reply was read in full.
+    void give_back(const socket_address& peer, evhttp_connection* connection);
+
+    // Frees a connection once the loop has left its callbacks.
+    void discard(evhttp_connection* connection);
+
+private:
+    event_loop& loop;
+    std::map<socket_address, std::vector<evhttp_connection*>> idle;
+};
+
+} // namespace tanager
--- /dev/null
+++ b/src/net/internal/http_exchange.cpp
@@ -0,0 +1,247 @@
+#include "net/internal/evhttp_exchange.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+namespace tanager {
+
+namespace {
+
+constexpr std::size_t low_water_bytes = 16 * 1024;
+
+std::string method_name(evhttp_cmd_type type)
+{
+    switch (type) {
+    case EVHTTP_REQ_GET:
+        return "GET";
+    case EVHTTP_REQ_POST:
+        return "POST";
+    case EVHTTP_REQ_HEAD:
+        return "HEAD";
+    case EVHTTP_REQ_PUT:
+        return "PUT";
+    case EVHTTP_REQ_DELETE:
+        return "DELETE";
+    case EVHTTP_REQ_PATCH:
+        return "PATCH";
+    default:
+        return "OTHER";
+    }
+}
+
+} // namespace
+
+evhttp_exchange::evhttp_exchange(event_loop& loop, evhttp_request* native, bool close_after, notice on_finished)
+    : loop(loop),
+      native(native),
+      connection(evhttp_request_get_connection(native)),
+      received(read_request(native)),
+      close_after(close_after),
+      finished_callback(std::move(on_finished))
+{
+}
+
+evhttp_exchange::~evhttp_exchange()
+{
+    this->release();
+}
+
+http_request evhttp_exchange::read_request(evhttp_request* native)
+{
+    http_request request;
+    request.method = method_name(evhttp_request_get_command(native));
+    request.path = evhttp_request_get_uri(native);
+    const evkeyvalq* const headers = evhttp_request_get_input_headers(native);
+    for (const evkeyval* header = headers->tqh_first; header != nullptr; header = header->next.tqe_next) {
+        request.headers.push_back({header->key, header->value});
+    }
+    evbuffer* const body = evhttp_request_get_input_buffer(native);
+    request.body.resize(evbuffer_get_length(body));
+    evbuffer_remove(body, request.body.data(), request.body.size());
+    return request;
+}
+
+void evhttp_exchange::attach()
+{
+    this->self_reference = this->shared_from_this();
+    evhttp_connection_set_closecb(this->connection, &evhttp_exchange::on_connection_closed, this);
+    bufferevent* const stream = evhttp_connection_get_bufferevent(this->connection);
+    // evhttp stops reading while a reply is owed, so the caller's leaving is seen on the socket itself.
+    this->shutdown_watch = event_new(
+        this->loop.native(), bufferevent_getfd(stream), EV_CLOSED, &evhttp_exchange::on_peer_shutdown, this);
+    event_add(this->shutdown_watch, nullptr);
+    this->output_watch =
+        evbuffer_add_cb(bufferevent_get_output(stream), &evhttp_exchange::on_output_changed, this);
+}
+
+void evhttp_exchange::release()
+{
+    if (this->shutdown_watch != nullptr) {
+        event_free(this->shutdown_watch);
+        this->shutdown_watch = nullptr;
+    }
+    if (this->connection != nullptr) {
+        bufferevent* const stream = evhttp_connection_get_bufferevent(this->connection);
+        if (this->output_watch != nullptr) {
+            evbuffer_remove_cb_entry(bufferevent_get_output(stream), this->output_watch);
+        }
+        evhttp_connection_set_closecb(this->connection, nullptr, nullptr);
+    }
+    this->output_watch = nullptr;
+    this->connection = nullptr;
+}
+
+void evhttp_exchange::on_connection_closed(evhttp_connection* /*connection*/, void* self)
+{
+    auto* const exchange = static_cast<evhttp_exchange*>(self);
+    const auto keep_alive = exchange->self_reference;
+    exchange->release();
+    exchange->note_caller_left();
+}
+
+void evhttp_exchange::on_peer_shutdown(int /*descriptor*/, short /*what*/, void* self) // NOLINT(*-runtime-int)
+{
+    auto* const exchange = static_cast<evhttp_exchange*>(self);
+    const auto keep_alive = exchange->self_reference;
+    exchange->note_caller_left();
+}
+
+void evhttp_exchange::on_output_changed(evbuffer* buffer, const evbuffer_cb_info* info, void* self)
+{
+    auto* const exchange = static_cast<evhttp_exchange*>(self);
+    if (info->n_deleted == 0 || evbuffer_get_length(buffer) > low_water_bytes || !exchange->drained_callback) {
+        return;
+    }
+    // Posted, since the buffer may not be changed from inside its own callback.
+    exchange->loop.post([weak = exchange->weak_from_this()] {
+        const auto alive = weak.lock();
+        if (alive != nullptr && !alive->finished && alive->drained_callback) {
+            alive->drained_callback();
+        }
+    });
+}
+
+void evhttp_exchange::note_caller_left()
+{
+    this->left = true;
+    if (this->left_reported || this->finished || !this->left_callback) {
+        return;
+    }
+    this->left_reported = true;
+    this->left_callback();
+}
+
+const http_request& evhttp_exchange::request() const
+{
+    return this->received;
+}
+
+void evhttp_exchange::add_headers(const http_headers& headers)
+{
+    evkeyvalq* const output = evhttp_request_get_output_headers(this->native);
+    for (const auto& header : headers) {
+        evhttp_add_header(output, header.name.c_str(), header.value.c_str());
+    }
+    if (this->close_after) {
+        evhttp_add_header(output, "Connection", "close");
+    }
+}
+
+void evhttp_exchange::start(int status, const http_headers& headers)
+{
+    this->started = true;
+    if (this->connection == nullptr) {
+        return;
+    }
+    this->add_headers(headers);
+    evhttp_send_reply_start(this->native, status, nullptr);
+}
+
+void evhttp_exchange::write(std::string_view data)
+{
+    if (this->connection == nullptr || data.empty()) {
+        return;
+    }
+    evbuffer* const chunk = evbuffer_new();
+    evbuffer_add(chunk, data.data(), data.size());
+    evhttp_send_reply_chunk(this->native, chunk);
+    evbuffer_free(chunk);
+}
+
+void evhttp_exchange::finish()
+{
+    if (this->finished) {
+        return;
+    }
+    this->finished = true;
+    const auto keep_alive = std::move(this->self_reference);
+    this->release();
+    evhttp_send_reply_end(this->native);
+    this->finished_callback();
+}
+
+void evhttp_exchange::abort()
+{
+    if (this->finished) {
+        return;
+    }
+    this->finished = true;
+    const auto keep_alive = std::move(this->self_reference);
+    evhttp_connection* const broken = this->connection;
+    this->release();
+    if (broken == nullptr) {
+        evhttp_send_reply_end(this->native);
+    } else {
+        evhttp_connection_free(broken);
+    }
+    this->finished_callback();
+}
+
+void evhttp_exchange::reply(const http_reply& whole)
+{
+    if (this->finished) {
+        return;
+    }
+    this->finished = true;
+    const auto keep_alive = std::move(this->self_reference);
+    if (this->connection != nullptr) {
+        this->add_headers(whole.headers);
+    }
+    this->release();
+    evbuffer* const body = evbuffer_new();
+    evbuffer_add(body, whole.body.data(), whole.body.size());
+    evhttp_send_reply(this->native, whole.status, nullptr, body);
+    evbuffer_free(body);
+    this->finished_callback();
+}
+
+std::size_t evhttp_exchange::unsent_bytes() const
+{
+    if (this->connection == nullptr) {
+        return 0;
+    }
+    return evbuffer_get_length(bufferevent_get_output(evhttp_connection_get_bufferevent(this->connection)));
+}
+
+void evhttp_exchange::on_drained(notice callback)
+{
+    this->drained_callback = std::move(callback);
+}
+
+void evhttp_exchange::on_caller_left(notice callback)
+{
+    this->left_callback = std::move(callback);
+    if (this->left) {
+        this->note_caller_left();
+    }
+}
+
+bool evhttp_exchange::caller_has_left() const
+{
+    return this->left;
+}
+
+} // namespace tanager
--- /dev/null
+++ b/src/net/internal/http_server.cpp
@@ -0,0 +1,128 @@
+#include "net/http_server.h"
+
+#include "net/internal/descriptor_gate.h"
+#include "net/internal/evhttp_exchange.h"
+
+#include <arpa/inet.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/listener.h>
+
+namespace tanager {
+
+namespace {
+
+constexpr unsigned served_methods =
+    EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_HEAD | EVHTTP_REQ_PATCH;
+
+class evhttp_server final : public http_server {
+public:
+    evhttp_server(event_loop& loop, const http_server_limits& limits, handler serve)
+        : loop(loop), native(evhttp_new(loop.native())), serve(std::move(serve))
+    {
+        evhttp_set_max_headers_size(this->native, static_cast<ev_ssize_t>(limits.header_bytes));
+        evhttp_set_max_body_size(this->native, static_cast<ev_ssize_t>(limits.body_bytes));
+        evhttp_set_timeout(this->native, static_cast<int>(limits.idle_timeout.count()));
+        evhttp_set_allowed_methods(this->native, static_cast<ev_uint16_t>(served_methods));
+        evhttp_set_gencb(this->native, &evhttp_server::on_request, this);
+        evhttp_set_bevcb(this->native, &evhttp_server::on_connection, this);
+    }
+
+    ~evhttp_server() override
+    {
+        evhttp_free(this->native);
+    }
+
+    evhttp_server(const evhttp_server&) = delete;
+    evhttp_server& operator=(const evhttp_server&) = delete;
+    evhttp_server(evhttp_server&&) = delete;
+    evhttp_server& operator=(evhttp_server&&) = delete;
+
+    result<void> listen(const socket_address& wanted, int descriptors)
+    {
+        this->socket = evhttp_bind_socket_with_handle(this->native, wanted.host.c_str(), wanted.port);
+        if (this->socket == nullptr) {
+            return fail(result_code::listen_failed, "cannot listen on " + to_text(wanted));
+        }
+        sockaddr_in bound{};
+        socklen_t length = sizeof(bound);
+        // The sockets interface is typed this way.
+        getsockname(evhttp_bound_socket_get_fd(this->socket),
+                    reinterpret_cast<sockaddr*>(&bound), // NOLINT(*-reinterpret-cast)
+                    &length);
+        this->taken = {wanted.host, ntohs(bound.sin_port)};
+        auto* const listener = evhttp_bound_socket_get_listener(this->socket);
+        this->gate = std::make_unique<descriptor_gate>(this->loop, listener, descriptors);
+        return {};
+    }
+
+    std::string address() const override
+    {
+        return to_text(this->taken);
+    }
+
+    void stop_accepting() override
+    {
+        if (this->socket == nullptr) {
+            return;
+        }
+        this->gate.reset();
+        evhttp_del_accept_socket(this->native, this->socket);
+        this->socket = nullptr;
+    }
+
+    std::size_t open_exchanges() const override
+    {
+        return this->open;
+    }
+
+private:
+    static void on_request(evhttp_request* request, void* self)
+    {
+        auto* const server = static_cast<evhttp_server*>(self);
+        ++server->open;
+        const bool is_stopping = server->socket == nullptr;
+        const auto exchange = std::make_shared<evhttp_exchange>(
+            server->loop, request, is_stopping, [server] { --server->open; });
+        exchange->attach();
+        server->serve(exchange);
+    }
+
+    static bufferevent* on_connection(event_base* base, void* self)
+    {
+        auto* const server = static_cast<evhttp_server*>(self);
+        if (server->gate != nullptr) {
+            server->gate->check();
+        }
+        return bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+    }
+
+    event_loop& loop;
+    evhttp* native;
+    handler serve;
+    evhttp_bound_socket* socket = nullptr;
+    socket_address taken;
+    std::unique_ptr<descriptor_gate> gate;
+    std::size_t open = 0;
+};
+
+} // namespace
+
+result<std::unique_ptr<http_server>> http_server::create(event_loop& loop,
+                                                         const std::string& address,
+                                                         const http_server_limits& limits,
+                                                         handler serve)
+{
+    const auto wanted = parse_address(address);
+    if (!wanted) {
+        return tl::make_unexpected(wanted.error());
+    }
+    auto server = std::make_unique<evhttp_server>(loop, limits, std::move(serve));
+    const auto listening = server->listen(*wanted, limits.descriptors);
+    if (!listening) {
+        return tl::make_unexpected(listening.error());
+    }
+    return server;
+}
+
+} // namespace tanager
--- /dev/null
+++ b/src/net/types/http_types.h
@@ -0,0 +1,54 @@
+// HTTP messages as values.
+#pragma once
+
+#include "base/types/result.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace tanager {
+
+struct http_header {
+    std::string name;
+    std::string value;
+
+    friend bool operator==(const http_header&, const http_header&) = default;
+};
+
+using http_headers = std::vector<http_header>;
+
+struct http_request {
+    std::string method;
+    std::string path; // with the query
+    http_headers headers;
+    std::string body;
+
+    friend bool operator==(const http_request&, const http_request&) = default;
+};
+
+struct http_reply {
+    int status = 0;
+    http_headers headers;
+    std::string body;
+
+    friend bool operator==(const http_reply&, const http_reply&) = default;
+};
+
+// A host address in its two parts.
+struct socket_address {
+    std::string host;
+    std::uint16_t port = 0;
+
+    friend auto operator<=>(const socket_address&, const socket_address&) = default;
+};
+
+// Parses `ip:port`; fails with address_invalid.
+result<socket_address> parse_address(const std::string& text);
+std::string to_text(const socket_address& address);
+
+// Returns the value of the first header of that name, ignoring case, or an empty text.
+std::string find_header(const http_headers& headers, std::string_view name);
+
+} // namespace tanager
--- /dev/null
+++ b/src/platform/catalogue_follower.h
@@ -0,0 +1,37 @@
+// Keeps a process's catalogue at the store's newest revision.
+#pragma once
+
+#include "base/random_source.h"
+#include "catalogue/catalogue.h"
+#include "net/event_loop.h"
+#include "platform/object_store.h"
+
+#include <memory>
+
+namespace tanager {
+
+// Everything the system stores in the catalogue lies under this prefix.
+inline constexpr const char* catalogue_prefix = "catalogue/";
+
+// Lists once, then holds one watch. While the store is away, retries after a jittered exponential delay; what is
+// already known stays in force.
+class catalogue_follower {
+public:
+    static std::shared_ptr<catalogue_follower>
+    create(event_loop& loop, object_store& store, catalogue& known, random_source& random);
+
+    catalogue_follower() = default;
+    catalogue_follower(const catalogue_follower&) = delete;
+    catalogue_follower& operator=(const catalogue_follower&) = delete;
+    catalogue_follower(catalogue_follower&&) = delete;
+    catalogue_follower& operator=(catalogue_follower&&) = delete;
+    virtual ~catalogue_follower() = default;
+
+    // Begins to follow; calling again has no effect.
+    virtual void start() = 0;
+
+    // Ends following; the catalogue then changes only through peers.
+    virtual void stop() = 0;
+};
+
+} // namespace tanager
--- /dev/null
+++ b/src/platform/internal/http_object_store.cpp
@@ -0,0 +1,190 @@
+#include "platform/http_object_store.h"
+
+#include <nlohmann/json.hpp>
+
+namespace tanager {
+
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_not_found = 404;
+constexpr int status_conflict = 409;
+constexpr std::chrono::milliseconds watch_grace{2'000};
+
+result<stored_object> read_object(const nlohmann::json& json)
+{
+    try {
+        return stored_object{json.at("name").get<std::string>(),
+                             json.at("version").get<std::uint64_t>(),
+                             json.value("deleted", false),
+                             json.value("value", std::string{})};
+    } catch (const nlohmann::json::exception& failure) {
+        return fail(result_code::store_unavailable, std::string{"malformed object: "} + failure.what());
+    }
+}
+
+result<object_listing> read_listing(const std::string& body, std::uint64_t since)
+{
+    const auto json = nlohmann::json::parse(body, nullptr, false);
+    if (!json.is_object() || !json.contains("revision") || !json.contains("objects")) {
+        return fail(result_code::store_unavailable, "malformed listing");
+    }
+    object_listing listing{since, json.value("revision", std::uint64_t{0}), json.value("whole", false), {}};
+    for (const auto& item : json["objects"]) {
+        const auto object = read_object(item);
+        if (!object) {
+            return tl::make_unexpected(object.error());
+        }
+        listing.objects.push_back(*object);
+    }
+    return listing;
+}
+
+result<std::uint64_t> read_version(const result<std::string>& body)
+{
+    if (!body) {
+        return tl::make_unexpected(body.error());
+    }
+    const auto json = nlohmann::json::parse(*body, nullptr, false);
+    if (!json.is_object() || !json.contains("version")) {
+        return fail(result_code::store_unavailable, "malformed answer to a write");
+    }
+    return json.value("version", std::uint64_t{0});
+}
+
+result<std::vector<listed_host>> read_hosts(const std::string& body)
+{
+    const auto json = nlohmann::json::parse(body, nullptr, false);
+    if (!json.is_object() || !json.contains("hosts") || !json["hosts"].is_array()) {
+        return fail(result_code::store_unavailable, "malformed host list");
+    }
+    std::vector<listed_host> hosts;
+    for (const auto& item : json["hosts"]) {
+        const bool is_leaving = item.value("state", std::string{}) == "leaving";
+        hosts.push_back({item.value("host", std::string{}),
+                         item.value("data_centre", std::string{}),
+                         item.value("group", std::string{}),
+                         is_leaving ? host_state::leaving : host_state::live});
+    }
+    return hosts;
+}
+
+} // namespace
+
+http_object_store::http_object_store(http_client& client,
+                                     socket_address platform,
+                                     const object_store_limits& limits)
+    : client(client), platform(std::move(platform)), limits(limits)
+{
+}
+
+std::unique_ptr<http_object_store> http_object_store::create(http_client& client,
+                                                             const socket_address& platform,
+                                                             const object_store_limits& limits)
+{
+    return std::unique_ptr<http_object_store>(
+        new http_object_store(client, platform, limits)); // NOLINT(*-owning-memory)
+}
+
+void http_object_store::call(const http_request& request,
+                             std::chrono::milliseconds timeout,
+                             reply_callback callback)
+{
+    ++this->call_count;
+    const http_call_options options{timeout, true};
+    const auto on_reply = [callback = std::move(callback)](const tl::expected<http_reply, http_failure>& reply) {
+        if (!reply) {
+            callback(fail(result_code::store_unavailable, reply.error().cause.detail));
+        } else if (reply->status == status_conflict) {
+            callback(fail(result_code::version_conflict, reply->body));
+        } else if (reply->status == status_not_found) {
+            callback(fail(result_code::object_unknown, reply->body));
+        } else if (reply->status != status_ok) {
+            callback(fail(result_code::store_unavailable, "status " + std::to_string(reply->status)));
+        } else {
+            callback(reply->body);
+        }
+    };
+    this->client.fetch(this->platform, request, options, on_reply);
+}
+
+void http_object_store::list(const std::string& prefix, listing_callback callback)
+{
+    const http_request request{"GET", "/v1/objects?prefix=" + prefix, {}, {}};
+    this->call(request, this->limits.call_timeout, [callback = std::move(callback)](const auto& body) {
+        if (!body) {
+            callback(tl::make_unexpected(body.error()));
+            return;
+        }
+        callback(read_listing(*body, 0));
+    });
+}
+
+void http_object_store::watch(const std::string& prefix, std::uint64_t since, listing_callback callback)
+{
+    const auto wait = std::to_string(this->limits.watch_wait.count());
+    const http_request request{
+        "GET", "/v1/watch?prefix=" + prefix + "&since=" + std::to_string(since) + "&wait_ms=" + wait, {}, {}};
+    const auto timeout = this->limits.watch_wait + watch_grace;
+    this->call(request, timeout, [since, callback = std::move(callback)](const auto& body) {
+        if (!body) {
+            callback(tl::make_unexpected(body.error()));
+            return;
+        }
+        callback(read_listing(*body, since));
+    });
+}
+
+void http_object_store::get(const std::string& name, object_callback callback)
+{
+    const http_request request{"GET", "/v1/objects/" + name, {}, {}};
+    this->call(request, this->limits.call_timeout, [callback = std::move(callback)](const auto& body) {
+        if (!body) {
+            callback(tl::make_unexpected(body.error()));
+            return;
+        }
+        const auto json = nlohmann::json::parse(*body, nullptr, false);
+        callback(json.is_object() ? read_object(json)
+                                  : fail(result_code::store_unavailable, "malformed object"));
+    });
+}
+
+void http_object_store::put(const std::string& name,
+                            const std::string& value,
+                            std::uint64_t expected,
+                            version_callback callback)
+{
+    const http_request request{
+        "PUT", "/v1/objects/" + name + "?expected=" + std::to_string(expected), {}, value};
+    this->call(request, this->limits.call_timeout, [callback = std::move(callback)](const auto& body) {
+        callback(read_version(body));
+    });
+}
+
+void http_object_store::remove(const std::string& name, std::uint64_t expected, version_callback callback)
+{
+    const http_request request{
+        "DELETE", "/v1/objects/" + name + "?expected=" + std::to_string(expected), {}, {}};
+    this->call(request, this->limits.call_timeout, [callback = std::move(callback)](const auto& body) {
+        callback(read_version(body));
+    });
+}
+
+void http_object_store::list_hosts(hosts_callback callback)
+{
+    const http_request request{"GET", "/v1/hosts", {}, {}};
+    this->call(request, this->limits.call_timeout, [callback = std::move(callback)](const auto& body) {
+        if (!body) {
+            callback(tl::make_unexpected(body.error()));
+            return;
+        }
+        callback(read_hosts(*body));
+    });
+}
+
+std::uint64_t http_object_store::calls() const
+{
+    return this->call_count;
+}
+
+} // namespace tanager
--- /dev/null
+++ b/src/platform/types/stored_object.h
@@ -0,0 +1,41 @@
+// Objects of the platform's object API.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace tanager {
+
+// One version of one object. The version is the store-wide revision of the write that made it.
+struct stored_object {
+    std::string name;
+    std::uint64_t version = 0;
+    bool deleted = false;
+    std::string value;
+
+    friend bool operator==(const stored_object&, const stored_object&) = default;
+};
+
+// Objects under a prefix: all of them, or those changed after `since`.
+struct object_listing {
+    std::uint64_t since = 0;
+    std::uint64_t revision = 0;
+    bool whole = false;
+    std::vector<stored_object> objects;
+
+    friend bool operator==(const object_listing&, const object_listing&) = default;
+};
+
+enum class host_state { live, leaving };
+
+struct listed_host {
+    std::string host;
+    std::string data_centre;
+    std::string group; // "entry" for entry hosts, else the pool
+    host_state state = host_state::live;
+
+    friend bool operator==(const listed_host&, const listed_host&) = default;
+};
+
+} // namespace tanager
--- /dev/null
+++ b/src/program/health_pages.h
@@ -0,0 +1,28 @@
+// The pages that operators and the balancer read: /healthz and /metrics.
+#pragma once
+
+#include "logging/logging_invariant_monitor.h"
+#include "metrics/metrics_registry.h"
+#include "net/http_exchange.h"
+
+#include <functional>
+
+namespace tanager {
+
+class health_pages {
+public:
+    // `refusal` returns why the process is not ready, or an empty text.
+    health_pages(metrics_registry& metrics,
+                 const logging_invariant_monitor& invariants,
+                 std::function<std::string()> refusal);
+
+    // Answers the request when it is for one of the pages; returns whether it was.
+    bool serve(http_exchange& exchange) const;
+
+private:
+    metrics_registry& metrics;
+    const logging_invariant_monitor& invariants;
+    std::function<std::string()> refusal;
+};
+
+} // namespace tanager
--- /dev/null
+++ b/src/program/internal/health_pages.cpp
@@ -0,0 +1,46 @@
+#include "program/health_pages.h"
+
+#include "program/process_usage.h"
+
+namespace tanager {
+
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_unavailable = 503;
+
+} // namespace
+
+health_pages::health_pages(metrics_registry& metrics,
+                           const logging_invariant_monitor& invariants,
+                           std::function<std::string()> refusal)
+    : metrics(metrics), invariants(invariants), refusal(std::move(refusal))
+{
+}
+
+bool health_pages::serve(http_exchange& exchange) const
+{
+    const auto& path = exchange.request().path;
+    if (path == "/healthz") {
+        const std::string reason = this->refusal();
+        const int status = reason.empty() ? status_ok : status_unavailable;
+        exchange.reply({status, {{"Content-Type", "text/plain"}}, (reason.empty() ? "ok" : reason) + "\n"});
+        return true;
+    }
+    if (path != "/metrics") {
+        return false;
+    }
+    const auto usage = read_process_usage();
+    this->metrics.set_gauge("process_cpu_seconds_total",
+                            std::chrono::duration<double>(usage.processor_time).count());
+    this->metrics.set_gauge("process_resident_memory_bytes", static_cast<double>(usage.resident_bytes));
+    std::string text = this->metrics.render();
+    for (const auto& [which, amount] : this->invariants.counts()) {
+        text += "tanager_invariant_violations_total{invariant=\"" + std::string{name_of(which)} + "\"} " +
+                std::to_string(amount) + "\n";
+    }
+    exchange.reply({status_ok, {{"Content-Type", "text/plain; version=0.0.4"}}, text});
+    return true;
+}
+
+} // namespace tanager
--- /dev/null
+++ b/src/program/internal/process_usage.cpp
@@ -0,0 +1,34 @@
+#include "program/process_usage.h"
+
+#include <fstream>
+#include <sys/resource.h>
+#include <unistd.h>
+
+namespace tanager {
+
+namespace {
+
+std::chrono::microseconds to_duration(const timeval& value)
+{
+    return std::chrono::seconds{value.tv_sec} + std::chrono::microseconds{value.tv_usec};
+}
+
+} // namespace
+
+process_usage read_process_usage()
+{
+    process_usage usage;
+    rusage times{};
+    if (getrusage(RUSAGE_SELF, &times) == 0) {
+        usage.processor_time = to_duration(times.ru_utime) + to_duration(times.ru_stime);
+    }
+    std::ifstream pages("/proc/self/statm");
+    std::uint64_t total = 0;
+    std::uint64_t resident = 0;
+    if (pages >> total >> resident) {
+        usage.resident_bytes = resident * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE));
+    }
+    return usage;
+}
+
+} // namespace tanager
--- /dev/null
+++ b/src/program/internal/program_frame.cpp
@@ -0,0 +1,89 @@
+#include "program/program_frame.h"
+
+#include "logging/event_log.h"
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <iostream>
+
+namespace tanager {
+
+namespace {
+
+constexpr const char* product_version = "0.1.0";
+
+log_level parse_level(const std::string& name)
+{
+    if (name == "debug") {
+        return log_level::debug;
+    }
+    if (name == "warning") {
+        return log_level::warning;
+    }
+    return name == "error" ? log_level::error : log_level::info;
+}
+
+} // namespace
+
+tl::expected<program_arguments, exit_code>
+parse_arguments(const std::string& program, const std::string& purpose, int argc, const char* const* argv)
+{
+    program_arguments arguments;
+    CLI::App parser{purpose, program};
+    parser.set_version_flag("--version", program + " " + product_version);
+    parser.add_option("--config", arguments.config_path, "INI settings file")->required();
+    parser.add_flag("--check-config", arguments.check_only, "check the settings file and exit");
+    try {
+        parser.parse(argc, argv);
+    } catch (const CLI::ParseError& failure) {
+        const int status = parser.exit(failure);
+        return tl::make_unexpected(status == 0 ? exit_code::success : exit_code::usage);
+    }
+    return arguments;
+}
+
+bool report_problems(const settings_reader& reader)
+{
+    const auto problems = reader.problems();
+    for (const auto& problem : problems) {
+        std::cerr << to_text(problem) << '\n';
+    }
+    return !problems.empty();
+}
+
+void open_log_from(settings_reader& reader, const std::string& program)
+{
+    const auto level =
+        reader.read_choice({"log", "level"}, "info", {"debug", "info", "warning", "error"});
+    const auto name = reader.read_text({"log", "name"}, program);
+    open_event_log(name, parse_level(level));
+}
+
+exit_code serve_until_stopped(event_loop& loop, service& running)
+{
+    bool is_stopping = false;
+    const auto begin_stop = [&] {
+        if (is_stopping) {
+            return;
+        }
+        is_stopping = true;
+        write_event(log_event::stop_requested, {});
+        running.stop([&loop] { loop.stop(); });
+    };
+    const auto on_terminate = loop.run_on_signal(SIGTERM, begin_stop);
+    const auto on_interrupt = loop.run_on_signal(SIGINT, begin_stop);
+    write_event(log_event::program_started, {{"version", product_version}});
+    loop.run();
+    write_event(log_event::program_stopped, {});
+    return exit_code::success;
+}
+
+exit_code report_failed_start(const error& cause)
+{
+    write_event(log_event::program_failed,
+                {{"code", std::to_string(static_cast<int>(cause.code))}, {"detail", cause.detail}});
+    std::cerr << cause.detail << '\n';
+    return exit_code::start_failed;
+}
+
+} // namespace tanager
--- /dev/null
+++ b/src/program/program_frame.h
@@ -0,0 +1,95 @@
+// What every program has in common: arguments, settings, logs and signals.
+#pragma once
+
+#include "base/types/result.h"
+#include "logging/types/log_event.h"
+#include "net/event_loop.h"
+#include "program/types/exit_code.h"
+#include "settings/settings_reader.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace tanager {
+
+// A program that has been set up and serves until it has drained.
+class service {
+public:
+    service() = default;
+    service(const service&) = delete;
+    service& operator=(const service&) = delete;
+    service(service&&) = delete;
+    service& operator=(service&&) = delete;
+    virtual ~service() = default;
+
+    // Stops taking new work; calls `drained` once the work under way has ended.
+    virtual void stop(task drained) = 0;
+};
+
+// Reads a program's settings; problems stay in the reader.
+template <class settings_type>
+using settings_loader = std::function<settings_type(settings_reader&)>;
+
+// The arguments that every program takes.
+struct program_arguments {
+    std::string config_path;
+    bool check_only = false;
+
+    friend bool operator==(const program_arguments&, const program_arguments&) = default;
+};
+
+// Parses the arguments; returns an exit code instead when the program is to end at once.
+tl::expected<program_arguments, exit_code>
+parse_arguments(const std::string& program, const std::string& purpose, int argc, const char* const* argv);
+
+// Prints each problem of a settings file; returns whether there was any.
+bool report_problems(const settings_reader& reader);
+
+// Reads the section that every program has, and opens the log with it.
+void open_log_from(settings_reader& reader, const std::string& program);
+
+// Runs a service until SIGTERM or SIGINT and its graceful stop.
+exit_code serve_until_stopped(event_loop& loop, service& running);
+
+// Reports a failed start and returns its exit code.
+exit_code report_failed_start(const error& cause);
+
+// The whole main function of a server program.
+template <class settings_type>
+exit_code run_program(const std::string& name,
+                      const std::string& purpose,
+                      int argc,
+                      const char* const* argv,
+                      const settings_loader<settings_type>& load,
+                      const std::function<result<std::unique_ptr<service>>(event_loop&, const settings_type&)>& set_up)
+{
+    const auto arguments = parse_arguments(name, purpose, argc, argv);
+    if (!arguments) {
+        return arguments.error();
+    }
+    auto reader = settings_reader::open(arguments->config_path);
+    if (!reader) {
+        return report_failed_start(reader.error());
+    }
+    open_log_from(*reader, name);
+    const settings_type settings = load(*reader);
+    if (report_problems(*reader)) {
+        return exit_code::settings_invalid;
+    }
+    if (arguments->check_only) {
+        return exit_code::success;
+    }
+    auto loop = event_loop::create();
+    if (!loop) {
+        return report_failed_start(loop.error());
+    }
+    auto running = set_up(**loop, settings);
+    if (!running) {
+        return report_failed_start(running.error());
+    }
+    return serve_until_stopped(**loop, **running);
+}
+
+} // namespace tanager
--- /dev/null
+++ b/src/protocol/types/attempt_name.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace tanager {
+
+namespace protocol {
+class attempt_id;
+}
+
+// Names one attempt to run one request; unique over all entries and their restarts.
+struct attempt_name {
+    std::uint64_t entry_incarnation = 0;
+    std::uint64_t sequence = 0;
+
+    friend auto operator<=>(const attempt_name&, const attempt_name&) = default;
+};
+
+std::string to_text(const attempt_name& name);
+attempt_name from_message(const protocol::attempt_id& message);
+void fill_message(const attempt_name& name, protocol::attempt_id& message);
+
+} // namespace tanager
--- /dev/null
+++ b/src/routing/tests/routing_tests.cpp
@@ -0,0 +1,110 @@
+#include "base/system_random.h"
+#include "routing/agent_choice.h"
+#include "testing/story.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <map>
+
+using tanager::testing::section;
+
+namespace tanager {
+
+namespace {
+
+std::vector<routing_candidate> make_pool(int size)
+{
+    std::vector<routing_candidate> pool;
+    for (int i = 0; i < size; ++i) {
+        pool.push_back({"host-" + std::to_string(i), true, true, 10, 10, 10, 0});
+    }
+    return pool;
+}
+
+} // namespace
+
+class routing_tests : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(routing_tests);
+    CPPUNIT_TEST(a_prefix_keeps_its_agent);
+    CPPUNIT_TEST(load_spreads_without_affinity);
+    CPPUNIT_TEST(agents_that_take_no_work_get_none);
+    CPPUNIT_TEST(a_short_pool_queues_then_refuses);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void a_prefix_keeps_its_agent()
+    {
+        system_random random(1);
+        auto pool = make_pool(11);
+        const routing_request request{42, 1};
+        const auto home = choose_agent(request, pool, {}, random).value();
+        for (int i = 0; i < 100; ++i) {
+            CPPUNIT_ASSERT_EQUAL(home, choose_agent(request, pool, {}, random).value());
+        }
+        section("removing another agent does not move it", [&] {
+            std::erase_if(pool, [&](const auto& candidate) {
+                return candidate.host != home && candidate.host < "host-3";
+            });
+            CPPUNIT_ASSERT_EQUAL(home, choose_agent(request, pool, {}, random).value());
+        });
+        section("a long queue there does", [&] {
+            for (auto& candidate : pool) {
+                candidate.queued = candidate.host == home ? 9 : 0;
+            }
+            CPPUNIT_ASSERT(home != choose_agent(request, pool, {}, random).value());
+        });
+    }
+
+    void load_spreads_without_affinity()
+    {
+        system_random random(2);
+        auto pool = make_pool(10);
+        for (int i = 0; i < 1'000; ++i) {
+            const auto chosen = choose_agent({0, 1}, pool, {}, random).value();
+            for (auto& candidate : pool) {
+                candidate.queued += candidate.host == chosen ? 1 : 0;
+            }
+        }
+        for (const auto& candidate : pool) {
+            CPPUNIT_ASSERT(candidate.queued > 90 && candidate.queued < 110);
+        }
+    }
+
+    void agents_that_take_no_work_get_none()
+    {
+        system_random random(3);
+        auto pool = make_pool(5);
+        for (auto& candidate : pool) {
+            candidate.takes_work = candidate.host == "host-4";
+        }
+        for (int i = 0; i < 200; ++i) {
+            CPPUNIT_ASSERT_EQUAL(std::string{"host-4"}, choose_agent({random.next(), 1}, pool, {}, random).value());
+        }
+        section("nor does one that has refused this request", [&] {
+            const auto refused = choose_agent({7, 1}, pool, {"host-4"}, random);
+            CPPUNIT_ASSERT(refused.error().code == result_code::no_agent_available);
+        });
+    }
+
+    void a_short_pool_queues_then_refuses()
+    {
+        system_random random(4);
+        auto pool = make_pool(3);
+        for (auto& candidate : pool) {
+            candidate.free_pieces = 0;
+            candidate.queued = 5;
+        }
+        pool[1].queued = 2;
+        CPPUNIT_ASSERT_EQUAL(std::string{"host-1"}, choose_agent({0, 1}, pool, {}, random).value());
+        section("what no share can hold is refused for good", [&] {
+            const auto refused = choose_agent({0, 11}, pool, {}, random);
+            CPPUNIT_ASSERT(refused.error().code == result_code::request_too_large_for_pool);
+        });
+        section("an empty pool refuses", [&] {
+            CPPUNIT_ASSERT(choose_agent({0, 1}, {}, {}, random).error().code == result_code::no_agent_available);
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(routing_tests);
+
+} // namespace tanager
--- /dev/null
+++ b/src/settings/types/settings_problem.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <string>
+
+namespace tanager {
+
+// One thing that is wrong with a settings file.
+struct settings_problem {
+    std::string file;
+    std::string section;
+    std::string key;
+    std::string reason;
+
+    friend bool operator==(const settings_problem&, const settings_problem&) = default;
+};
+
+// Returns the problem as one line: file, section, key, reason.
+inline std::string to_text(const settings_problem& problem)
+{
+    return problem.file + ": [" + problem.section + "] " + problem.key + ": " + problem.reason;
+}
+
+} // namespace tanager
--- /dev/null
+++ b/src/testing/internal/test_main.cpp
@@ -0,0 +1,24 @@
+// Runs every registered CppUnit suite and reports like a compiler.
+#include <cppunit/BriefTestProgressListener.h>
+#include <cppunit/CompilerOutputter.h>
+#include <cppunit/TestResult.h>
+#include <cppunit/TestResultCollector.h>
+#include <cppunit/TestRunner.h>
+#include <cppunit/extensions/TestFactoryRegistry.h>
+#include <iostream>
+
+int main()
+{
+    CppUnit::TestResult controller;
+    CppUnit::TestResultCollector collector;
+    CppUnit::BriefTestProgressListener progress;
+    controller.addListener(&collector);
+    controller.addListener(&progress);
+    CppUnit::TestRunner runner;
+    runner.addTest(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
+    runner.run(controller);
+    CppUnit::CompilerOutputter outputter(&collector, std::cerr);
+    outputter.write();
+    const bool ran_something = collector.runTests() > 0;
+    return ran_something && collector.wasSuccessful() ? 0 : 1;
+}
