--- /dev/null
+++ b/scripts/lib.sh
@@ -0,0 +1,97 @@
+# Helpers for scripts that run the programs on loopback. Sourced, not run.
+#
+# `work_dir` must be set; each process gets a log <name>.log there.
+
+process_ids=()
+
+# start NAME PROGRAM ARGUMENTS...
+start() {
+    local name=$1
+    shift
+    "$@" >"$work_dir/$name.out" 2>"$work_dir/$name.log" &
+    process_ids+=($!)
+    echo $! >"$work_dir/$name.pid"
+}
+
+# wait_for_log NAME PATTERN: waits until a line of the log matches, for at most 20 seconds.
+wait_for_log() {
+    local tries=400
+    until grep -q -- "$2" "$work_dir/$1.log"; do
+        tries=$((tries - 1))
+        if [ "$tries" -eq 0 ] || ! kill -0 "$(cat "$work_dir/$1.pid")" 2>/dev/null; then
+            echo "no '$2' in the log of $1:" >&2
+            tail -5 "$work_dir/$1.log" >&2
+            return 1
+        fi
+        sleep 0.05
+    done
+}
+
+# address_of NAME KEY: the address that a process announced as KEY=ip:port.
+address_of() {
+    wait_for_log "$1" program_listening
+    grep -m1 program_listening "$work_dir/$1.log" | grep -o " $2=[^ ]*" | cut -d= -f2
+}
+
+# start_agent HOST DATA_CENTRE BACKEND CAPACITY
+start_agent() {
+    cat >"$work_dir/$1.ini" <<INI
+[agent]
+host = $1
+data_centre = $2
+listen = 127.0.0.1:0
+http_listen = 127.0.0.1:0
+[backend]
+address = $3
+capacity_pieces = $4
+[log]
+level = ${log_level:-info}
+name = $1
+INI
+    start "$1" "$bin/tanager-agent" --config "$work_dir/$1.ini"
+}
+
+# start_entry HOST DATA_CENTRE REGION PLATFORM
+start_entry() {
+    cat >"$work_dir/$1.ini" <<INI
+[entry]
+host = $1
+data_centre = $2
+region = $3
+[http]
+listen = 127.0.0.1:0
+[platform]
+address = $4
+[log]
+level = ${log_level:-info}
+name = $1
+INI
+    start "$1" "$bin/tanager-entry" --config "$work_dir/$1.ini"
+}
+
+# wait_ready ADDRESS: waits until /healthz answers 200, for at most 20 seconds.
+wait_ready() {
+    local tries=400
+    until curl -sf "http://$1/healthz" >/dev/null; do
+        tries=$((tries - 1))
+        [ "$tries" -gt 0 ] || { echo "$1 is not ready: $(curl -s "http://$1/healthz")" >&2; return 1; }
+        sleep 0.05
+    done
+}
+
+# stop_gracefully NAME: SIGTERM, then waits for the process; fails unless it exits with 0.
+stop_gracefully() {
+    local id
+    id=$(cat "$work_dir/$1.pid")
+    kill -TERM "$id"
+    wait "$id"
+}
+
+# stop_all: ends whatever this script started and has not stopped yet.
+stop_all() {
+    local id
+    for id in "${process_ids[@]}"; do
+        kill -TERM "$id" 2>/dev/null || true
+    done
+    wait 2>/dev/null || true
+}
--- /dev/null
+++ b/src/agent/agent_setup.cpp
@@ -0,0 +1,215 @@
+#include "agent/agent_setup.h"
+
+#include "agent/attempt_registry.h"
+#include "agent/internal/admission_filter.h"
+#include "agent/internal/backend_filter.h"
+#include "agent/internal/entry_hub.h"
+#include "agent/internal/grpc_agent_server.h"
+#include "agent/internal/queue_filter.h"
+#include "agent/internal/share_follower.h"
+#include "base/system_clock.h"
+#include "base/system_random.h"
+#include "logging/event_log.h"
+#include "logging/logging_invariant_monitor.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "program/health_pages.h"
+
+namespace tanager {
+
+namespace {
+
+// Longer than the longest deadline that the catalogue accepts.
+constexpr std::chrono::hours attempt_memory{2};
+constexpr std::chrono::seconds housekeeping_interval{1};
+constexpr std::chrono::milliseconds drain_check_interval{10};
+constexpr std::chrono::milliseconds leaving_notice{300};
+constexpr int status_not_found = 404;
+
+class agent_service_process final : public service {
+public:
+    agent_service_process(event_loop& loop, const agent_settings& settings, const socket_address& backend)
+        : loop(loop),
+          settings(settings),
+          incarnation(this->random.next()),
+          known(this->invariants),
+          ledger(settings.capacity_pieces, this->invariants),
+          registry(this->time, attempt_memory, this->invariants),
+          client(http_client::create(loop)),
+          backend_stage(loop,
+                        this->time,
+                        *this->client,
+                        backend,
+                        this->known,
+                        this->ledger,
+                        this->registry,
+                        this->metrics),
+          queue_stage(loop,
+                      this->time,
+                      this->ledger,
+                      settings.queue,
+                      this->registry,
+                      this->metrics,
+                      this->backend_stage),
+          admission_stage(this->incarnation, this->status, this->registry, this->metrics, this->queue_stage),
+          shares(settings.host, this->known, this->ledger, this->status),
+          hub(loop,
+              settings,
+              this->incarnation,
+              this->known,
+              this->ledger,
+              this->status,
+              [this] { return this->queue_stage.size(); }),
+          pages(this->metrics, this->invariants, [this] { return this->refusal(); }) {
+        this->known.on_change([this] { this->on_catalogue_change(); });
+        this->backend_stage.on_released([this] { this->queue_stage.start_ready(); });
+        this->housekeeping = loop.run_every(housekeeping_interval, [this] { this->keep_house(); });
+    }
+
+    result<void> listen() {
+        auto created = grpc_agent_server::create(this->loop, this->settings.listen, this->make_handlers());
+        if (!created) {
+            return tl::make_unexpected(created.error());
+        }
+        this->server = std::move(*created);
+        auto http = http_server::create(this->loop,
+                                        this->settings.http_listen,
+                                        {},
+                                        [this](const std::shared_ptr<http_exchange>& exchange) {
+                                            if (!this->pages.serve(*exchange)) {
+                                                exchange->reply({status_not_found, {}, "no such page\n"});
+                                            }
+                                        });
+        if (!http) {
+            return tl::make_unexpected(http.error());
+        }
+        this->page_server = std::move(*http);
+        write_event(log_event::program_listening,
+                    {{"grpc", this->server->address()},
+                     {"http", this->page_server->address()},
+                     {"host", this->settings.host}});
+        return {};
+    }
+
+    void stop(task drained) override {
+        this->status.set_leaving();
+        this->hub.broadcast();
+        this->drained = std::move(drained);
+        // Work that entries sent before they heard of the leaving is still answered, with a refusal.
+        this->stop_timer = this->loop.run_after(leaving_notice, [this] { this->begin_drain(); });
+    }
+
+private:
+    agent_server_handlers make_handlers() {
+        return {
+            [this](auto request, auto stream) { this->on_dispatch(std::move(request), std::move(stream)); },
+            [this](const protocol::settle_request& request) { return this->on_settle(request); },
+            [this](const std::shared_ptr<entry_stream>& stream) { this->hub.add(stream); },
+        };
+    }
+
+    void on_dispatch(std::shared_ptr<const protocol::dispatch_request> request,
+                     std::shared_ptr<answer_stream> stream) {
+        const auto now = this->time.now();
+        const std::chrono::milliseconds remaining{request->remaining_milliseconds()};
+        const auto work_row = this->known.find_work(request->work_entry());
+        const metric_label label{request->member(), work_row == nullptr ? "unknown" : work_row->work_class};
+        const auto attempt = from_message(request->attempt());
+        this->admission_stage.accept(
+            {attempt, std::move(request), std::move(stream), label, now, now + remaining});
+    }
+
+    protocol::settle_reply on_settle(const protocol::settle_request& request) {
+        const auto attempt = from_message(request.attempt());
+        const bool is_meant = request.agent_incarnation() == this->incarnation;
+        protocol::settle_reply reply;
+        reply.set_not_run(is_meant && this->registry.settle(attempt));
+        write_event(log_event::attempt_settled,
+                    {{"attempt", to_text(attempt)}, {"not_run", reply.not_run() ? "true" : "false"}});
+        return reply;
+    }
+
+    void on_catalogue_change() {
+        this->shares.update();
+        this->queue_stage.start_ready();
+        this->hub.broadcast();
+        for (const auto& [name, reason] : this->known.rejected()) {
+            write_event(log_event::catalogue_rejected, {{"object", name}, {"detail", reason}});
+        }
+    }
+
+    void keep_house() {
+        this->registry.forget_old();
+        this->metrics.set_gauge("tanager_entries_connected", static_cast<double>(this->hub.size()));
+        this->metrics.set_gauge("tanager_control_sent_bytes", static_cast<double>(this->hub.sent_bytes()));
+        this->metrics.set_gauge("tanager_catalogue_revision", static_cast<double>(this->known.revision()));
+        this->metrics.set_gauge("tanager_pieces_used", this->ledger.used());
+    }
+
+    std::string refusal() const {
+        const auto takes_work = this->status.check();
+        return takes_work ? std::string{} : takes_work.error().detail;
+    }
+
+    void begin_drain() {
+        this->stop_timer = this->loop.run_every(drain_check_interval, [this] { this->check_drained(); });
+    }
+
+    void check_drained() {
+        if (this->backend_stage.running() > 0 || this->queue_stage.size() > 0) {
+            return;
+        }
+        this->server->refuse_new_calls();
+        this->hub.close_all();
+        this->page_server->stop_accepting();
+        if (this->hub.size() > 0) {
+            return;
+        }
+        // The timer runs this very task, so it goes with the process.
+        const auto finished = std::exchange(this->drained, nullptr);
+        if (finished) {
+            finished();
+        }
+    }
+
+    event_loop& loop;
+    agent_settings settings;
+    system_clock time;
+    system_random random;
+    std::uint64_t incarnation;
+    logging_invariant_monitor invariants;
+    metrics_registry metrics;
+    catalogue known;
+    share_ledger ledger;
+    attempt_registry registry;
+    agent_status status;
+    std::unique_ptr<http_client> client;
+    backend_filter backend_stage;
+    queue_filter queue_stage;
+    admission_filter admission_stage;
+    share_follower shares;
+    entry_hub hub;
+    health_pages pages;
+    std::unique_ptr<http_server> page_server;
+    std::unique_ptr<grpc_agent_server> server;
+    std::unique_ptr<loop_timer> housekeeping;
+    std::unique_ptr<loop_timer> stop_timer;
+    task drained;
+};
+
+} // namespace
+
+result<std::unique_ptr<service>> set_up_agent(event_loop& loop, const agent_settings& settings) {
+    const auto backend = parse_address(settings.backend);
+    if (!backend) {
+        return tl::make_unexpected(backend.error());
+    }
+    auto process = std::make_unique<agent_service_process>(loop, settings, *backend);
+    const auto listening = process->listen();
+    if (!listening) {
+        return tl::make_unexpected(listening.error());
+    }
+    return process;
+}
+
+} // namespace tanager
--- /dev/null
+++ b/src/agent/attempt_registry.h
@@ -0,0 +1,64 @@
+// Remembers which attempts an agent has seen, so that none runs twice and none is wrongly called not run.
+#pragma once
+
+#include "base/clock.h"
+#include "base/invariant_monitor.h"
+#include "base/types/result.h"
+#include "protocol/types/attempt_name.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <unordered_map>
+
+namespace tanager {
+
+// Attempts are numbered upwards by each entry process, and addressed to one agent process: what is not
+// recorded here has not been dispatched here. Records are forgotten after a time; a number at or below the
+// highest forgotten one is then answered cautiously, as if it had run.
+class attempt_registry {
+public:
+    attempt_registry(const clock& time, duration keep, invariant_monitor& invariants);
+
+    // Admits a new attempt. Fails with attempt_repeated when it was seen before, and with attempt_cancelled
+    // when it was settled as not run in the meantime.
+    result<void> admit(const attempt_name& attempt);
+
+    // Records that the attempt is about to be given to the backend server. Returns false when it must not be.
+    bool mark_dispatched(const attempt_name& attempt);
+
+    // Records that an admitted attempt was refused and will never be dispatched.
+    void mark_refused(const attempt_name& attempt);
+
+    // Forbids an attempt to start. Returns true when it has not been dispatched and now never will be.
+    bool settle(const attempt_name& attempt);
+
+    // Forgets what is older than the time to keep.
+    void forget_old();
+
+    std::size_t size() const;
+
+private:
+    enum class attempt_state { admitted, dispatched, never };
+
+    struct entry_record {
+        std::map<std::uint64_t, attempt_state> attempts;
+        std::uint64_t highest_forgotten = 0;
+    };
+
+    struct aged_attempt {
+        attempt_name attempt;
+        time_point recorded;
+    };
+
+    attempt_state* find(const attempt_name& attempt);
+    void record(const attempt_name& attempt, attempt_state state);
+
+    const clock& time;
+    duration keep;
+    invariant_monitor& invariants;
+    std::unordered_map<std::uint64_t, entry_record> entries;
+    std::deque<aged_attempt> by_age;
+};
+
+} // namespace tanager
--- /dev/null
+++ b/src/agent/internal/admission_filter.cpp
@@ -0,0 +1,86 @@
+#include "agent/internal/admission_filter.h"
+
+#include "answers/answer_sequencer.h"
+#include "logging/event_log.h"
+
+namespace tanager {
+
+result<void> agent_status::check() const {
+    if (this->is_leaving()) {
+        return fail(result_code::agent_leaving, "the agent takes no new work");
+    }
+    if (!this->ready) {
+        return fail(result_code::agent_not_ready, "the agent has no catalogue yet");
+    }
+    return {};
+}
+
+void agent_status::set_ready(bool is_now_ready) {
+    this->ready = is_now_ready;
+}
+
+void agent_status::set_leaving() {
+    this->leaving = true;
+}
+
+void agent_status::set_draining(bool is_now_draining) {
+    this->draining = is_now_draining;
+}
+
+bool agent_status::is_ready() const {
+    return this->ready;
+}
+
+bool agent_status::is_leaving() const {
+    return this->leaving || this->draining;
+}
+
+void refuse_work(const dispatched_work& work,
+                 attempt_registry& registry,
+                 metrics_registry& metrics,
+                 const error& cause) {
+    registry.mark_refused(work.attempt);
+    const auto number = std::to_string(static_cast<int>(cause.code));
+    metrics.count("tanager_attempts_refused_total", "code=\"" + number + "\"");
+    write_event(log_event::attempt_refused,
+                {{"attempt", to_text(work.attempt)},
+                 {"request", work.request->request_id()},
+                 {"code", number},
+                 {"detail", cause.detail}});
+    const answer_sequencer sequencer(work.attempt);
+    work.stream->write(sequencer.make_failure(cause, true));
+    work.stream->finish();
+}
+
+admission_filter::admission_filter(std::uint64_t incarnation,
+                                   const agent_status& status,
+                                   attempt_registry& registry,
+                                   metrics_registry& metrics,
+                                   sink<dispatched_work>& next)
+    : incarnation(incarnation), status(status), registry(registry), metrics(metrics), next(next) {}
+
+result<void> admission_filter::check(const dispatched_work& work) const {
+    if (work.request->agent_incarnation() != this->incarnation) {
+        return fail(result_code::agent_incarnation_changed, "the attempt was meant for another process");
+    }
+    return this->status.check();
+}
+
+void admission_filter::accept(dispatched_work work) {
+    const auto admitted = this->registry.admit(work.attempt);
+    if (!admitted) {
+        const bool never_ran = admitted.error().code == result_code::attempt_cancelled;
+        const answer_sequencer sequencer(work.attempt);
+        work.stream->write(sequencer.make_failure(admitted.error(), never_ran));
+        work.stream->finish();
+        return;
+    }
+    const auto allowed = this->check(work);
+    if (!allowed) {
+        refuse_work(work, this->registry, this->metrics, allowed.error());
+        return;
+    }
+    this->next.accept(std::move(work));
+}
+
+} // namespace tanager
--- /dev/null
+++ b/src/agent/internal/admission_filter.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "agent/answer_stream.h"
+#include "agent/attempt_registry.h"
+#include "agent/types/dispatched_work.h"
+#include "base/clock.h"
+#include "base/sink.h"
+#include "catalogue/catalogue.h"
+#include "metrics/metrics_registry.h"
+
+#include <cstdint>
+#include <memory>
+
+namespace tanager {
+
+// Whether this agent takes new work, as a whole.
+class agent_status {
+public:
+    // Returns ok, or why new work is refused: agent_not_ready, agent_leaving.
+    result<void> check() const;
+
+    void set_ready(bool ready);
+
+    // Leaving is final for this process.
+    void set_leaving();
+
+    // An operator's drain can be taken back.
+    void set_draining(bool draining);
+
+    bool is_ready() const;
+    bool is_leaving() const;
+
+private:
+    bool ready = false;
+    bool leaving = false;
+    bool draining = false;
+};
+
+// Ends an attempt that has not been given to the backend server.
+void refuse_work(const dispatched_work& work,
+                 attempt_registry& registry,
+                 metrics_registry& metrics,
+                 const error& cause);
+
+// First filter: refuses what is meant for another process, repeated, or not to be taken now.
+class admission_filter final : public sink<dispatched_work> {
+public:
+    admission_filter(std::uint64_t incarnation,
+                     const agent_status& status,
+                     attempt_registry& registry,
+                     metrics_registry& metrics,
+                     sink<dispatched_work>& next);
+
+    void accept(dispatched_work work) override;
+
+private:
+    result<void> check(const dispatched_work& work) const;
+
+    std::uint64_t incarnation;
+    const agent_status& status;
+    attempt_registry& registry;
+    metrics_registry& metrics;
+    sink<dispatched_work>& next;
+};
+
+} // namespace tanager
--- /dev/null
+++ b/src/agent/internal/backend_call.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "agent/internal/answer_check.h"
+#include "agent/types/dispatched_work.h"
+#include "answers/answer_sequencer.h"
+#include "base/clock.h"
+#include "metrics/metrics_registry.h"
+#include "net/event_loop.h"
+#include "net/http_client.h"
+
+#include <functional>
+#include <memory>
+
+namespace tanager {
+
+// How one backend call ended.
+struct backend_outcome {
+    result<void> ended;
+    bool not_run = false; // the backend server never received the request
+};
+
+// Runs one attempt on the backend server and turns its reply into frames.
+class backend_call final : public http_reply_handler, public std::enable_shared_from_this<backend_call> {
+public:
+    using done_callback = std::function<void(const dispatched_work&, const backend_outcome&)>;
+
+    backend_call(event_loop& loop,
+                 const clock& time,
+                 metrics_registry& metrics,
+                 dispatched_work work,
+                 bool is_model,
+                 done_callback done);
+
+    void start(http_client& client, const socket_address& backend);
+
+    void on_head(int status, const http_headers& headers) override;
+    void on_data(std::string_view data) override;
+    void on_end() override;
+    void on_failure(const http_failure& failure) override;
+
+private:
+    http_request make_request() const;
+    void on_cancelled();
+    void on_deadline();
+    void break_off(const error& cause);
+    void end(const backend_outcome& outcome);
+    void observe_data();
+
+    event_loop& loop;
+    const clock& time;
+    metrics_registry& metrics;
+    dispatched_work work;
+    bool is_model;
+    done_callback done;
+    answer_sequencer sequencer;
+    answer_check check;
+    std::shared_ptr<http_call> call;
+    std::unique_ptr<loop_timer> deadline_timer;
+    time_point started;
+    time_point last_data;
+    bool is_first_data = true;
+    bool is_paused = false;
+    bool has_ended = false;
+};
+
+} // namespace tanager
--- /dev/null
+++ b/src/agent/internal/backend_filter.cpp
@@ -0,0 +1,78 @@
+#include "agent/internal/backend_filter.h"
+
+#include "agent/internal/admission_filter.h"
+#include "agent/internal/backend_call.h"
+#include "logging/event_log.h"
+
+namespace tanager {
+
+backend_filter::backend_filter(event_loop& loop,
+                               const clock& time,
+                               http_client& client,
+                               socket_address backend,
+                               const catalogue& known,
+                               share_ledger& ledger,
+                               attempt_registry& registry,
+                               metrics_registry& metrics)
+    : loop(loop),
+      time(time),
+      client(client),
+      backend(std::move(backend)),
+      known(known),
+      ledger(ledger),
+      registry(registry),
+      metrics(metrics) {}
+
+void backend_filter::accept(dispatched_work work) {
+    if (!this->registry.mark_dispatched(work.attempt)) {
+        this->ledger.release(work.request->member(), work.request->pieces());
+        refuse_work(
+            work, this->registry, this->metrics, {result_code::attempt_cancelled, "settled as not run"});
+        return;
+    }
+    ++this->running_attempts;
+    const auto pool = this->known.find_pool(work.request->pool());
+    const bool is_model = pool == nullptr || pool->kind == pool_kind::model;
+    const auto call =
+        std::make_shared<backend_call>(this->loop,
+                                       this->time,
+                                       this->metrics,
+                                       std::move(work),
+                                       is_model,
+                                       [this](const dispatched_work& ended, const backend_outcome& outcome) {
+                                           this->on_done(ended, outcome);
+                                       });
+    call->start(this->client, this->backend);
+}
+
+void backend_filter::on_done(const dispatched_work& work, const backend_outcome& outcome) {
+    --this->running_attempts;
+    this->ledger.release(work.request->member(), work.request->pieces());
+    if (outcome.ended) {
+        this->metrics.count("tanager_attempts_finished_total");
+        write_event(log_event::attempt_finished, {{"request", work.request->request_id()}});
+    } else {
+        const auto& cause = outcome.ended.error();
+        const auto number = std::to_string(static_cast<int>(cause.code));
+        this->metrics.count("tanager_attempts_failed_total", "code=\"" + number + "\"");
+        write_event(log_event::attempt_failed,
+                    {{"request", work.request->request_id()},
+                     {"attempt", to_text(work.attempt)},
+                     {"code", number},
+                     {"detail", cause.detail},
+                     {"not_run", outcome.not_run ? "true" : "false"}});
+    }
+    if (this->released_callback) {
+        this->released_callback();
+    }
+}
+
+void backend_filter::on_released(std::function<void()> callback) {
+    this->released_callback = std::move(callback);
+}
+
+std::size_t backend_filter::running() const {
+    return this->running_attempts;
+}
+
+} // namespace tanager
--- /dev/null
+++ b/src/agent/internal/backend_filter.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "agent/attempt_registry.h"
+#include "agent/types/dispatched_work.h"
+#include "base/clock.h"
+#include "base/sink.h"
+#include "catalogue/catalogue.h"
+#include "limits/share_ledger.h"
+#include "metrics/metrics_registry.h"
+#include "net/event_loop.h"
+#include "net/http_client.h"
+
+#include <functional>
+
+namespace tanager {
+
+struct backend_outcome;
+
+// Last filter: the only sender of work to the backend server.
+class backend_filter final : public sink<dispatched_work> {
+public:
+    backend_filter(event_loop& loop,
+                   const clock& time,
+                   http_client& client,
+                   socket_address backend,
+                   const catalogue& known,
+                   share_ledger& ledger,
+                   attempt_registry& registry,
+                   metrics_registry& metrics);
+
+    void accept(dispatched_work work) override;
+
+    // Called each time pieces were given back.
+    void on_released(std::function<void()> callback);
+
+    // Returns the attempts that the backend server is running.
+    std::size_t running() const;
+
+private:
+    void on_done(const dispatched_work& work, const backend_outcome& outcome);
+
+    event_loop& loop;
+    const clock& time;
+    http_client& client;
+    socket_address backend;
+    const catalogue& known;
+    share_ledger& ledger;
+    attempt_registry& registry;
+    metrics_registry& metrics;
+    std::size_t running_attempts = 0;
+    std::function<void()> released_callback;
+};
+
+} // namespace tanager
--- /dev/null
+++ b/src/agent/internal/grpc_agent_server.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "agent/answer_stream.h"
+#include "agent/entry_stream.h"
+#include "base/types/result.h"
+#include "net/event_loop.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <tanager.pb.h>
+
+namespace tanager {
+
+// What the gRPC server hands over, on the loop's thread.
+struct agent_server_handlers {
+    std::function<void(std::shared_ptr<const protocol::dispatch_request>, std::shared_ptr<answer_stream>)>
+        dispatch;
+    std::function<protocol::settle_reply(const protocol::settle_request&)> settle;
+    std::function<void(std::shared_ptr<entry_stream>)> exchange;
+};
+
+// Serves the entries' calls.
+class grpc_agent_server {
+public:
+    // Listens at once, alone on its port. Fails with listen_failed.
+    static result<std::unique_ptr<grpc_agent_server>>
+    create(event_loop& loop, const std::string& address, agent_server_handlers handlers);
+
+    grpc_agent_server() = default;
+    grpc_agent_server(const grpc_agent_server&) = delete;
+    grpc_agent_server& operator=(const grpc_agent_server&) = delete;
+    grpc_agent_server(grpc_agent_server&&) = delete;
+    grpc_agent_server& operator=(grpc_agent_server&&) = delete;
+    virtual ~grpc_agent_server() = default;
+
+    virtual std::string address() const = 0;
+
+    // Refuses every later call, so that the server can be destroyed once the open ones have ended.
+    virtual void refuse_new_calls() = 0;
+};
+
+} // namespace tanager
--- /dev/null
+++ b/src/agent/internal/grpc_answer_stream.cpp
@@ -0,0 +1,115 @@
+#include "agent/internal/grpc_answer_stream.h"
+
+namespace tanager {
+
+namespace {
+
+constexpr std::size_t longest_joined_frame_bytes = 64 * 1024;
+
+} // namespace
+
+grpc_answer_stream::grpc_answer_stream(grpc_answer_reactor* reactor) : reactor(reactor) {}
+
+void grpc_answer_stream::write(protocol::answer_frame frame) {
+    if (this->reactor == nullptr || this->is_finished) {
+        return;
+    }
+    const std::size_t bytes = frame.data().size();
+    this->queue_bytes += bytes;
+    const bool may_join = !this->queue.empty() && frame.has_data() && this->queue.back().has_data() &&
+                          this->queue.back().data().size() + bytes <= longest_joined_frame_bytes;
+    if (may_join) {
+        this->queue.back().mutable_data()->append(frame.data());
+    } else {
+        this->queue.push_back(std::move(frame));
+    }
+    this->start_next();
+}
+
+void grpc_answer_stream::start_next() {
+    if (this->is_writing || this->reactor == nullptr) {
+        return;
+    }
+    if (this->queue.empty()) {
+        if (this->is_finished) {
+            this->end_call();
+        }
+        return;
+    }
+    this->in_flight = std::move(this->queue.front());
+    this->queue.pop_front();
+    this->queue_bytes -= this->in_flight.data().size();
+    this->is_writing = true;
+    this->reactor->StartWrite(&this->in_flight);
+}
+
+void grpc_answer_stream::note_written(bool succeeded) {
+    this->is_writing = false;
+    if (!succeeded) {
+        this->queue.clear();
+        this->queue_bytes = 0;
+    }
+    this->start_next();
+    if (this->queue.empty() && !this->is_finished && this->drained_callback) {
+        this->drained_callback();
+    }
+}
+
+void grpc_answer_stream::finish() {
+    this->is_finished = true;
+    this->drained_callback = nullptr;
+    this->cancelled_callback = nullptr;
+    this->start_next();
+}
+
+void grpc_answer_stream::end_call() {
+    auto* const ended = this->reactor;
+    this->reactor = nullptr;
+    ended->Finish(this->is_cancelled ? grpc::Status::CANCELLED : grpc::Status::OK);
+}
+
+void grpc_answer_stream::note_cancelled() {
+    this->is_cancelled = true;
+    if (!this->cancelled_callback) {
+        return;
+    }
+    const auto callback = std::move(this->cancelled_callback);
+    this->cancelled_callback = nullptr;
+    callback();
+}
+
+std::size_t grpc_answer_stream::queued_bytes() const {
+    return this->queue_bytes;
+}
+
+void grpc_answer_stream::on_drained(std::function<void()> callback) {
+    this->drained_callback = std::move(callback);
+}
+
+void grpc_answer_stream::on_cancelled(std::function<void()> callback) {
+    this->cancelled_callback = std::move(callback);
+    if (this->is_cancelled) {
+        this->note_cancelled();
+    }
+}
+
+grpc_answer_reactor::grpc_answer_reactor(event_loop& loop)
+    : loop(loop), core(std::make_shared<grpc_answer_stream>(this)) {}
+
+std::shared_ptr<grpc_answer_stream> grpc_answer_reactor::stream() const {
+    return this->core;
+}
+
+void grpc_answer_reactor::OnWriteDone(bool succeeded) {
+    this->loop.post([core = this->core, succeeded] { core->note_written(succeeded); });
+}
+
+void grpc_answer_reactor::OnCancel() {
+    this->loop.post([core = this->core] { core->note_cancelled(); });
+}
+
+void grpc_answer_reactor::OnDone() {
+    delete this; // NOLINT(*-owning-memory)
+}
+
+} // namespace tanager
--- /dev/null
+++ b/src/agent/internal/grpc_answer_stream.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "agent/answer_stream.h"
+#include "net/event_loop.h"
+
+#include <deque>
+#include <memory>
+#include <tanager.grpc.pb.h>
+
+namespace tanager {
+
+class grpc_answer_reactor;
+
+// The loop's side of one dispatch call. The reactor lives until `Finish` has been called on it, so the loop
+// decides when it goes.
+class grpc_answer_stream final : public answer_stream,
+                                 public std::enable_shared_from_this<grpc_answer_stream> {
+public:
+    explicit grpc_answer_stream(grpc_answer_reactor* reactor);
+
+    void write(protocol::answer_frame frame) override;
+    void finish() override;
+    std::size_t queued_bytes() const override;
+    void on_drained(std::function<void()> callback) override;
+    void on_cancelled(std::function<void()> callback) override;
+
+    // Notices from the reactor, on the loop's thread.
+    void note_written(bool succeeded);
+    void note_cancelled();
+
+private:
+    void start_next();
+    void end_call();
+
+    grpc_answer_reactor* reactor;
+    std::deque<protocol::answer_frame> queue;
+    std::size_t queue_bytes = 0;
+    protocol::answer_frame in_flight;
+    bool is_writing = false;
+    bool is_finished = false;
+    bool is_cancelled = false;
+    std::function<void()> drained_callback;
+    std::function<void()> cancelled_callback;
+};
+
+// gRPC's side: hands every notice to the loop.
+class grpc_answer_reactor final : public grpc::ServerWriteReactor<protocol::answer_frame> {
+public:
+    explicit grpc_answer_reactor(event_loop& loop);
+
+    std::shared_ptr<grpc_answer_stream> stream() const;
+
+    void OnWriteDone(bool succeeded) override;
+    void OnCancel() override;
+    void OnDone() override;
+
+private:
+    event_loop& loop;
+    std::shared_ptr<grpc_answer_stream> core;
+};
+
+} // namespace tanager
--- /dev/null
+++ b/src/agent/internal/grpc_entry_stream.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "agent/entry_stream.h"
+#include "net/event_loop.h"
+
+#include <deque>
+#include <memory>
+#include <tanager.grpc.pb.h>
+
+namespace tanager {
+
+class grpc_entry_reactor;
+
+// The loop's side of one exchange call.
+class grpc_entry_stream final : public entry_stream {
+public:
+    explicit grpc_entry_stream(grpc_entry_reactor* reactor);
+
+    void send(const protocol::agent_message& message) override;
+    void close() override;
+    void on_message(std::function<void(const protocol::entry_message&)> callback) override;
+    void on_closed(std::function<void()> callback) override;
+
+    // Begins to read; called once the callbacks are set.
+    void start();
+
+    // Notices from the reactor, on the loop's thread.
+    void note_read(bool succeeded);
+    void note_written(bool succeeded);
+
+private:
+    void start_next();
+    void end_call();
+
+    grpc_entry_reactor* reactor;
+    protocol::entry_message incoming;
+    std::deque<protocol::agent_message> queue;
+    protocol::agent_message in_flight;
+    bool is_reading = false;
+    bool is_writing = false;
+    bool is_closing = false;
+    std::function<void(const protocol::entry_message&)> message_callback;
+    std::function<void()> closed_callback;
+};
+
+// gRPC's side: hands every notice to the loop.
+class grpc_entry_reactor final
+    : public grpc::ServerBidiReactor<protocol::entry_message, protocol::agent_message> {
+public:
+    explicit grpc_entry_reactor(event_loop& loop);
+
+    std::shared_ptr<grpc_entry_stream> stream() const;
+
+    void OnReadDone(bool succeeded) override;
+    void OnWriteDone(bool succeeded) override;
+    void OnCancel() override;
+    void OnDone() override;
+
+private:
+    event_loop& loop;
+    std::shared_ptr<grpc_entry_stream> core;
+};
+
+} // namespace tanager
--- /dev/null
+++ b/src/agent/internal/queue_filter.cpp
@@ -0,0 +1,82 @@
+#include "agent/internal/queue_filter.h"
+
+#include "agent/internal/admission_filter.h"
+
+namespace tanager {
+
+namespace {
+
+constexpr std::chrono::milliseconds expiry_interval{10};
+
+} // namespace
+
+queue_filter::queue_filter(event_loop& loop,
+                           const clock& time,
+                           share_ledger& ledger,
+                           const queue_bounds& bounds,
+                           attempt_registry& registry,
+                           metrics_registry& metrics,
+                           sink<dispatched_work>& next)
+    : loop(loop), time(time), registry(registry), metrics(metrics), next(next), queue(ledger, time, bounds) {}
+
+void queue_filter::accept(dispatched_work work) {
+    const std::uint64_t ticket = ++this->last_ticket;
+    const queued_work row{
+        ticket, work.request->member(), work.request->pieces(), work.request->priority(), work.deadline};
+    const auto queued = this->queue.enqueue(row);
+    if (!queued) {
+        refuse_work(work, this->registry, this->metrics, queued.error());
+        return;
+    }
+    const auto stream = work.stream;
+    this->waiting.emplace(ticket, std::move(work));
+    stream->on_cancelled([this, ticket] { this->on_cancelled(ticket); });
+    this->start_ready();
+    if (!this->waiting.empty() && this->expiry == nullptr) {
+        this->expiry = this->loop.run_every(expiry_interval, [this] { this->drop_expired(); });
+    }
+}
+
+void queue_filter::start_ready() {
+    for (const auto& row : this->queue.start_ready()) {
+        auto found = this->waiting.extract(row.ticket);
+        dispatched_work work = std::move(found.mapped());
+        this->metrics.observe("tanager_queue_seconds", work.label, this->time.now() - work.received);
+        this->next.accept(std::move(work));
+    }
+}
+
+void queue_filter::drop_expired() {
+    for (const auto& row : this->queue.drop_expired()) {
+        this->refuse(row.ticket,
+                     {result_code::deadline_unreachable, "waited in the queue until its deadline"});
+    }
+    if (this->waiting.empty()) {
+        this->expiry.reset();
+    }
+}
+
+void queue_filter::on_cancelled(std::uint64_t ticket) {
+    if (this->queue.remove(ticket)) {
+        this->refuse(ticket, {result_code::attempt_cancelled, "the entry gave the attempt up"});
+    }
+}
+
+void queue_filter::refuse(std::uint64_t ticket, const error& cause) {
+    auto found = this->waiting.extract(ticket);
+    if (!found.empty()) {
+        refuse_work(found.mapped(), this->registry, this->metrics, cause);
+    }
+}
+
+void queue_filter::refuse_all(const error& cause) {
+    for (const auto& row : this->queue.drain()) {
+        this->refuse(row.ticket, cause);
+    }
+}
+
+std::size_t queue_filter::size() const {
+    return this->queue.size();
+}
+
+} // namespace tanager
--- /dev/null
+++ b/src/agent/internal/queue_filter.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "agent/attempt_registry.h"
+#include "agent/types/dispatched_work.h"
+#include "base/clock.h"
+#include "base/sink.h"
+#include "limits/admission_queue.h"
+#include "limits/share_ledger.h"
+#include "metrics/metrics_registry.h"
+#include "net/event_loop.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+
+namespace tanager {
+
+// Second filter: holds work until its member's share and the backend server have room.
+class queue_filter final : public sink<dispatched_work> {
+public:
+    queue_filter(event_loop& loop,
+                 const clock& time,
+                 share_ledger& ledger,
+                 const queue_bounds& bounds,
+                 attempt_registry& registry,
+                 metrics_registry& metrics,
+                 sink<dispatched_work>& next);
+
+    void accept(dispatched_work work) override;
+
+    // Passes on what has room now; called whenever pieces were given back or shares were raised.
+    void start_ready();
+
+    // Refuses everything that waits.
+    void refuse_all(const error& cause);
+
+    std::size_t size() const;
+
+private:
+    void on_cancelled(std::uint64_t ticket);
+    void drop_expired();
+    void refuse(std::uint64_t ticket, const error& cause);
+
+    event_loop& loop;
+    const clock& time;
+    attempt_registry& registry;
+    metrics_registry& metrics;
+    sink<dispatched_work>& next;
+    admission_queue queue;
+    std::map<std::uint64_t, dispatched_work> waiting;
+    std::uint64_t last_ticket = 0;
+    std::unique_ptr<loop_timer> expiry;
+};
+
+} // namespace tanager
--- /dev/null
+++ b/src/agent/internal/share_follower.cpp
@@ -0,0 +1,32 @@
+#include "agent/internal/share_follower.h"
+
+namespace tanager {
+
+share_follower::share_follower(std::string host,
+                               const catalogue& known,
+                               share_ledger& ledger,
+                               agent_status& status)
+    : host(std::move(host)), known(known), ledger(ledger), status(status) {}
+
+void share_follower::update() {
+    const auto placement = this->known.find_agent(this->host);
+    if (!placement) {
+        // A host that the catalogue no longer names has no share and takes no work.
+        this->ledger.set_shares({});
+        this->status.set_ready(false);
+        return;
+    }
+    std::vector<member_usage> shares;
+    for (const auto& member : this->known.members()) {
+        const auto cap = member->cap_in(placement->pool->name);
+        const auto share = share_of_slot(cap, placement->pool->slots, placement->agent.slot);
+        if (share > 0) {
+            shares.push_back({member->name, share, 0});
+        }
+    }
+    this->ledger.set_shares(shares);
+    this->status.set_draining(placement->agent.draining);
+    this->status.set_ready(true);
+}
+
+} // namespace tanager
--- /dev/null
+++ b/src/agent/types/dispatched_work.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "agent/answer_stream.h"
+#include "base/clock.h"
+#include "metrics/types/metric_label.h"
+#include "protocol/types/attempt_name.h"
+
+#include <memory>
+#include <tanager.pb.h>
+
+namespace tanager {
+
+// One attempt on its way through the agent's pipeline.
+struct dispatched_work {
+    attempt_name attempt;
+    std::shared_ptr<const protocol::dispatch_request> request;
+    std::shared_ptr<answer_stream> stream;
+    metric_label label;
+    time_point received;
+    time_point deadline;
+};
+
+} // namespace tanager
--- a/src/answers/event_stream_check.h
+++ b/src/answers/event_stream_check.h
@@ -7,7 +7,8 @@
 
 namespace tanager {
 
-// Fed with the bytes of a completion stream, in any cuts. The stream is whole when its last event is `[DONE]`.
+// Fed with the bytes of a completion stream, in any cuts. The stream is whole when its last event is
+// `[DONE]`.
 class event_stream_check {
 public:
     // Returns false at the first line that no completion stream may hold.
--- /dev/null
+++ b/src/apps/tanager_entry.cpp
@@ -0,0 +1,12 @@
+// The program behind the balancer: takes callers' requests and brings back whole answers.
+#include "entry/entry_setup.h"
+#include "program/program_frame.h"
+
+int main(int argc, char** argv) {
+    return static_cast<int>(tanager::run_program<tanager::entry_settings>("tanager-entry",
+                                                                          "Takes callers' requests.",
+                                                                          argc,
+                                                                          argv,
+                                                                          tanager::load_entry_settings,
+                                                                          tanager::set_up_entry));
+}
--- /dev/null
+++ b/src/apps/tanagerctl/catalogue_commands.cpp
@@ -0,0 +1,179 @@
+#include "apps/tanagerctl/catalogue_commands.h"
+
+#include "apps/tanagerctl/json_diff.h"
+#include "apps/tanagerctl/object_file.h"
+#include "platform/catalogue_follower.h"
+
+#include <nlohmann/json.hpp>
+
+namespace tanager {
+
+namespace {
+
+std::string stored_name(const std::string& object_name) {
+    return catalogue_prefix + object_name;
+}
+
+exit_code to_exit_code(result_code code) {
+    switch (code) {
+    case result_code::version_conflict:
+        return exit_code::conflict;
+    case result_code::store_unavailable:
+        return exit_code::unavailable;
+    case result_code::invalid_argument:
+    case result_code::catalogue_invalid:
+        return exit_code::usage;
+    default:
+        return exit_code::failure;
+    }
+}
+
+// Marks the host's agent in a pool's JSON; returns whether the pool has the host.
+bool mark_draining(nlohmann::json& pool, const std::string& host, bool draining) {
+    for (auto& agent : pool["agents"]) {
+        if (agent.value("host", std::string{}) == host) {
+            agent["draining"] = draining;
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+catalogue_commands::catalogue_commands(blocking_store& store, std::ostream& out, std::ostream& errors)
+    : store(store), out(out), errors(errors) {}
+
+exit_code catalogue_commands::report(const error& cause) {
+    this->errors << static_cast<int>(cause.code) << ' ' << name_of(cause.code) << ": " << cause.detail
+                 << '\n';
+    return to_exit_code(cause.code);
+}
+
+result<stored_object> catalogue_commands::read_standing(const std::string& object_name) {
+    const auto standing = this->store.get(stored_name(object_name));
+    if (!standing && standing.error().code == result_code::object_unknown) {
+        return stored_object{stored_name(object_name), 0, false, "{}"};
+    }
+    return standing;
+}
+
+exit_code catalogue_commands::write(const std::string& object_name,
+                                    const std::string& json,
+                                    const stored_object& standing) {
+    const auto written = this->store.put(stored_name(object_name), json, standing.version);
+    if (written) {
+        this->out << object_name << ": version " << *written << '\n' << diff_json(standing.value, json);
+        return exit_code::success;
+    }
+    if (written.error().code == result_code::version_conflict) {
+        const auto winner = this->read_standing(object_name);
+        this->errors << object_name << ": not written, version " << standing.version
+                     << " is no longer the newest; another edit won";
+        if (winner) {
+            this->errors << " as version " << winner->version << ":\n"
+                         << diff_json(standing.value, winner->value);
+        }
+        this->errors << '\n';
+        return exit_code::conflict;
+    }
+    return this->report(written.error());
+}
+
+exit_code catalogue_commands::apply_one(const std::string& path, std::optional<std::uint64_t> expected) {
+    const auto file = read_object_file(path);
+    if (!file) {
+        return this->report(file.error());
+    }
+    auto standing = this->read_standing(file->object_name);
+    if (!standing) {
+        return this->report(standing.error());
+    }
+    if (!expected && standing->version > 0 && diff_json(standing->value, file->json).empty()) {
+        this->out << file->object_name << ": unchanged at version " << standing->version << '\n';
+        return exit_code::success;
+    }
+    if (expected) {
+        standing->version = *expected;
+    }
+    return this->write(file->object_name, file->json, *standing);
+}
+
+exit_code catalogue_commands::apply(const std::vector<std::string>& paths,
+                                    std::optional<std::uint64_t> expected) {
+    exit_code worst = exit_code::success;
+    for (const auto& path : paths) {
+        const auto code = this->apply_one(path, expected);
+        worst = code == exit_code::success ? worst : code;
+    }
+    return worst;
+}
+
+exit_code catalogue_commands::diff(const std::vector<std::string>& paths) {
+    for (const auto& path : paths) {
+        const auto file = read_object_file(path);
+        if (!file) {
+            return this->report(file.error());
+        }
+        const auto standing = this->read_standing(file->object_name);
+        if (!standing) {
+            return this->report(standing.error());
+        }
+        this->out << file->object_name << " against version " << standing->version << '\n'
+                  << diff_json(standing->value, file->json);
+    }
+    return exit_code::success;
+}
+
+exit_code catalogue_commands::get(const std::string& object_name) {
+    const auto standing = this->store.get(stored_name(object_name));
+    if (!standing) {
+        return this->report(standing.error());
+    }
+    this->out << standing->value << '\n';
+    this->errors << object_name << ": version " << standing->version << '\n';
+    return exit_code::success;
+}
+
+exit_code catalogue_commands::list() {
+    const auto listing = this->store.list(catalogue_prefix);
+    if (!listing) {
+        return this->report(listing.error());
+    }
+    const std::string prefix = catalogue_prefix;
+    for (const auto& object : listing->objects) {
+        this->out << object.name.substr(prefix.size()) << " version " << object.version << '\n';
+    }
+    this->out << "revision " << listing->revision << '\n';
+    return exit_code::success;
+}
+
+exit_code catalogue_commands::remove(const std::string& object_name) {
+    const auto standing = this->store.get(stored_name(object_name));
+    if (!standing) {
+        return this->report(standing.error());
+    }
+    const auto removed = this->store.remove(stored_name(object_name), standing->version);
+    if (!removed) {
+        return this->report(removed.error());
+    }
+    this->out << object_name << ": removed at version " << *removed << '\n';
+    return exit_code::success;
+}
+
+exit_code catalogue_commands::set_draining(const std::string& host, bool draining) {
+    const auto listing = this->store.list(stored_name("pool/"));
+    if (!listing) {
+        return this->report(listing.error());
+    }
+    const std::string prefix = catalogue_prefix;
+    for (const auto& object : listing->objects) {
+        auto pool = nlohmann::json::parse(object.value, nullptr, false);
+        if (pool.is_object() && mark_draining(pool, host, draining)) {
+            return this->write(object.name.substr(prefix.size()), pool.dump(2), object);
+        }
+    }
+    return this->report({result_code::object_unknown, "no pool has the host " + host});
+}
+
+} // namespace tanager
--- /dev/null
+++ b/src/apps/tanagerctl/catalogue_commands.h
@@ -0,0 +1,44 @@
+// The operators' commands on the catalogue.
+#pragma once
+
+#include "apps/tanagerctl/blocking_store.h"
+#include "program/types/exit_code.h"
+
+#include <optional>
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace tanager {
+
+class catalogue_commands {
+public:
+    catalogue_commands(blocking_store& store, std::ostream& out, std::ostream& errors);
+
+    // Writes entries from files, showing what changes. With `expected`, only over that version.
+    exit_code apply(const std::vector<std::string>& paths, std::optional<std::uint64_t> expected);
+
+    // Shows what `apply` would change.
+    exit_code diff(const std::vector<std::string>& paths);
+
+    exit_code get(const std::string& object_name);
+    exit_code list();
+    exit_code remove(const std::string& object_name);
+
+    // Marks a host's agent as draining, or takes it back.
+    exit_code set_draining(const std::string& host, bool draining);
+
+private:
+    exit_code apply_one(const std::string& path, std::optional<std::uint64_t> expected);
+    exit_code write(const std::string& object_name, const std::string& json, const stored_object& standing);
+    exit_code report(const error& cause);
+
+    // Reads the standing version; one that does not exist has version 0.
+    result<stored_object> read_standing(const std::string& object_name);
+
+    blocking_store& store;
+    std::ostream& out;
+    std::ostream& errors;
+};
+
+} // namespace tanager
--- /dev/null
+++ b/src/apps/tanagerctl/tanagerctl.cpp
@@ -0,0 +1,114 @@
+// The operators' command line.
+#include "apps/tanagerctl/catalogue_commands.h"
+#include "apps/tanagerctl/object_file.h"
+#include "base/digest.h"
+#include "base/types/result_code.h"
+
+#include <CLI/CLI.hpp>
+#include <iostream>
+
+namespace {
+
+using tanager::exit_code;
+
+// What the command line was given.
+struct control_arguments {
+    std::string platform;
+    std::vector<std::string> files;
+    std::string name;
+    std::uint64_t expected = 0;
+    int code = 0;
+};
+
+exit_code check_files(const std::vector<std::string>& paths) {
+    exit_code worst = exit_code::success;
+    for (const auto& path : paths) {
+        const auto file = tanager::read_object_file(path);
+        if (file) {
+            std::cout << path << ": " << file->object_name << " is valid\n";
+            continue;
+        }
+        std::cerr << file.error().detail << '\n';
+        worst = exit_code::usage;
+    }
+    return worst;
+}
+
+exit_code explain(int number) {
+    const auto code = static_cast<tanager::result_code>(number);
+    if (tanager::name_of(code) == "unlisted") {
+        std::cerr << "no result code has the number " << number << '\n';
+        return exit_code::usage;
+    }
+    std::cout << number << ' ' << tanager::name_of(code) << ", HTTP status " << tanager::http_status_of(code)
+              << '\n';
+    return exit_code::success;
+}
+
+exit_code run_on_store(const CLI::App& app, const control_arguments& given, bool has_expected) {
+    auto store = tanager::blocking_store::create(given.platform);
+    if (!store) {
+        std::cerr << store.error().detail << '\n';
+        return exit_code::usage;
+    }
+    tanager::catalogue_commands commands(**store, std::cout, std::cerr);
+    if (app.got_subcommand("apply")) {
+        return commands.apply(given.files, has_expected ? std::optional{given.expected} : std::nullopt);
+    }
+    if (app.got_subcommand("diff")) {
+        return commands.diff(given.files);
+    }
+    if (app.got_subcommand("get")) {
+        return commands.get(given.name);
+    }
+    if (app.got_subcommand("remove")) {
+        return commands.remove(given.name);
+    }
+    if (app.got_subcommand("drain") || app.got_subcommand("undrain")) {
+        return commands.set_draining(given.name, app.got_subcommand("drain"));
+    }
+    return commands.list();
+}
+
+} // namespace
+
+int main(int argc, char** argv) {
+    control_arguments given;
+    CLI::App app{"Edits the catalogue and asks what the system does.", "tanagerctl"};
+    app.set_version_flag("--version", "tanagerctl 0.1.0");
+    app.add_option("--platform", given.platform, "the object API, ip:port");
+    app.require_subcommand(1);
+    auto* const apply = app.add_subcommand("apply", "write entries from files <kind>/<name>.json");
+    apply->add_option("files", given.files)->required();
+    auto* const expect =
+        apply->add_option("--expect", given.expected, "only over this version; 0: only if new");
+    app.add_subcommand("diff", "show what apply would change")->add_option("files", given.files)->required();
+    app.add_subcommand("check", "check files without writing")->add_option("files", given.files)->required();
+    app.add_subcommand("get", "print one entry")->add_option("name", given.name, "<kind>/<name>")->required();
+    app.add_subcommand("list", "print all entries and their versions");
+    app.add_subcommand("remove", "remove one entry")
+        ->add_option("name", given.name, "<kind>/<name>")
+        ->required();
+    app.add_subcommand("drain", "stop new work on a host")->add_option("host", given.name)->required();
+    app.add_subcommand("undrain", "take a drain back")->add_option("host", given.name)->required();
+    app.add_subcommand("digest", "print the digest of a caller's key")
+        ->add_option("key", given.name)
+        ->required();
+    app.add_subcommand("explain", "say what a result code means")->add_option("code", given.code)->required();
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError& failure) {
+        return app.exit(failure) == 0 ? 0 : static_cast<int>(exit_code::usage);
+    }
+    if (app.got_subcommand("check")) {
+        return static_cast<int>(check_files(given.files));
+    }
+    if (app.got_subcommand("digest")) {
+        std::cout << tanager::sha256_hex(given.name) << '\n';
+        return 0;
+    }
+    if (app.got_subcommand("explain")) {
+        return static_cast<int>(explain(given.code));
+    }
+    return static_cast<int>(run_on_store(app, given, expect->count() > 0));
+}
--- /dev/null
+++ b/src/entry/agent_gateway.h
@@ -0,0 +1,74 @@
+// The way from an entry to the agents.
+#pragma once
+
+#include "protocol/types/attempt_name.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <tanager.pb.h>
+
+namespace tanager {
+
+// Hears of one dispatched attempt.
+class attempt_listener {
+public:
+    attempt_listener() = default;
+    attempt_listener(const attempt_listener&) = delete;
+    attempt_listener& operator=(const attempt_listener&) = delete;
+    attempt_listener(attempt_listener&&) = delete;
+    attempt_listener& operator=(attempt_listener&&) = delete;
+    virtual ~attempt_listener() = default;
+
+    // One frame; the next one comes after `read_next`.
+    virtual void on_frame(const protocol::answer_frame& frame) = 0;
+
+    // No frame follows: the agent has finished, or the connection broke.
+    virtual void on_closed() = 0;
+};
+
+// One dispatched attempt.
+class attempt_call {
+public:
+    attempt_call() = default;
+    attempt_call(const attempt_call&) = delete;
+    attempt_call& operator=(const attempt_call&) = delete;
+    attempt_call(attempt_call&&) = delete;
+    attempt_call& operator=(attempt_call&&) = delete;
+    virtual ~attempt_call() = default;
+
+    virtual void read_next() = 0;
+
+    // Gives the attempt up; the listener hears nothing more.
+    virtual void cancel() = 0;
+};
+
+// What an agent said of an attempt whose call broke off.
+enum class settlement {
+    not_run,      // it never reached the backend server and never will
+    may_have_run, // it did, or the agent cannot tell
+    unreachable   // no answer came
+};
+
+class agent_gateway {
+public:
+    agent_gateway() = default;
+    agent_gateway(const agent_gateway&) = delete;
+    agent_gateway& operator=(const agent_gateway&) = delete;
+    agent_gateway(agent_gateway&&) = delete;
+    agent_gateway& operator=(agent_gateway&&) = delete;
+    virtual ~agent_gateway() = default;
+
+    // Dispatches an attempt and asks for its first frame.
+    virtual std::shared_ptr<attempt_call> dispatch(const std::string& address,
+                                                   const protocol::dispatch_request& request,
+                                                   std::shared_ptr<attempt_listener> listener) = 0;
+
+    // Asks an agent process to forbid an attempt.
+    virtual void settle(const std::string& address,
+                        const attempt_name& attempt,
+                        std::uint64_t agent_incarnation,
+                        std::function<void(settlement)> callback) = 0;
+};
+
+} // namespace tanager
--- /dev/null
+++ b/src/entry/entry_setup.cpp
@@ -0,0 +1,220 @@
+#include "entry/entry_setup.h"
+
+#include "base/system_clock.h"
+#include "base/system_random.h"
+#include "base/text.h"
+#include "entry/internal/agent_directory.h"
+#include "entry/internal/catalogue_readiness.h"
+#include "entry/internal/grpc_agent_gateway.h"
+#include "entry/internal/identify_filter.h"
+#include "entry/internal/limit_filter.h"
+#include "entry/internal/request_refusal.h"
+#include "entry/internal/run_filter.h"
+#include "logging/event_log.h"
+#include "logging/logging_invariant_monitor.h"
+#include "membership/watcher_election.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "platform/catalogue_follower.h"
+#include "platform/host_list_follower.h"
+#include "platform/http_object_store.h"
+#include "program/health_pages.h"
+
+namespace tanager {
+
+namespace {
+
+constexpr std::chrono::milliseconds housekeeping_interval{100};
+constexpr std::chrono::milliseconds drain_check_interval{10};
+
+class entry_service_process final : public service {
+public:
+    entry_service_process(event_loop& loop, const entry_settings& settings, const socket_address& platform)
+        : loop(loop),
+          settings(settings),
+          incarnation(this->random.next()),
+          known(this->invariants),
+          client(http_client::create(loop)),
+          store(http_object_store::create(
+              *this->client, platform, {settings.platform_timeout, settings.watch_wait})),
+          follower(catalogue_follower::create(
+              loop, *this->store, this->known, this->random, [this] { this->readiness.note_store_read(); })),
+          hosts(host_list_follower::create(
+              loop,
+              *this->store,
+              settings.host_list_interval,
+              [this](const std::vector<listed_host>& listed) { this->on_host_list(listed); })),
+          gateway(loop),
+          directory(loop, this->time, this->random, settings, this->incarnation, this->known, this->gateway),
+          readiness(this->known, this->directory, settings.seed_agents.size()),
+          budget(settings.retry_share, settings.retry_reserve),
+          run_stage(this->make_context()),
+          limit_stage(
+              settings.open_requests,
+              [this] { return this->run_stage.running(); },
+              this->metrics,
+              this->run_stage),
+          identify_stage(this->known, this->time, this->metrics, this->limit_stage),
+          pages(this->metrics, this->invariants, [this] { return this->refusal(); }) {
+        this->known.on_change([this] { this->on_catalogue_change(); });
+        this->housekeeping = loop.run_every(housekeeping_interval, [this] { this->keep_house(); });
+        this->follower->start();
+        this->hosts->start();
+    }
+
+    result<void> listen() {
+        auto created = http_server::create(
+            this->loop,
+            this->settings.listen,
+            this->settings.http,
+            [this](const std::shared_ptr<http_exchange>& exchange) { this->on_request(exchange); });
+        if (!created) {
+            return tl::make_unexpected(created.error());
+        }
+        this->server = std::move(*created);
+        write_event(log_event::program_listening,
+                    {{"http", this->server->address()}, {"host", this->settings.host}});
+        return {};
+    }
+
+    void stop(task drained) override {
+        this->is_stopping = true;
+        this->server->stop_accepting();
+        this->drained = std::move(drained);
+        this->stop_timer = this->loop.run_every(drain_check_interval, [this] { this->check_drained(); });
+    }
+
+private:
+    run_context make_context() {
+        return {this->loop,
+                this->time,
+                this->random,
+                this->metrics,
+                this->invariants,
+                this->directory,
+                this->gateway,
+                this->budget,
+                this->settings,
+                this->incarnation,
+                this->last_sequence};
+    }
+
+    std::string make_request_id() {
+        return to_hex(this->incarnation) + "-" + std::to_string(++this->last_request);
+    }
+
+    void on_request(const std::shared_ptr<http_exchange>& exchange) {
+        if (this->pages.serve(*exchange)) {
+            return;
+        }
+        const received_request request{this->make_request_id(), exchange, this->time.now()};
+        const auto unready = this->refusal_code();
+        if (unready) {
+            refuse_request(request, *unready, request_outcome::not_run, this->metrics);
+            return;
+        }
+        this->identify_stage.accept(request);
+    }
+
+    std::optional<error> refusal_code() {
+        if (!this->readiness.check()) {
+            return error{result_code::not_ready, "this entry has no catalogue yet"};
+        }
+        return std::nullopt;
+    }
+
+    std::string refusal() {
+        if (this->is_stopping) {
+            return "stopping";
+        }
+        const auto unready = this->refusal_code();
+        return unready ? unready->detail : std::string{};
+    }
+
+    void on_catalogue_change() {
+        this->directory.on_catalogue_change();
+        for (const auto& [name, reason] : this->known.rejected()) {
+            write_event(log_event::catalogue_rejected, {{"object", name}, {"detail", reason}});
+        }
+    }
+
+    void on_host_list(const std::vector<listed_host>& listed) {
+        this->directory.on_host_list(listed);
+        std::vector<std::string> peers;
+        for (const auto& row : listed) {
+            if (row.group == "entry" && row.data_centre == this->settings.data_centre) {
+                peers.push_back(row.host);
+            }
+        }
+        const bool is_watcher =
+            is_elected_watcher(this->settings.host, peers, this->settings.watchers_per_data_centre);
+        if (is_watcher) {
+            this->follower->start();
+        } else {
+            this->follower->stop();
+        }
+    }
+
+    void keep_house() {
+        this->directory.report_changes();
+        this->metrics.set_gauge("tanager_agent_links", static_cast<double>(this->directory.links()));
+        this->metrics.set_gauge("tanager_requests_open", static_cast<double>(this->run_stage.running()));
+        this->metrics.set_gauge("tanager_catalogue_revision", static_cast<double>(this->known.revision()));
+        this->metrics.set_gauge("tanager_store_calls_total", static_cast<double>(this->store->calls()));
+    }
+
+    void check_drained() {
+        if (this->run_stage.running() > 0 || this->server->open_exchanges() > 0) {
+            return;
+        }
+        const auto finished = std::exchange(this->drained, nullptr);
+        if (finished) {
+            finished();
+        }
+    }
+
+    event_loop& loop;
+    entry_settings settings;
+    system_clock time;
+    system_random random;
+    std::uint64_t incarnation;
+    std::uint64_t last_sequence = 0;
+    std::uint64_t last_request = 0;
+    logging_invariant_monitor invariants;
+    metrics_registry metrics;
+    catalogue known;
+    std::unique_ptr<http_client> client;
+    std::unique_ptr<http_object_store> store;
+    std::shared_ptr<catalogue_follower> follower;
+    std::shared_ptr<host_list_follower> hosts;
+    grpc_agent_gateway gateway;
+    agent_directory directory;
+    catalogue_readiness readiness;
+    retry_budget budget;
+    run_filter run_stage;
+    limit_filter limit_stage;
+    identify_filter identify_stage;
+    health_pages pages;
+    std::unique_ptr<http_server> server;
+    std::unique_ptr<loop_timer> housekeeping;
+    std::unique_ptr<loop_timer> stop_timer;
+    bool is_stopping = false;
+    task drained;
+};
+
+} // namespace
+
+result<std::unique_ptr<service>> set_up_entry(event_loop& loop, const entry_settings& settings) {
+    const auto platform = parse_address(settings.platform);
+    if (!platform) {
+        return tl::make_unexpected(platform.error());
+    }
+    auto process = std::make_unique<entry_service_process>(loop, settings, *platform);
+    const auto listening = process->listen();
+    if (!listening) {
+        return tl::make_unexpected(listening.error());
+    }
+    return process;
+}
+
+} // namespace tanager
--- /dev/null
+++ b/src/entry/entry_setup.h
@@ -0,0 +1,16 @@
+// Wires one entry together.
+#pragma once
+
+#include "base/types/result.h"
+#include "entry/types/entry_settings.h"
+#include "net/event_loop.h"
+#include "program/program_frame.h"
+
+#include <memory>
+
+namespace tanager {
+
+// Starts an entry on the loop. Fails with listen_failed or address_invalid.
+result<std::unique_ptr<service>> set_up_entry(event_loop& loop, const entry_settings& settings);
+
+} // namespace tanager
--- /dev/null
+++ b/src/entry/internal/agent_directory.cpp
@@ -0,0 +1,309 @@
+#include "entry/internal/agent_directory.h"
+
+#include "base/digest.h"
+#include "logging/event_log.h"
+#include "protocol/catalogue_messages.h"
+
+#include <algorithm>
+
+namespace tanager {
+
+namespace {
+
+// Reports that may be missed before an agent is suspected, and a grace for the network.
+constexpr int missed_reports = 3;
+constexpr std::chrono::milliseconds report_grace{500};
+constexpr std::chrono::milliseconds pull_patience{500};
+
+std::uint32_t less_or_zero(std::uint32_t from, std::uint32_t amount) {
+    return from > amount ? from - amount : 0;
+}
+
+std::uint32_t find_or_zero(const std::unordered_map<std::string, std::uint32_t>& map,
+                           const std::string& key) {
+    const auto found = map.find(key);
+    return found == map.end() ? 0 : found->second;
+}
+
+// Returns the agents of a pool that an entry works with.
+std::vector<pool_agent>
+choose_subset(const pool_entry& pool, const std::string& entry_host, std::size_t bound) {
+    std::vector<pool_agent> chosen = pool.agents;
+    if (chosen.size() <= bound) {
+        return chosen;
+    }
+    const std::uint64_t seed = hash64(entry_host);
+    std::ranges::sort(chosen, {}, [&](const pool_agent& agent) { return hash64(agent.host, seed); });
+    chosen.resize(bound);
+    return chosen;
+}
+
+} // namespace
+
+agent_directory::agent_directory(event_loop& loop,
+                                 const clock& time,
+                                 random_source& random,
+                                 const entry_settings& settings,
+                                 std::uint64_t incarnation,
+                                 catalogue& known,
+                                 grpc_agent_gateway& gateway)
+    : loop(loop),
+      time(time),
+      random(random),
+      settings(settings),
+      incarnation(incarnation),
+      known(known),
+      gateway(gateway),
+      monitor(time) {
+    for (const auto& address : this->settings.seed_agents) {
+        this->open_link(address);
+    }
+}
+
+void agent_directory::open_link(const std::string& address) {
+    if (this->links_by_address.contains(address)) {
+        return;
+    }
+    agent_link::notices hears{
+        [this, address](const protocol::agent_message& message) { this->on_message(address, message); },
+        [this, address] { this->on_connected(address); },
+        [this, address] { this->on_broken(address); },
+    };
+    this->links_by_address.emplace(
+        address,
+        std::make_unique<agent_link>(this->loop, this->gateway, this->random, address, std::move(hears)));
+}
+
+std::set<std::string> agent_directory::wanted_addresses() const {
+    std::set<std::string> wanted(this->settings.seed_agents.begin(), this->settings.seed_agents.end());
+    for (const auto& pool : this->known.pools()) {
+        for (const auto& agent : choose_subset(*pool, this->settings.host, this->settings.agents_per_pool)) {
+            wanted.insert(agent.address);
+        }
+    }
+    return wanted;
+}
+
+void agent_directory::on_catalogue_change() {
+    const auto wanted = this->wanted_addresses();
+    for (const auto& address : wanted) {
+        this->open_link(address);
+    }
+    for (auto link = this->links_by_address.begin(); link != this->links_by_address.end();) {
+        if (wanted.contains(link->first)) {
+            ++link;
+            continue;
+        }
+        this->on_broken(link->first);
+        this->hosts_by_address.erase(link->first);
+        this->gateway.forget(link->first);
+        link = this->links_by_address.erase(link);
+    }
+    const auto message = this->make_message();
+    for (const auto& [address, link] : this->links_by_address) {
+        link->send(message);
+    }
+}
+
+protocol::entry_message agent_directory::make_message() const {
+    protocol::entry_message message;
+    message.set_entry_incarnation(this->incarnation);
+    message.set_entry_host(this->settings.host);
+    message.set_catalogue_revision(this->known.revision());
+    return message;
+}
+
+void agent_directory::on_connected(const std::string& address) {
+    this->links_by_address.at(address)->send(this->make_message());
+}
+
+void agent_directory::on_broken(const std::string& address) {
+    const auto host = this->hosts_by_address.find(address);
+    if (host != this->hosts_by_address.end()) {
+        this->monitor.record_broken_connection(host->second);
+    }
+}
+
+void agent_directory::on_message(const std::string& address, const protocol::agent_message& message) {
+    const std::string& host = message.agent_host();
+    this->hosts_by_address[address] = host;
+    const std::chrono::milliseconds interval{message.report_interval_milliseconds()};
+    const bool is_current = this->monitor.record_heartbeat(
+        host, message.agent_incarnation(), message.leaving(), missed_reports * interval + report_grace);
+    if (!is_current) {
+        return;
+    }
+    this->apply_report(message);
+    this->answer_catalogue_part(address, message);
+}
+
+void agent_directory::apply_report(const protocol::agent_message& message) {
+    auto& record = this->records[message.agent_host()];
+    record = {};
+    record.capacity = message.capacity_pieces();
+    record.used = message.used_pieces();
+    record.queued = message.queued_requests();
+    record.catalogue_revision = message.catalogue_revision();
+    record.ready = message.ready();
+    for (const auto& use : message.members()) {
+        record.used_by_member[use.member()] = use.used_pieces();
+    }
+}
+
+void agent_directory::answer_catalogue_part(const std::string& address,
+                                            const protocol::agent_message& message) {
+    if (message.has_delta()) {
+        const auto outcome = this->known.apply(from_message(message.delta()));
+        if (outcome == delta_outcome::applied) {
+            write_event(
+                log_event::catalogue_pulled,
+                {{"revision", std::to_string(this->known.revision())}, {"source", message.agent_host()}});
+        }
+    }
+    const auto link = this->links_by_address.find(address);
+    if (link == this->links_by_address.end()) {
+        return;
+    }
+    const bool is_behind = message.catalogue_revision() > this->known.revision();
+    const bool may_pull = is_behind && this->time.now() >= this->pull_due;
+    if (!may_pull && !message.has_pull()) {
+        return;
+    }
+    auto answer = this->make_message();
+    if (may_pull) {
+        this->pull_due = this->time.now() + pull_patience;
+        answer.mutable_pull()->set_since(this->known.revision());
+    }
+    if (message.has_pull()) {
+        fill_message(this->known.changes_since(message.pull().since()), *answer.mutable_delta());
+    }
+    link->second->send(answer);
+}
+
+void agent_directory::on_host_list(const std::vector<listed_host>& hosts) {
+    std::set<std::string> leaving;
+    for (const auto& row : hosts) {
+        if (row.state == host_state::leaving) {
+            leaving.insert(row.host);
+        }
+    }
+    for (const auto& host : this->listed_leaving) {
+        this->monitor.record_listed_leaving(host, leaving.contains(host));
+    }
+    for (const auto& host : leaving) {
+        this->monitor.record_listed_leaving(host, true);
+    }
+    this->listed_leaving = std::move(leaving);
+    for (const auto& [address, host] : this->hosts_by_address) {
+        const auto link = this->links_by_address.find(address);
+        if (link == this->links_by_address.end() || !this->listed_leaving.contains(host)) {
+            continue;
+        }
+        auto message = this->make_message();
+        message.set_host_listed_leaving(true);
+        link->second->send(message);
+    }
+}
+
+routing_candidate agent_directory::make_candidate(const pool_entry& pool,
+                                                  const pool_agent& agent,
+                                                  const member_entry& member) const {
+    routing_candidate candidate;
+    candidate.host = agent.host;
+    candidate.same_data_centre = agent.data_centre == this->settings.data_centre;
+    const auto found = this->records.find(agent.host);
+    if (found == this->records.end()) {
+        return candidate;
+    }
+    const auto& record = found->second;
+    candidate.takes_work =
+        record.ready && !agent.draining && this->monitor.state_of(agent.host) == peer_state::live;
+    candidate.member_share =
+        std::min(share_of_slot(member.cap_in(pool.name), pool.slots, agent.slot), record.capacity);
+    const std::uint32_t member_used = find_or_zero(record.used_by_member, member.name) +
+                                      find_or_zero(record.dispatched_by_member, member.name);
+    candidate.free_member_pieces = less_or_zero(candidate.member_share, member_used);
+    candidate.free_pieces = less_or_zero(record.capacity, record.used + record.dispatched_pieces);
+    candidate.queued = record.queued;
+    if (candidate.free_pieces == 0) {
+        candidate.queued += record.dispatched_requests;
+    }
+    return candidate;
+}
+
+std::vector<routing_candidate> agent_directory::candidates(const pool_entry& pool,
+                                                           const member_entry& member) const {
+    std::vector<routing_candidate> rows;
+    rows.reserve(pool.agents.size());
+    for (const auto& agent : pool.agents) {
+        rows.push_back(this->make_candidate(pool, agent, member));
+    }
+    return rows;
+}
+
+agent_target agent_directory::target_of(const pool_entry& pool, const std::string& host) const {
+    const auto agent = std::ranges::find(pool.agents, host, &pool_agent::host);
+    if (agent == pool.agents.end()) {
+        return {};
+    }
+    return {host, agent->address, this->monitor.incarnation_of(host)};
+}
+
+void agent_directory::note_dispatched(const std::string& host,
+                                      const std::string& member,
+                                      std::uint32_t pieces) {
+    auto& record = this->records[host];
+    record.dispatched_pieces += pieces;
+    record.dispatched_by_member[member] += pieces;
+    ++record.dispatched_requests;
+}
+
+void agent_directory::note_ended(const std::string& host, const std::string& member, std::uint32_t pieces) {
+    auto& record = this->records[host];
+    auto& dispatched = record.dispatched_by_member[member];
+    if (dispatched >= pieces) {
+        dispatched -= pieces;
+        record.dispatched_pieces = less_or_zero(record.dispatched_pieces, pieces);
+        record.dispatched_requests = less_or_zero(record.dispatched_requests, 1);
+        return;
+    }
+    auto& used = record.used_by_member[member];
+    used = less_or_zero(used, pieces);
+    record.used = less_or_zero(record.used, pieces);
+}
+
+std::uint64_t agent_directory::incarnation_of(const std::string& host) const {
+    return this->monitor.incarnation_of(host);
+}
+
+void agent_directory::report_changes() {
+    for (const auto& change : this->monitor.collect_changes()) {
+        const std::string before{name_of(change.before)};
+        if (change.after == peer_state::live) {
+            write_event(log_event::agent_connected, {{"host", change.peer}, {"before", before}});
+        } else if (change.after == peer_state::suspected) {
+            write_event(log_event::agent_suspected, {{"host", change.peer}, {"before", before}});
+        } else if (change.after == peer_state::leaving) {
+            write_event(log_event::agent_leaving, {{"host", change.peer}, {"before", before}});
+        }
+    }
+}
+
+std::size_t agent_directory::heard_agents() const {
+    return static_cast<std::size_t>(std::ranges::count_if(
+        this->records, [](const auto& row) { return row.second.catalogue_revision > 0; }));
+}
+
+std::uint64_t agent_directory::highest_heard_revision() const {
+    std::uint64_t highest = 0;
+    for (const auto& [host, record] : this->records) {
+        highest = std::max(highest, record.catalogue_revision);
+    }
+    return highest;
+}
+
+std::size_t agent_directory::links() const {
+    return this->links_by_address.size();
+}
+
+} // namespace tanager
--- /dev/null
+++ b/src/entry/internal/agent_directory.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/random_source.h"
+#include "catalogue/catalogue.h"
+#include "entry/internal/agent_link.h"
+#include "entry/internal/grpc_agent_gateway.h"
+#include "entry/types/entry_settings.h"
+#include "membership/peer_monitor.h"
+#include "platform/types/stored_object.h"
+#include "routing/types/routing_candidate.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace tanager {
+
+// Where an attempt is sent.
+struct agent_target {
+    std::string host;
+    std::string address;
+    std::uint64_t incarnation = 0;
+
+    friend bool operator==(const agent_target&, const agent_target&) = default;
+};
+
+// What this entry knows of the agents it works with: a bounded part of each pool, chosen by rendezvous
+// hashing.
+class agent_directory {
+public:
+    agent_directory(event_loop& loop,
+                    const clock& time,
+                    random_source& random,
+                    const entry_settings& settings,
+                    std::uint64_t incarnation,
+                    catalogue& known,
+                    grpc_agent_gateway& gateway);
+
+    // Opens and closes links as the catalogue says, and tells all agents its revision.
+    void on_catalogue_change();
+
+    // Takes in the platform's host list.
+    void on_host_list(const std::vector<listed_host>& hosts);
+
+    // Returns the agents of a pool as routing sees them.
+    std::vector<routing_candidate> candidates(const pool_entry& pool, const member_entry& member) const;
+
+    agent_target target_of(const pool_entry& pool, const std::string& host) const;
+
+    // Correct the last report for what this entry has sent since.
+    void note_dispatched(const std::string& host, const std::string& member, std::uint32_t pieces);
+    void note_ended(const std::string& host, const std::string& member, std::uint32_t pieces);
+
+    // Returns the process that serves as this host's agent now; 0 when unknown.
+    std::uint64_t incarnation_of(const std::string& host) const;
+
+    // Writes the changes of belief since the last call to the log.
+    void report_changes();
+
+    // Returns the agents heard of, and the highest catalogue revision among them.
+    std::size_t heard_agents() const;
+    std::uint64_t highest_heard_revision() const;
+
+    std::size_t links() const;
+
+private:
+    struct agent_record {
+        std::uint32_t capacity = 0;
+        std::uint32_t used = 0;
+        std::uint32_t queued = 0;
+        std::uint64_t catalogue_revision = 0;
+        bool ready = false;
+        std::unordered_map<std::string, std::uint32_t> used_by_member;
+        std::uint32_t dispatched_pieces = 0;
+        std::uint32_t dispatched_requests = 0;
+        std::unordered_map<std::string, std::uint32_t> dispatched_by_member;
+    };
+
+    void open_link(const std::string& address);
+    void on_message(const std::string& address, const protocol::agent_message& message);
+    void on_connected(const std::string& address);
+    void on_broken(const std::string& address);
+    void apply_report(const protocol::agent_message& message);
+    void answer_catalogue_part(const std::string& address, const protocol::agent_message& message);
+    protocol::entry_message make_message() const;
+    std::set<std::string> wanted_addresses() const;
+    routing_candidate
+    make_candidate(const pool_entry& pool, const pool_agent& agent, const member_entry& member) const;
+
+    event_loop& loop;
+    const clock& time;
+    random_source& random;
+    entry_settings settings;
+    std::uint64_t incarnation;
+    catalogue& known;
+    grpc_agent_gateway& gateway;
+    peer_monitor monitor;
+    std::map<std::string, std::unique_ptr<agent_link>> links_by_address;
+    std::map<std::string, std::string> hosts_by_address;
+    std::unordered_map<std::string, agent_record> records;
+    std::set<std::string> listed_leaving;
+    time_point pull_due;
+};
+
+} // namespace tanager
--- /dev/null
+++ b/src/entry/internal/answer_writer.cpp
@@ -0,0 +1,83 @@
+#include "entry/internal/answer_writer.h"
+
+namespace tanager {
+
+namespace {
+
+constexpr std::size_t collected_bytes_bound = 256 * 1024;
+constexpr std::size_t high_water_bytes = 128 * 1024;
+
+// A comment in the stream, which clients skip; a header would have to be sent before the outcome is known.
+constexpr std::string_view stream_outcome_comment = ": tanager-outcome complete\n\n";
+
+} // namespace
+
+answer_writer::answer_writer(const received_request& request)
+    : exchange(request.exchange), request_id(request.request_id) {}
+
+void answer_writer::set_head(const protocol::answer_head& head) {
+    this->status = static_cast<int>(head.status());
+    for (const auto& header : head.headers()) {
+        if (header.name() == "Content-Type") {
+            this->content_type = header.value();
+        }
+    }
+    this->is_stream = this->content_type.starts_with("text/event-stream");
+}
+
+http_headers answer_writer::make_headers() const {
+    http_headers headers{{"X-Request-Id", this->request_id}};
+    if (!this->content_type.empty()) {
+        headers.push_back({"Content-Type", this->content_type});
+    }
+    return headers;
+}
+
+void answer_writer::start() {
+    this->started = true;
+    this->exchange->start(this->status, this->make_headers());
+    this->exchange->write(this->collected);
+    this->collected.clear();
+}
+
+void answer_writer::write(std::string_view data) {
+    if (this->started) {
+        this->exchange->write(data);
+        return;
+    }
+    this->collected += data;
+    if (this->is_stream || this->collected.size() > collected_bytes_bound) {
+        this->start();
+    }
+}
+
+void answer_writer::finish() {
+    if (this->started) {
+        if (this->is_stream) {
+            this->exchange->write(stream_outcome_comment);
+        }
+        this->exchange->finish();
+        return;
+    }
+    auto headers = this->make_headers();
+    headers.push_back({"Tanager-Outcome", std::string{name_of(request_outcome::complete)}});
+    this->exchange->reply({this->status, headers, this->collected});
+}
+
+void answer_writer::break_off() {
+    this->exchange->abort();
+}
+
+void answer_writer::reset() {
+    this->collected.clear();
+}
+
+bool answer_writer::has_delivered() const {
+    return this->started;
+}
+
+bool answer_writer::is_congested() const {
+    return this->exchange->unsent_bytes() > high_water_bytes;
+}
+
+} // namespace tanager
--- /dev/null
+++ b/src/entry/internal/answer_writer.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "entry/types/request_messages.h"
+
+#include <string>
+#include <string_view>
+#include <tanager.pb.h>
+
+namespace tanager {
+
+// Last filter: writes one answer to its caller. Streams are passed on as they come; other answers are
+// collected, so that they carry their outcome in a header, unless they are long.
+class answer_writer {
+public:
+    explicit answer_writer(const received_request& request);
+
+    void set_head(const protocol::answer_head& head);
+    void write(std::string_view data);
+
+    // Sends the rest of a whole answer.
+    void finish();
+
+    // Breaks off an answer that has begun, so that the caller does not take it for a whole one.
+    void break_off();
+
+    // Forgets what was collected of an attempt that failed.
+    void reset();
+
+    // Returns whether any byte has gone to the caller.
+    bool has_delivered() const;
+
+    // Returns whether the caller takes the answer more slowly than it comes.
+    bool is_congested() const;
+
+private:
+    http_headers make_headers() const;
+    void start();
+
+    std::shared_ptr<http_exchange> exchange;
+    std::string request_id;
+    int status = 0;
+    std::string content_type;
+    bool is_stream = false;
+    bool started = false;
+    std::string collected;
+};
+
+} // namespace tanager
--- /dev/null
+++ b/src/entry/internal/completion_body.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "base/types/result.h"
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace tanager {
+
+// What an entry needs to know of a completion request.
+struct completion_facts {
+    std::string work_name; // the `model` that the caller asks for
+    std::uint64_t prompt_bytes = 0;
+    std::uint32_t max_tokens = 0; // 0 when the caller set none
+    bool wants_stream = false;
+    std::uint64_t prefix_hash = 0;
+
+    friend bool operator==(const completion_facts&, const completion_facts&) = default;
+};
+
+// Which of the two completion calls a body belongs to.
+enum class completion_kind { text, chat };
+
+// A checked completion request.
+class completion_body {
+public:
+    // Fails with request_malformed, field_missing or field_invalid, naming the field.
+    static result<completion_body> parse(const std::string& text, completion_kind kind);
+
+    const completion_facts& facts() const;
+
+    // Returns the body for a backend server: its own model's name, and a bound on the output.
+    std::string render(const std::string& model, std::uint32_t max_tokens) const;
+
+private:
+    completion_body(completion_facts facts, nlohmann::json body);
+
+    completion_facts known;
+    nlohmann::json body;
+};
+
+} // namespace tanager
--- /dev/null
+++ b/src/entry/internal/entry_settings.cpp
@@ -0,0 +1,83 @@
+#include "entry/types/entry_settings.h"
+
+namespace tanager {
+
+namespace {
+
+constexpr integer_range body_range{1'024, 64LL * 1024 * 1024};
+constexpr integer_range header_range{1'024, 1'024 * 1024};
+constexpr integer_range connection_range{16, 1'000'000};
+constexpr integer_range idle_range{1, 3'600};
+constexpr integer_range timeout_range{10, 60'000};
+constexpr integer_range wait_range{100, 300'000};
+constexpr integer_range watcher_range{1, 100};
+constexpr integer_range request_range{1, 1'000'000};
+constexpr integer_range agent_range{1, 2'000};
+constexpr integer_range attempt_range{1, 10};
+constexpr integer_range percent_range{0, 100};
+constexpr std::int64_t default_retry_percent = 10;
+constexpr double percent = 100.0;
+
+void load_http(settings_reader& reader, entry_settings& settings) {
+    const http_server_limits defaults;
+    settings.http.body_bytes = static_cast<std::size_t>(reader.read_integer(
+        {"http", "body_bytes"}, static_cast<std::int64_t>(defaults.body_bytes), body_range));
+    settings.http.header_bytes = static_cast<std::size_t>(reader.read_integer(
+        {"http", "header_bytes"}, static_cast<std::int64_t>(defaults.header_bytes), header_range));
+    settings.http.descriptors = static_cast<int>(
+        reader.read_integer({"http", "descriptors"}, defaults.descriptors, connection_range));
+    settings.http.idle_timeout = std::chrono::seconds{
+        reader.read_integer({"http", "idle_seconds"}, defaults.idle_timeout.count(), idle_range)};
+}
+
+void load_platform(settings_reader& reader, entry_settings& settings) {
+    const entry_settings defaults;
+    settings.platform = reader.read_address({"platform", "address"}, "");
+    settings.platform_timeout =
+        reader.read_milliseconds({"platform", "timeout_ms"}, defaults.platform_timeout, timeout_range);
+    settings.watch_wait =
+        reader.read_milliseconds({"platform", "watch_wait_ms"}, defaults.watch_wait, wait_range);
+    settings.host_list_interval = reader.read_milliseconds(
+        {"platform", "host_list_interval_ms"}, defaults.host_list_interval, wait_range);
+    settings.watchers_per_data_centre = static_cast<std::size_t>(
+        reader.read_integer({"platform", "watchers_per_data_centre"},
+                            static_cast<std::int64_t>(defaults.watchers_per_data_centre),
+                            watcher_range));
+}
+
+void load_routing(settings_reader& reader, entry_settings& settings) {
+    const entry_settings defaults;
+    settings.open_requests = static_cast<std::size_t>(reader.read_integer(
+        {"limits", "open_requests"}, static_cast<std::int64_t>(defaults.open_requests), request_range));
+    settings.agents_per_pool = static_cast<std::size_t>(reader.read_integer(
+        {"routing", "agents_per_pool"}, static_cast<std::int64_t>(defaults.agents_per_pool), agent_range));
+    settings.attempts = static_cast<std::uint32_t>(
+        reader.read_integer({"retries", "attempts"}, defaults.attempts, attempt_range));
+    settings.retry_share = static_cast<double>(reader.read_integer(
+                               {"retries", "percent"}, default_retry_percent, percent_range)) /
+                           percent;
+    settings.retry_reserve = static_cast<double>(reader.read_integer(
+        {"retries", "reserve"}, static_cast<std::int64_t>(defaults.retry_reserve), request_range));
+}
+
+} // namespace
+
+entry_settings load_entry_settings(settings_reader& reader) {
+    entry_settings settings;
+    settings.host = reader.read_required_text({"entry", "host"});
+    settings.data_centre = reader.read_required_text({"entry", "data_centre"});
+    settings.region = reader.read_required_text({"entry", "region"});
+    settings.listen = reader.read_address({"http", "listen"}, "");
+    load_http(reader, settings);
+    load_platform(reader, settings);
+    load_routing(reader, settings);
+    settings.seed_agents = reader.read_list({"peers", "agents"});
+    for (const auto& address : settings.seed_agents) {
+        if (!is_address(address)) {
+            reader.add_problem({"peers", "agents"}, "'" + address + "' is not ip:port");
+        }
+    }
+    return settings;
+}
+
+} // namespace tanager
--- /dev/null
+++ b/src/entry/internal/grpc_agent_gateway.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "entry/agent_gateway.h"
+#include "net/event_loop.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <tanager.grpc.pb.h>
+
+namespace tanager {
+
+// Keeps one channel an agent, shared by its dispatches and its exchange.
+class grpc_agent_gateway final : public agent_gateway {
+public:
+    explicit grpc_agent_gateway(event_loop& loop);
+
+    std::shared_ptr<attempt_call> dispatch(const std::string& address,
+                                           const protocol::dispatch_request& request,
+                                           std::shared_ptr<attempt_listener> listener) override;
+    void settle(const std::string& address,
+                const attempt_name& attempt,
+                std::uint64_t agent_incarnation,
+                std::function<void(settlement)> callback) override;
+
+    // Returns the stub of an agent, connecting if need be.
+    protocol::agent_service::Stub& stub_of(const std::string& address);
+
+    // Drops the channel of an agent that the catalogue no longer names.
+    void forget(const std::string& address);
+
+private:
+    event_loop& loop;
+    std::map<std::string, std::unique_ptr<protocol::agent_service::Stub>> stubs;
+};
+
+} // namespace tanager
--- /dev/null
+++ b/src/entry/internal/grpc_attempt_call.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "entry/agent_gateway.h"
+#include "net/event_loop.h"
+
+#include <memory>
+#include <tanager.grpc.pb.h>
+
+namespace tanager {
+
+class grpc_attempt_reactor;
+
+// The loop's side of one dispatch call. A hold keeps the reactor alive until no further read will be started.
+class grpc_attempt_call final : public attempt_call, public std::enable_shared_from_this<grpc_attempt_call> {
+public:
+    explicit grpc_attempt_call(std::shared_ptr<attempt_listener> listener);
+
+    void
+    start(event_loop& loop, protocol::agent_service::Stub& stub, const protocol::dispatch_request& request);
+
+    void read_next() override;
+    void cancel() override;
+
+    // Notice from the reactor, on the loop's thread.
+    void note_read(bool succeeded);
+
+private:
+    void let_go();
+
+    grpc_attempt_reactor* reactor = nullptr;
+    std::shared_ptr<attempt_listener> listener;
+    protocol::answer_frame frame;
+    bool is_reading = false;
+};
+
+} // namespace tanager
--- /dev/null
+++ b/src/entry/internal/grpc_exchange_call.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "net/event_loop.h"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <tanager.grpc.pb.h>
+
+namespace tanager {
+
+class grpc_exchange_reactor;
+
+// The loop's side of the standing connection to one agent.
+class grpc_exchange_call final : public std::enable_shared_from_this<grpc_exchange_call> {
+public:
+    using message_callback = std::function<void(const protocol::agent_message&)>;
+
+    grpc_exchange_call(message_callback on_message, std::function<void()> on_closed);
+
+    void start(event_loop& loop, protocol::agent_service::Stub& stub);
+
+    void send(const protocol::entry_message& message);
+
+    // Ends the connection; no callback is called any more.
+    void close();
+
+    // Notices from the reactor, on the loop's thread.
+    void note_read(bool succeeded);
+    void note_written(bool succeeded);
+
+private:
+    void start_read();
+    void start_write();
+    void let_go_if_idle();
+
+    grpc_exchange_reactor* reactor = nullptr;
+    message_callback message_notice;
+    std::function<void()> closed_notice;
+    protocol::agent_message incoming;
+    std::deque<protocol::entry_message> queue;
+    protocol::entry_message in_flight;
+    bool is_reading = false;
+    bool is_writing = false;
+    bool is_over = false;
+};
+
+} // namespace tanager
--- /dev/null
+++ b/src/entry/internal/identify_filter.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/sink.h"
+#include "catalogue/catalogue.h"
+#include "entry/types/request_messages.h"
+#include "metrics/metrics_registry.h"
+
+namespace tanager {
+
+// First filter: finds out who calls, for which work, and what it will cost.
+class identify_filter final : public sink<received_request> {
+public:
+    identify_filter(const catalogue& known,
+                    const clock& time,
+                    metrics_registry& metrics,
+                    sink<identified_request>& next);
+
+    void accept(received_request request) override;
+
+private:
+    result<identified_request> identify(const received_request& request) const;
+    result<identified_request> identify_completion(identified_request draft, bool is_chat) const;
+    result<identified_request> identify_service(identified_request draft) const;
+    result<void> set_work(identified_request& draft, const std::string& work_name, pool_kind wanted) const;
+    result<void> set_caller(identified_request& draft) const;
+
+    const catalogue& known;
+    const clock& time;
+    metrics_registry& metrics;
+    sink<identified_request>& next;
+};
+
+} // namespace tanager
--- /dev/null
+++ b/src/entry/internal/limit_filter.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "base/sink.h"
+#include "entry/types/request_messages.h"
+#include "metrics/metrics_registry.h"
+
+#include <functional>
+
+namespace tanager {
+
+// Second filter: refuses what no agent could ever admit, and bounds the requests open in this process.
+class limit_filter final : public sink<identified_request> {
+public:
+    limit_filter(std::size_t open_bound,
+                 std::function<std::size_t()> open_requests,
+                 metrics_registry& metrics,
+                 sink<identified_request>& next);
+
+    void accept(identified_request request) override;
+
+private:
+    result<void> check(const identified_request& request) const;
+
+    std::size_t open_bound;
+    std::function<std::size_t()> open_requests;
+    metrics_registry& metrics;
+    sink<identified_request>& next;
+};
+
+} // namespace tanager
--- /dev/null
+++ b/src/entry/internal/request_refusal.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "base/types/result.h"
+#include "entry/types/request_messages.h"
+#include "metrics/metrics_registry.h"
+
+namespace tanager {
+
+// Answers a request with a numbered code, its request id and its outcome.
+void refuse_request(const received_request& request,
+                    const error& cause,
+                    request_outcome outcome,
+                    metrics_registry& metrics);
+
+} // namespace tanager
--- /dev/null
+++ b/src/entry/internal/run_filter.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "base/sink.h"
+#include "entry/internal/request_run.h"
+#include "entry/types/request_messages.h"
+
+namespace tanager {
+
+// Starts a run for each request that the filters before it let through.
+class run_filter final : public sink<identified_request> {
+public:
+    explicit run_filter(const run_context& context);
+
+    void accept(identified_request request) override;
+
+    // Returns the requests under way.
+    std::size_t running() const;
+
+private:
+    run_context context;
+    std::size_t running_requests = 0;
+};
+
+} // namespace tanager
--- a/src/limits/admission_queue.h
+++ b/src/limits/admission_queue.h
@@ -19,14 +19,14 @@
     friend bool operator==(const queue_bounds&, const queue_bounds&) = default;
 };
 
-// Orders waiting work by priority, then by arrival. Work of a member whose share is used up does not hold back
-// the work of others behind it.
+// Orders waiting work by priority, then by arrival. Work of a member whose share is used up does not hold
+// back the work of others behind it.
 class admission_queue {
 public:
     admission_queue(share_ledger& ledger, const clock& time, const queue_bounds& bounds);
 
-    // Takes work in. Fails with agent_queue_full when too much waits, with deadline_unreachable when the deadline
-    // has passed, and with request_too_large_for_pool when it can never run here.
+    // Takes work in. Fails with agent_queue_full when too much waits, with deadline_unreachable when the
+    // deadline has passed, and with request_too_large_for_pool when it can never run here.
     result<void> enqueue(const queued_work& work);
 
     // Removes and returns the work that may start now, in order, with its pieces acquired.
--- a/src/membership/internal/peer_monitor.cpp
+++ b/src/membership/internal/peer_monitor.cpp
@@ -10,8 +10,7 @@
 
 } // namespace
 
-std::string_view name_of(peer_state state)
-{
+std::string_view name_of(peer_state state) {
     switch (state) {
     case peer_state::unknown:
         return "unknown";
@@ -25,13 +24,12 @@
     return "unlisted";
 }
 
-peer_monitor::peer_monitor(const clock& time, duration suspicion_after)
-    : time(time), suspicion_after(suspicion_after)
-{
-}
+peer_monitor::peer_monitor(const clock& time) : time(time) {}
 
-bool peer_monitor::record_heartbeat(const std::string& peer, std::uint64_t incarnation, bool is_leaving)
-{
+bool peer_monitor::record_heartbeat(const std::string& peer,
+                                    std::uint64_t incarnation,
+                                    bool is_leaving,
+                                    duration silence_allowed) {
     auto& record = this->peers[peer];
     const bool is_superseded = std::ranges::find(record.superseded, incarnation) != record.superseded.end();
     if (is_superseded) {
@@ -49,51 +47,44 @@
     }
     record.said_leaving = record.said_leaving || is_leaving;
     record.is_broken = false;
-    record.last_heard = this->time.now();
+    record.expected_by = this->time.now() + silence_allowed;
     return true;
 }
 
-void peer_monitor::record_broken_connection(const std::string& peer)
-{
+void peer_monitor::record_broken_connection(const std::string& peer) {
     this->peers[peer].is_broken = true;
 }
 
-void peer_monitor::record_listed_leaving(const std::string& peer, bool is_leaving)
-{
+void peer_monitor::record_listed_leaving(const std::string& peer, bool is_leaving) {
     this->peers[peer].listed_leaving = is_leaving;
 }
 
-void peer_monitor::forget(const std::string& peer)
-{
+void peer_monitor::forget(const std::string& peer) {
     this->peers.erase(peer);
 }
 
-peer_state peer_monitor::judge(const peer_record& record) const
-{
+peer_state peer_monitor::judge(const peer_record& record) const {
     if (record.said_leaving || record.listed_leaving) {
         return peer_state::leaving;
     }
     if (record.incarnation == 0) {
         return peer_state::unknown;
     }
-    const bool is_silent = this->time.now() - record.last_heard > this->suspicion_after;
+    const bool is_silent = this->time.now() > record.expected_by;
     return is_silent || record.is_broken ? peer_state::suspected : peer_state::live;
 }
 
-peer_state peer_monitor::state_of(const std::string& peer) const
-{
+peer_state peer_monitor::state_of(const std::string& peer) const {
     const auto found = this->peers.find(peer);
     return found == this->peers.end() ? peer_state::unknown : this->judge(found->second);
 }
 
-std::uint64_t peer_monitor::incarnation_of(const std::string& peer) const
-{
+std::uint64_t peer_monitor::incarnation_of(const std::string& peer) const {
     const auto found = this->peers.find(peer);
     return found == this->peers.end() ? 0 : found->second.incarnation;
 }
 
-std::vector<peer_change> peer_monitor::collect_changes()
-{
+std::vector<peer_change> peer_monitor::collect_changes() {
     std::vector<peer_change> changes;
     for (auto& [peer, record] : this->peers) {
         const peer_state current = this->judge(record);
--- a/src/membership/peer_monitor.h
+++ b/src/membership/peer_monitor.h
@@ -20,14 +20,18 @@
     friend bool operator==(const peer_change&, const peer_change&) = default;
 };
 
-// Heartbeats carry the incarnation of the process. One from an incarnation that has been superseded is ignored,
-// whatever order the network delivers them in.
+// Heartbeats carry the incarnation of the process. One from an incarnation that has been superseded is
+// ignored, whatever order the network delivers them in.
 class peer_monitor {
 public:
-    peer_monitor(const clock& time, duration suspicion_after);
+    explicit peer_monitor(const clock& time);
 
-    // Records a sign of life. Returns whether it was from the newest incarnation.
-    bool record_heartbeat(const std::string& peer, std::uint64_t incarnation, bool is_leaving);
+    // Records a sign of life; silence for longer than `silence_allowed` from now on is suspicious.
+    // Returns whether it was from the newest incarnation.
+    bool record_heartbeat(const std::string& peer,
+                          std::uint64_t incarnation,
+                          bool is_leaving,
+                          duration silence_allowed);
 
     // Records that the connection to a peer broke; a heartbeat lifts the suspicion.
     void record_broken_connection(const std::string& peer);
@@ -46,7 +50,7 @@
 private:
     struct peer_record {
         std::uint64_t incarnation = 0;
-        time_point last_heard;
+        time_point expected_by;
         bool said_leaving = false;
         bool listed_leaving = false;
         bool is_broken = false;
@@ -57,7 +61,6 @@
     peer_state judge(const peer_record& record) const;
 
     const clock& time;
-    duration suspicion_after;
     std::map<std::string, peer_record> peers;
 };
 
--- a/src/net/http_exchange.h
+++ b/src/net/http_exchange.h
@@ -9,8 +9,8 @@
 
 namespace tanager {
 
-// Whoever serves the request holds a shared pointer until the reply is finished. After the caller has left, all
-// writes are ignored, but `finish` is still owed.
+// Whoever serves the request holds a shared pointer until the reply is finished. After the caller has left,
+// all writes are ignored, but `finish` is still owed.
 class http_exchange {
 public:
     using notice = std::function<void()>;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -26,10 +26,8 @@
     using handler = std::function<void(std::shared_ptr<http_exchange>)>;
 
     // Listens at once; port 0 takes a free port. Fails with listen_failed or address_invalid.
-    static result<std::unique_ptr<http_server>> create(event_loop& loop,
-                                                       const std::string& address,
-                                                       const http_server_limits& limits,
-                                                       handler serve);
+    static result<std::unique_ptr<http_server>>
+    create(event_loop& loop, const std::string& address, const http_server_limits& limits, handler serve);
 
     http_server() = default;
     http_server(const http_server&) = delete;
--- a/src/net/internal/evhttp_exchange.h
+++ b/src/net/internal/evhttp_exchange.h
@@ -21,7 +21,7 @@
     evhttp_exchange(evhttp_exchange&&) = delete;
     evhttp_exchange& operator=(evhttp_exchange&&) = delete;
 
-    // Starts listening for the caller's leaving; keeps itself alive until the reply is finished.
+    // Starts listening for the caller's leaving; keeps itself alive until the reply has been sent.
     void attach();
 
     const http_request& request() const override;
@@ -41,8 +41,11 @@
     static void on_output_changed(evbuffer* buffer, const evbuffer_cb_info* info, void* self);
     static http_request read_request(evhttp_request* native);
     void add_headers(const http_headers& headers);
+    static void on_sent(evhttp_request* request, void* self);
     void note_caller_left();
-    void release();
+    void stop_watching();
+    void prepare_end();
+    void complete();
 
     event_loop& loop;
     evhttp_request* native;
@@ -51,6 +54,7 @@
     bool close_after;
     bool started = false;
     bool finished = false;
+    bool completed = false;
     bool left = false;
     bool left_reported = false;
     event* shutdown_watch = nullptr;
--- a/src/net/internal/http_exchange.cpp
+++ b/src/net/internal/http_exchange.cpp
@@ -12,8 +12,7 @@
 
 constexpr std::size_t low_water_bytes = 16 * 1024;
 
-std::string method_name(evhttp_cmd_type type)
-{
+std::string method_name(evhttp_cmd_type type) {
     switch (type) {
     case EVHTTP_REQ_GET:
         return "GET";
@@ -34,23 +33,22 @@
 
 } // namespace
 
-evhttp_exchange::evhttp_exchange(event_loop& loop, evhttp_request* native, bool close_after, notice on_finished)
+evhttp_exchange::evhttp_exchange(event_loop& loop,
+                                 evhttp_request* native,
+                                 bool close_after,
+                                 notice on_finished)
     : loop(loop),
       native(native),
       connection(evhttp_request_get_connection(native)),
       received(read_request(native)),
       close_after(close_after),
-      finished_callback(std::move(on_finished))
-{
-}
+      finished_callback(std::move(on_finished)) {}
 
-evhttp_exchange::~evhttp_exchange()
-{
-    this->release();
+evhttp_exchange::~evhttp_exchange() {
+    this->stop_watching();
 }
 
-http_request evhttp_exchange::read_request(evhttp_request* native)
-{
+http_request evhttp_exchange::read_request(evhttp_request* native) {
     http_request request;
     request.method = method_name(evhttp_request_get_command(native));
     request.path = evhttp_request_get_uri(native);
@@ -64,8 +62,7 @@
     return request;
 }
 
-void evhttp_exchange::attach()
-{
+void evhttp_exchange::attach() {
     this->self_reference = this->shared_from_this();
     evhttp_connection_set_closecb(this->connection, &evhttp_exchange::on_connection_closed, this);
     bufferevent* const stream = evhttp_connection_get_bufferevent(this->connection);
@@ -77,42 +74,59 @@
         evbuffer_add_cb(bufferevent_get_output(stream), &evhttp_exchange::on_output_changed, this);
 }
 
-void evhttp_exchange::release()
-{
+void evhttp_exchange::stop_watching() {
     if (this->shutdown_watch != nullptr) {
         event_free(this->shutdown_watch);
         this->shutdown_watch = nullptr;
     }
-    if (this->connection != nullptr) {
+    if (this->output_watch != nullptr && this->connection != nullptr) {
         bufferevent* const stream = evhttp_connection_get_bufferevent(this->connection);
-        if (this->output_watch != nullptr) {
-            evbuffer_remove_cb_entry(bufferevent_get_output(stream), this->output_watch);
-        }
-        evhttp_connection_set_closecb(this->connection, nullptr, nullptr);
+        evbuffer_remove_cb_entry(bufferevent_get_output(stream), this->output_watch);
     }
     this->output_watch = nullptr;
-    this->connection = nullptr;
 }
 
-void evhttp_exchange::on_connection_closed(evhttp_connection* /*connection*/, void* self)
-{
+void evhttp_exchange::complete() {
+    if (this->completed) {
+        return;
+    }
+    this->completed = true;
+    const auto keep_alive = std::move(this->self_reference);
+    if (this->connection != nullptr) {
+        evhttp_connection_set_closecb(this->connection, nullptr, nullptr);
+        this->connection = nullptr;
+    }
+    this->finished_callback();
+}
+
+void evhttp_exchange::on_sent(evhttp_request* /*request*/, void* self) {
+    static_cast<evhttp_exchange*>(self)->complete();
+}
+
+void evhttp_exchange::on_connection_closed(evhttp_connection* /*connection*/, void* self) {
     auto* const exchange = static_cast<evhttp_exchange*>(self);
     const auto keep_alive = exchange->self_reference;
-    exchange->release();
+    exchange->stop_watching();
+    exchange->connection = nullptr;
     exchange->note_caller_left();
+    if (exchange->finished) {
+        exchange->complete();
+    }
 }
 
-void evhttp_exchange::on_peer_shutdown(int /*descriptor*/, short /*what*/, void* self) // NOLINT(*-runtime-int)
+void evhttp_exchange::on_peer_shutdown(int /*descriptor*/,
+                                       short /*what*/,
+                                       void* self) // NOLINT(*-runtime-int)
 {
     auto* const exchange = static_cast<evhttp_exchange*>(self);
     const auto keep_alive = exchange->self_reference;
     exchange->note_caller_left();
 }
 
-void evhttp_exchange::on_output_changed(evbuffer* buffer, const evbuffer_cb_info* info, void* self)
-{
+void evhttp_exchange::on_output_changed(evbuffer* buffer, const evbuffer_cb_info* info, void* self) {
     auto* const exchange = static_cast<evhttp_exchange*>(self);
-    if (info->n_deleted == 0 || evbuffer_get_length(buffer) > low_water_bytes || !exchange->drained_callback) {
+    if (info->n_deleted == 0 || evbuffer_get_length(buffer) > low_water_bytes ||
+        !exchange->drained_callback) {
         return;
     }
     // Posted, since the buffer may not be changed from inside its own callback.
@@ -124,8 +138,7 @@
     });
 }
 
-void evhttp_exchange::note_caller_left()
-{
+void evhttp_exchange::note_caller_left() {
     this->left = true;
     if (this->left_reported || this->finished || !this->left_callback) {
         return;
@@ -134,13 +147,11 @@
     this->left_callback();
 }
 
-const http_request& evhttp_exchange::request() const
-{
+const http_request& evhttp_exchange::request() const {
     return this->received;
 }
 
-void evhttp_exchange::add_headers(const http_headers& headers)
-{
+void evhttp_exchange::add_headers(const http_headers& headers) {
     evkeyvalq* const output = evhttp_request_get_output_headers(this->native);
     for (const auto& header : headers) {
         evhttp_add_header(output, header.name.c_str(), header.value.c_str());
@@ -150,8 +161,7 @@
     }
 }
 
-void evhttp_exchange::start(int status, const http_headers& headers)
-{
+void evhttp_exchange::start(int status, const http_headers& headers) {
     this->started = true;
     if (this->connection == nullptr) {
         return;
@@ -160,8 +170,7 @@
     evhttp_send_reply_start(this->native, status, nullptr);
 }
 
-void evhttp_exchange::write(std::string_view data)
-{
+void evhttp_exchange::write(std::string_view data) {
     if (this->connection == nullptr || data.empty()) {
         return;
     }
@@ -171,76 +180,76 @@
     evbuffer_free(chunk);
 }
 
-void evhttp_exchange::finish()
-{
+void evhttp_exchange::prepare_end() {
+    this->finished = true;
+    this->stop_watching();
+    if (this->connection == nullptr) {
+        this->complete();
+        return;
+    }
+    // The reply counts as open until the kernel has taken its last byte.
+    evhttp_request_set_on_complete_cb(this->native, &evhttp_exchange::on_sent, this);
+}
+
+void evhttp_exchange::finish() {
     if (this->finished) {
         return;
     }
-    this->finished = true;
-    const auto keep_alive = std::move(this->self_reference);
-    this->release();
+    const auto keep_alive = this->self_reference;
+    this->prepare_end();
     evhttp_send_reply_end(this->native);
-    this->finished_callback();
 }
 
-void evhttp_exchange::abort()
-{
+void evhttp_exchange::abort() {
     if (this->finished) {
         return;
     }
+    const auto keep_alive = this->self_reference;
     this->finished = true;
-    const auto keep_alive = std::move(this->self_reference);
+    this->stop_watching();
     evhttp_connection* const broken = this->connection;
-    this->release();
+    this->complete();
     if (broken == nullptr) {
         evhttp_send_reply_end(this->native);
     } else {
         evhttp_connection_free(broken);
     }
-    this->finished_callback();
 }
 
-void evhttp_exchange::reply(const http_reply& whole)
-{
+void evhttp_exchange::reply(const http_reply& whole) {
     if (this->finished) {
         return;
     }
-    this->finished = true;
-    const auto keep_alive = std::move(this->self_reference);
+    const auto keep_alive = this->self_reference;
     if (this->connection != nullptr) {
         this->add_headers(whole.headers);
     }
-    this->release();
+    this->prepare_end();
     evbuffer* const body = evbuffer_new();
     evbuffer_add(body, whole.body.data(), whole.body.size());
     evhttp_send_reply(this->native, whole.status, nullptr, body);
     evbuffer_free(body);
-    this->finished_callback();
 }
 
-std::size_t evhttp_exchange::unsent_bytes() const
-{
+std::size_t evhttp_exchange::unsent_bytes() const {
     if (this->connection == nullptr) {
         return 0;
     }
     return evbuffer_get_length(bufferevent_get_output(evhttp_connection_get_bufferevent(this->connection)));
 }
 
-void evhttp_exchange::on_drained(notice callback)
-{
+void evhttp_exchange::on_drained(notice callback) {
     this->drained_callback = std::move(callback);
 }
 
-void evhttp_exchange::on_caller_left(notice callback)
-{
+void evhttp_exchange::on_caller_left(notice callback) {
     this->left_callback = std::move(callback);
     if (this->left) {
         this->note_caller_left();
     }
 }
 
-bool evhttp_exchange::caller_has_left() const
-{
+bool evhttp_exchange::caller_has_left() const {
     return this->left;
 }
 
--- a/src/platform/catalogue_follower.h
+++ b/src/platform/catalogue_follower.h
@@ -13,12 +13,16 @@
 // Everything the system stores in the catalogue lies under this prefix.
 inline constexpr const char* catalogue_prefix = "catalogue/";
 
-// Lists once, then holds one watch. While the store is away, retries after a jittered exponential delay; what is
-// already known stays in force.
+// Lists once, then holds one watch. While the store is away, retries after a jittered exponential delay; what
+// is already known stays in force.
 class catalogue_follower {
 public:
-    static std::shared_ptr<catalogue_follower>
-    create(event_loop& loop, object_store& store, catalogue& known, random_source& random);
+    // `read` is called each time the store has answered.
+    static std::shared_ptr<catalogue_follower> create(event_loop& loop,
+                                                      object_store& store,
+                                                      catalogue& known,
+                                                      random_source& random,
+                                                      std::function<void()> read);
 
     catalogue_follower() = default;
     catalogue_follower(const catalogue_follower&) = delete;
--- a/src/platform/internal/catalogue_follower.cpp
+++ b/src/platform/internal/catalogue_follower.cpp
@@ -12,25 +12,26 @@
 constexpr std::chrono::milliseconds shortest_retry{100};
 constexpr std::chrono::milliseconds longest_retry{2'000};
 
-catalogue_delta to_delta(const object_listing& listing)
-{
+catalogue_delta to_delta(const object_listing& listing) {
     catalogue_delta delta{listing.since, listing.revision, listing.whole, {}};
     const std::string_view prefix{catalogue_prefix};
     for (const auto& object : listing.objects) {
-        delta.objects.push_back({object.name.substr(prefix.size()), object.version, object.deleted, object.value});
+        delta.objects.push_back(
+            {object.name.substr(prefix.size()), object.version, object.deleted, object.value});
     }
     return delta;
 }
 
 class store_follower final : public catalogue_follower, public std::enable_shared_from_this<store_follower> {
 public:
-    store_follower(event_loop& loop, object_store& store, catalogue& known, random_source& random)
-        : loop(loop), store(store), known(known), random(random)
-    {
-    }
-
-    void start() override
-    {
+    store_follower(event_loop& loop,
+                   object_store& store,
+                   catalogue& known,
+                   random_source& random,
+                   std::function<void()> read)
+        : loop(loop), store(store), known(known), random(random), read(std::move(read)) {}
+
+    void start() override {
         if (this->running) {
             return;
         }
@@ -39,26 +40,22 @@
         this->list();
     }
 
-    void stop() override
-    {
+    void stop() override {
         this->running = false;
         ++this->generation;
         this->retry.reset();
     }
 
 private:
-    void list()
-    {
+    void list() {
         this->store.list(catalogue_prefix, this->answer_handler());
     }
 
-    void watch()
-    {
+    void watch() {
         this->store.watch(catalogue_prefix, this->known.revision(), this->answer_handler());
     }
 
-    object_store::listing_callback answer_handler()
-    {
+    object_store::listing_callback answer_handler() {
         return [weak = this->weak_from_this(), generation = this->generation](const auto& listing) {
             const auto alive = weak.lock();
             if (alive != nullptr && alive->generation == generation) {
@@ -67,8 +64,7 @@
         };
     }
 
-    void on_listing(const result<object_listing>& listing)
-    {
+    void on_listing(const result<object_listing>& listing) {
         if (!listing) {
             this->on_failure(listing.error());
             return;
@@ -78,6 +74,7 @@
             write_event(log_event::store_recovered, {{"revision", std::to_string(listing->revision)}});
         }
         this->delay = shortest_retry;
+        this->read();
         const auto outcome = this->known.apply(to_delta(*listing));
         if (outcome == delta_outcome::applied) {
             write_event(log_event::catalogue_applied,
@@ -92,8 +89,7 @@
         this->watch();
     }
 
-    void on_failure(const error& cause)
-    {
+    void on_failure(const error& cause) {
         if (!this->is_away) {
             this->is_away = true;
             write_event(log_event::store_unavailable, {{"detail", cause.detail}});
@@ -109,6 +105,7 @@
     object_store& store;
     catalogue& known;
     random_source& random;
+    std::function<void()> read;
     bool running = false;
     bool is_away = false;
     std::uint64_t generation = 0;
@@ -118,10 +115,12 @@
 
 } // namespace
 
-std::shared_ptr<catalogue_follower>
-catalogue_follower::create(event_loop& loop, object_store& store, catalogue& known, random_source& random)
-{
-    return std::make_shared<store_follower>(loop, store, known, random);
+std::shared_ptr<catalogue_follower> catalogue_follower::create(event_loop& loop,
+                                                               object_store& store,
+                                                               catalogue& known,
+                                                               random_source& random,
+                                                               std::function<void()> read) {
+    return std::make_shared<store_follower>(loop, store, known, random, std::move(read));
 }
 
 } // namespace tanager
--- a/src/program/internal/health_pages.cpp
+++ b/src/program/internal/health_pages.cpp
@@ -14,12 +14,9 @@
 health_pages::health_pages(metrics_registry& metrics,
                            const logging_invariant_monitor& invariants,
                            std::function<std::string()> refusal)
-    : metrics(metrics), invariants(invariants), refusal(std::move(refusal))
-{
-}
+    : metrics(metrics), invariants(invariants), refusal(std::move(refusal)) {}
 
-bool health_pages::serve(http_exchange& exchange) const
-{
+bool health_pages::serve(http_exchange& exchange) const {
     const auto& path = exchange.request().path;
     if (path == "/healthz") {
         const std::string reason = this->refusal();
--- /dev/null
+++ b/src/protocol/catalogue_messages.h
@@ -0,0 +1,15 @@
+// Turns catalogue changes into messages and back.
+#pragma once
+
+#include "catalogue/types/catalogue_object.h"
+
+namespace tanager {
+
+namespace protocol {
+class catalogue_delta;
+}
+
+catalogue_delta from_message(const protocol::catalogue_delta& message);
+void fill_message(const catalogue_delta& delta, protocol::catalogue_delta& message);
+
+} // namespace tanager
--- a/src/routing/types/routing_candidate.h
+++ b/src/routing/types/routing_candidate.h
@@ -8,7 +8,7 @@
 // One agent as an entry sees it, with its own dispatches since the last report already taken off.
 struct routing_candidate {
     std::string host;
-    bool takes_work = false;    // live, ready, neither leaving nor draining
+    bool takes_work = false; // live, ready, neither leaving nor draining
     bool same_data_centre = false;
     std::uint32_t free_pieces = 0;        // of the backend server
     std::uint32_t free_member_pieces = 0; // of the member's share there
--- a/src/testing/internal/story.cpp
+++ b/src/testing/internal/story.cpp
@@ -4,8 +4,7 @@
 
 namespace tanager::testing {
 
-void section(const std::string& title, const std::function<void()>& body)
-{
+void section(const std::string& title, const std::function<void()>& body) {
     try {
         body();
     } catch (const CppUnit::Exception& failure) {
--- /dev/null
+++ b/standins/engine/engine.h
@@ -0,0 +1,47 @@
+// A model engine in miniature: batches continuously, streams tokens, cancels when its client leaves.
+#pragma once
+
+#include "net/event_loop.h"
+#include "net/http_exchange.h"
+#include "standins/support/fault_switch.h"
+#include "standins/support/run_counter.h"
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace tanager::standin {
+
+struct engine_options {
+    std::uint32_t slots = 32;                         // requests batched at once
+    std::uint32_t prefill_tokens_per_second = 50'000; // of one request at a time
+    std::chrono::microseconds token_interval{10'000};
+    bool crash_on_marker = false; // a prompt that holds CRASH-ENGINE ends the process
+};
+
+class engine_request;
+
+class engine {
+public:
+    engine(event_loop& loop, const engine_options& options);
+
+    void serve(const std::shared_ptr<http_exchange>& exchange);
+
+private:
+    friend class engine_request;
+
+    void start_waiting();
+    void on_ended(const std::shared_ptr<engine_request>& ended);
+
+    event_loop& loop;
+    engine_options options;
+    fault_switch faults;
+    run_counter runs;
+    std::deque<std::shared_ptr<engine_request>> waiting;
+    std::set<std::shared_ptr<engine_request>> running;
+};
+
+} // namespace tanager::standin
--- /dev/null
+++ b/standins/engine/main.cpp
@@ -0,0 +1,28 @@
+// Stand-in for a model engine.
+#include "standins/engine/engine.h"
+#include "standins/support/standin_frame.h"
+
+#include <CLI/CLI.hpp>
+
+int main(int argc, char** argv) {
+    using namespace tanager::standin; // NOLINT(google-build-using-namespace)
+    std::string listen = "127.0.0.1:0";
+    engine_options options;
+    std::uint64_t token_microseconds = static_cast<std::uint64_t>(options.token_interval.count());
+    CLI::App app{"Stand-in for a model engine.", "standin-engine"};
+    app.add_option("--listen", listen, "ip:port; port 0 takes a free one");
+    app.add_option("--slots", options.slots, "requests batched at once");
+    app.add_option("--prefill-tokens-per-second", options.prefill_tokens_per_second);
+    app.add_option("--token-microseconds", token_microseconds, "time between two tokens");
+    app.add_flag(
+        "--crash-on-marker", options.crash_on_marker, "prompts that hold CRASH-ENGINE end the process");
+    CLI11_PARSE(app, argc, argv);
+    options.token_interval = std::chrono::microseconds{token_microseconds};
+    const auto loop = start_standin("standin-engine");
+    engine served(*loop, options);
+    const auto server =
+        listen_or_exit(*loop, listen, [&](const std::shared_ptr<tanager::http_exchange>& exchange) {
+            served.serve(exchange);
+        });
+    return run_until_terminated(*loop);
+}
--- /dev/null
+++ b/standins/platform/object_table.cpp
@@ -0,0 +1,62 @@
+#include "standins/platform/object_table.h"
+
+namespace tanager::standin {
+
+std::optional<std::uint64_t>
+object_table::write(const std::string& name, table_object next, std::uint64_t expected) {
+    const auto standing = this->get(name);
+    const std::uint64_t version = standing ? standing->version : 0;
+    if (version != expected) {
+        return std::nullopt;
+    }
+    next.name = name;
+    next.version = ++this->last_revision;
+    this->objects[name] = std::move(next);
+    return this->last_revision;
+}
+
+std::optional<std::uint64_t>
+object_table::put(const std::string& name, const std::string& value, std::uint64_t expected) {
+    return this->write(name, {{}, 0, false, value}, expected);
+}
+
+std::optional<std::uint64_t> object_table::remove(const std::string& name, std::uint64_t expected) {
+    if (!this->get(name)) {
+        return std::nullopt;
+    }
+    return this->write(name, {{}, 0, true, {}}, expected);
+}
+
+std::optional<table_object> object_table::get(const std::string& name) const {
+    const auto found = this->objects.find(name);
+    if (found == this->objects.end() || found->second.deleted) {
+        return std::nullopt;
+    }
+    return found->second;
+}
+
+std::vector<table_object> object_table::list(const std::string& prefix) const {
+    std::vector<table_object> rows;
+    for (const auto& [name, object] : this->objects) {
+        if (name.starts_with(prefix) && !object.deleted) {
+            rows.push_back(object);
+        }
+    }
+    return rows;
+}
+
+std::vector<table_object> object_table::changes(const std::string& prefix, std::uint64_t since) const {
+    std::vector<table_object> rows;
+    for (const auto& [name, object] : this->objects) {
+        if (name.starts_with(prefix) && object.version > since) {
+            rows.push_back(object);
+        }
+    }
+    return rows;
+}
+
+std::uint64_t object_table::revision() const {
+    return this->last_revision;
+}
+
+} // namespace tanager::standin
--- /dev/null
+++ b/standins/platform/platform_server.cpp
@@ -0,0 +1,155 @@
+#include "standins/platform/platform_server.h"
+
+#include <nlohmann/json.hpp>
+
+namespace tanager::standin {
+
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_not_found = 404;
+constexpr int status_conflict = 409;
+constexpr int status_unavailable = 503;
+constexpr std::uint64_t default_wait_ms = 20'000;
+constexpr const char* object_path = "/v1/objects/";
+
+nlohmann::json to_json(const table_object& object) {
+    return {{"name", object.name},
+            {"version", object.version},
+            {"deleted", object.deleted},
+            {"value", object.value}};
+}
+
+nlohmann::json to_json(const std::vector<table_object>& objects) {
+    auto rows = nlohmann::json::array();
+    for (const auto& object : objects) {
+        rows.push_back(to_json(object));
+    }
+    return rows;
+}
+
+void reply_json(http_exchange& exchange, int status, const nlohmann::json& body) {
+    exchange.reply({status, {{"Content-Type", "application/json"}}, body.dump()});
+}
+
+} // namespace
+
+platform_server::platform_server(event_loop& loop) : loop(loop), hosts(R"({"hosts":[]})") {}
+
+void platform_server::serve(const std::shared_ptr<http_exchange>& exchange) {
+    const auto path = parse_path(exchange->request().path);
+    if (this->faults.serve(*exchange)) {
+        return;
+    }
+    if (path.path == "/calls") {
+        this->serve_calls(*exchange);
+        return;
+    }
+    if (path.path == "/v1/hosts" && exchange->request().method == "POST") {
+        this->serve_hosts(*exchange);
+        return;
+    }
+    if (this->faults.level("silent") > 0) {
+        this->unanswered.push_back(exchange);
+        return;
+    }
+    if (this->faults.level("outage") > 0) {
+        exchange->reply({status_unavailable, {}, "outage\n"});
+        return;
+    }
+    if (path.path == "/v1/hosts") {
+        ++this->calls["hosts"];
+        exchange->reply({status_ok, {{"Content-Type", "application/json"}}, this->hosts});
+    } else if (path.path == "/v1/objects") {
+        this->serve_list(*exchange, path);
+    } else if (path.path == "/v1/watch") {
+        this->serve_watch(exchange, path);
+    } else if (path.path.starts_with(object_path)) {
+        this->serve_object(*exchange, path);
+    } else {
+        exchange->reply({status_not_found, {}, "no such path\n"});
+    }
+}
+
+void platform_server::serve_object(http_exchange& exchange, const parsed_path& path) {
+    const std::string name = path.path.substr(std::string{object_path}.size());
+    if (exchange.request().method != "GET") {
+        this->serve_write(exchange, path, name);
+        return;
+    }
+    ++this->calls["get"];
+    const auto object = this->table.get(name);
+    if (!object) {
+        exchange.reply({status_not_found, {}, "no such object\n"});
+        return;
+    }
+    reply_json(exchange, status_ok, to_json(*object));
+}
+
+void platform_server::serve_write(http_exchange& exchange, const parsed_path& path, const std::string& name) {
+    ++this->calls["write"];
+    const bool is_removal = exchange.request().method == "DELETE";
+    const std::uint64_t expected = path.number("expected");
+    const auto version = is_removal ? this->table.remove(name, expected)
+                                    : this->table.put(name, exchange.request().body, expected);
+    if (!version) {
+        exchange.reply({status_conflict, {}, "another version stands\n"});
+        return;
+    }
+    if (this->faults.strike("lost_answer")) {
+        exchange.abort();
+    } else {
+        reply_json(exchange, status_ok, {{"version", *version}});
+    }
+    this->answer_watches();
+}
+
+void platform_server::serve_list(http_exchange& exchange, const parsed_path& path) {
+    ++this->calls["list"];
+    const auto objects = this->table.list(path.text("prefix"));
+    reply_json(exchange,
+               status_ok,
+               {{"revision", this->table.revision()}, {"whole", true}, {"objects", to_json(objects)}});
+}
+
+void platform_server::serve_watch(const std::shared_ptr<http_exchange>& exchange, const parsed_path& path) {
+    ++this->calls["watch"];
+    this->watches.push_back({exchange, path.text("prefix"), path.number("since"), nullptr});
+    const auto position = std::prev(this->watches.end());
+    const std::chrono::milliseconds wait{path.number("wait_ms", default_wait_ms)};
+    position->expiry = this->loop.run_after(wait, [this, position] {
+        const auto expired = std::move(*position);
+        this->watches.erase(position);
+        reply_json(*expired.exchange,
+                   status_ok,
+                   {{"revision", expired.since}, {"objects", nlohmann::json::array()}});
+    });
+    this->answer_watches();
+}
+
+void platform_server::answer_watches() {
+    for (auto watch = this->watches.begin(); watch != this->watches.end();) {
+        const auto changed = this->table.changes(watch->prefix, watch->since);
+        if (changed.empty()) {
+            ++watch;
+            continue;
+        }
+        reply_json(*watch->exchange,
+                   status_ok,
+                   {{"revision", this->table.revision()}, {"objects", to_json(changed)}});
+        watch = this->watches.erase(watch);
+    }
+}
+
+void platform_server::serve_hosts(http_exchange& exchange) {
+    const std::chrono::milliseconds lag{this->faults.level("host_list_lag_ms")};
+    this->host_list_lag =
+        this->loop.run_after(lag, [this, body = exchange.request().body] { this->hosts = body; });
+    exchange.reply({status_ok, {}, "ok\n"});
+}
+
+void platform_server::serve_calls(http_exchange& exchange) {
+    reply_json(exchange, status_ok, this->calls);
+}
+
+} // namespace tanager::standin
--- /dev/null
+++ b/standins/platform/platform_server.h
@@ -0,0 +1,53 @@
+// The platform's object API and host list, in memory.
+#pragma once
+
+#include "net/event_loop.h"
+#include "net/http_exchange.h"
+#include "standins/platform/object_table.h"
+#include "standins/support/fault_switch.h"
+#include "standins/support/query.h"
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace tanager::standin {
+
+// Faults: `outage` (level: every call fails), `silent` (level: no call is answered), `lost_answer` (count: a
+// write takes effect, but its connection is cut), `host_list_lag_ms` (level: a posted host list shows after
+// that time).
+class platform_server {
+public:
+    explicit platform_server(event_loop& loop);
+
+    void serve(const std::shared_ptr<http_exchange>& exchange);
+
+private:
+    struct waiting_watch {
+        std::shared_ptr<http_exchange> exchange;
+        std::string prefix;
+        std::uint64_t since = 0;
+        std::unique_ptr<loop_timer> expiry;
+    };
+
+    void serve_object(http_exchange& exchange, const parsed_path& path);
+    void serve_write(http_exchange& exchange, const parsed_path& path, const std::string& name);
+    void serve_list(http_exchange& exchange, const parsed_path& path);
+    void serve_watch(const std::shared_ptr<http_exchange>& exchange, const parsed_path& path);
+    void serve_hosts(http_exchange& exchange);
+    void serve_calls(http_exchange& exchange);
+    void answer_watches();
+
+    event_loop& loop;
+    fault_switch faults;
+    object_table table;
+    std::string hosts;
+    std::unique_ptr<loop_timer> host_list_lag;
+    std::list<waiting_watch> watches;
+    std::list<std::shared_ptr<http_exchange>> unanswered;
+    std::map<std::string, std::uint64_t> calls;
+};
+
+} // namespace tanager::standin
--- /dev/null
+++ b/standins/proxy/fault_proxy.cpp
@@ -0,0 +1,214 @@
+#include "standins/proxy/fault_proxy.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <deque>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <unistd.h>
+
+namespace tanager::standin {
+
+namespace {
+
+sockaddr_in to_native(const socket_address& address) {
+    sockaddr_in native{};
+    native.sin_family = AF_INET;
+    native.sin_port = htons(address.port);
+    inet_pton(AF_INET, address.host.c_str(), &native.sin_addr);
+    return native;
+}
+
+} // namespace
+
+// One direction of a connection.
+class proxied_direction {
+public:
+    proxied_direction(fault_switch& faults, event_loop& loop, std::string stall)
+        : faults(faults), loop(loop), stall(std::move(stall)) {}
+
+    void join(bufferevent* source, bufferevent* sink) {
+        this->from = source;
+        this->into = sink;
+    }
+
+    // Takes what has arrived and passes it on as the faults allow.
+    void pump() {
+        if (this->faults.level(this->stall) > 0) {
+            bufferevent_disable(this->from, EV_READ);
+            return;
+        }
+        bufferevent_enable(this->from, EV_READ);
+        evbuffer* const input = bufferevent_get_input(this->from);
+        if (evbuffer_get_length(input) == 0) {
+            return;
+        }
+        const std::chrono::milliseconds delay{this->faults.level("delay_ms")};
+        if (delay.count() == 0 && this->held.empty()) {
+            bufferevent_write_buffer(this->into, input);
+            return;
+        }
+        std::string bytes(evbuffer_get_length(input), '\0');
+        evbuffer_remove(input, bytes.data(), bytes.size());
+        this->held.push_back({std::move(bytes), std::chrono::steady_clock::now() + delay});
+        this->schedule();
+    }
+
+private:
+    struct held_bytes {
+        std::string bytes;
+        std::chrono::steady_clock::time_point due;
+    };
+
+    void schedule() {
+        if (this->timer != nullptr || this->held.empty()) {
+            return;
+        }
+        const auto pause = std::max(this->held.front().due - std::chrono::steady_clock::now(), duration{});
+        this->timer = this->loop.run_after(pause, [this] { this->release(); });
+    }
+
+    void release() {
+        const auto now = std::chrono::steady_clock::now();
+        while (!this->held.empty() && this->held.front().due <= now) {
+            bufferevent_write(this->into, this->held.front().bytes.data(), this->held.front().bytes.size());
+            this->held.pop_front();
+        }
+        const auto expired = std::move(this->timer);
+        this->schedule();
+    }
+
+    fault_switch& faults;
+    event_loop& loop;
+    std::string stall;
+    bufferevent* from = nullptr;
+    bufferevent* into = nullptr;
+    std::deque<held_bytes> held;
+    std::unique_ptr<loop_timer> timer;
+};
+
+class proxied_connection {
+public:
+    proxied_connection(fault_proxy& owner, fault_switch& faults, event_loop& loop, int descriptor)
+        : owner(owner),
+          caller(bufferevent_socket_new(loop.native(), descriptor, BEV_OPT_CLOSE_ON_FREE)),
+          server(bufferevent_socket_new(loop.native(), -1, BEV_OPT_CLOSE_ON_FREE)),
+          up(faults, loop, "stall_up"),
+          down(faults, loop, "stall_down") {
+        this->up.join(this->caller, this->server);
+        this->down.join(this->server, this->caller);
+        bufferevent_setcb(
+            this->caller, &proxied_connection::on_read, nullptr, &proxied_connection::on_event, this);
+        bufferevent_setcb(
+            this->server, &proxied_connection::on_read, nullptr, &proxied_connection::on_event, this);
+    }
+
+    ~proxied_connection() {
+        bufferevent_free(this->caller);
+        bufferevent_free(this->server);
+    }
+
+    proxied_connection(const proxied_connection&) = delete;
+    proxied_connection& operator=(const proxied_connection&) = delete;
+    proxied_connection(proxied_connection&&) = delete;
+    proxied_connection& operator=(proxied_connection&&) = delete;
+
+    void connect(const socket_address& target) {
+        auto native = to_native(target);
+        // The sockets interface is typed this way.
+        bufferevent_socket_connect(
+            this->server, reinterpret_cast<sockaddr*>(&native), sizeof(native)); // NOLINT
+        this->pump();
+    }
+
+    void pump() {
+        this->up.pump();
+        this->down.pump();
+    }
+
+private:
+    static void on_read(bufferevent* /*source*/, void* self) {
+        static_cast<proxied_connection*>(self)->pump();
+    }
+
+    static void on_event(bufferevent* /*source*/, short what, void* self) // NOLINT(*-runtime-int)
+    {
+        if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+            auto* const connection = static_cast<proxied_connection*>(self);
+            connection->owner.remove(connection);
+        }
+    }
+
+    fault_proxy& owner;
+    bufferevent* caller;
+    bufferevent* server;
+    proxied_direction up;
+    proxied_direction down;
+};
+
+fault_proxy::fault_proxy(event_loop& loop, socket_address target) : loop(loop), target(std::move(target)) {}
+
+fault_proxy::~fault_proxy() {
+    if (this->listener != nullptr) {
+        evconnlistener_free(this->listener);
+    }
+}
+
+result<std::string> fault_proxy::listen(const socket_address& wanted) {
+    auto native = to_native(wanted);
+    constexpr unsigned flags = LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE;
+    // The sockets interface is typed this way.
+    this->listener =
+        evconnlistener_new_bind(this->loop.native(),
+                                &fault_proxy::on_accept,
+                                this,
+                                flags,
+                                -1,
+                                reinterpret_cast<sockaddr*>(&native), // NOLINT(*-reinterpret-cast)
+                                sizeof(native));
+    if (this->listener == nullptr) {
+        return fail(result_code::listen_failed, "cannot listen on " + to_text(wanted));
+    }
+    sockaddr_in bound{};
+    socklen_t length = sizeof(bound);
+    getsockname(
+        evconnlistener_get_fd(this->listener), reinterpret_cast<sockaddr*>(&bound), &length); // NOLINT
+    return to_text({wanted.host, ntohs(bound.sin_port)});
+}
+
+void fault_proxy::on_accept(
+    evconnlistener* /*listener*/, int descriptor, sockaddr* /*peer*/, int /*length*/, void* self) {
+    auto& proxy = *static_cast<fault_proxy*>(self);
+    if (proxy.faults.level("cut") > 0) {
+        close(descriptor);
+        return;
+    }
+    auto connection = std::make_unique<proxied_connection>(proxy, proxy.faults, proxy.loop, descriptor);
+    connection->connect(proxy.target);
+    proxy.connections.insert(std::move(connection));
+}
+
+void fault_proxy::remove(proxied_connection* closed) {
+    std::erase_if(this->connections, [&](const auto& connection) { return connection.get() == closed; });
+}
+
+void fault_proxy::serve_control(const std::shared_ptr<http_exchange>& exchange) {
+    if (!this->faults.serve(*exchange)) {
+        exchange->reply({404, {}, "no such path\n"}); // NOLINT(*-magic-numbers)
+        return;
+    }
+    this->apply_faults();
+}
+
+void fault_proxy::apply_faults() {
+    if (this->faults.level("cut") > 0) {
+        this->connections.clear();
+        return;
+    }
+    for (const auto& connection : this->connections) {
+        connection->pump();
+    }
+}
+
+} // namespace tanager::standin
--- /dev/null
+++ b/standins/proxy/fault_proxy.h
@@ -0,0 +1,52 @@
+// Passes TCP connections on to one target, with faults between.
+#pragma once
+
+#include "net/event_loop.h"
+#include "net/types/http_types.h"
+#include "standins/support/fault_switch.h"
+
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+
+struct bufferevent;
+struct evconnlistener;
+struct sockaddr;
+
+namespace tanager::standin {
+
+class proxied_connection;
+
+// Faults, all of them levels: `cut` (connections are closed and refused), `stall_up` and `stall_down` (bytes
+// towards the target or back are held), `delay_ms` (bytes are passed on after that time).
+class fault_proxy {
+public:
+    fault_proxy(event_loop& loop, socket_address target);
+    ~fault_proxy();
+    fault_proxy(const fault_proxy&) = delete;
+    fault_proxy& operator=(const fault_proxy&) = delete;
+    fault_proxy(fault_proxy&&) = delete;
+    fault_proxy& operator=(fault_proxy&&) = delete;
+
+    // Returns the address taken.
+    result<std::string> listen(const socket_address& wanted);
+
+    // Serves /faults on the control address.
+    void serve_control(const std::shared_ptr<http_exchange>& exchange);
+
+private:
+    friend class proxied_connection;
+
+    static void on_accept(evconnlistener* listener, int descriptor, sockaddr* peer, int length, void* self);
+    void remove(proxied_connection* closed);
+    void apply_faults();
+
+    event_loop& loop;
+    socket_address target;
+    fault_switch faults;
+    evconnlistener* listener = nullptr;
+    std::set<std::unique_ptr<proxied_connection>> connections;
+};
+
+} // namespace tanager::standin
--- /dev/null
+++ b/standins/service/main.cpp
@@ -0,0 +1,77 @@
+// Stand-in for a plain service: takes orders, and counts how often it ran each.
+#include "standins/support/fault_switch.h"
+#include "standins/support/run_counter.h"
+#include "standins/support/standin_frame.h"
+
+#include <CLI/CLI.hpp>
+#include <map>
+#include <nlohmann/json.hpp>
+
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_failed = 500;
+
+// Runs each request after a fixed time of work.
+class plain_service {
+public:
+    plain_service(tanager::event_loop& loop, std::chrono::milliseconds work) : loop(loop), work(work) {}
+
+    void serve(const std::shared_ptr<tanager::http_exchange>& exchange) {
+        if (this->faults.serve(*exchange) || this->runs.serve(*exchange)) {
+            return;
+        }
+        const std::uint64_t ticket = ++this->last_ticket;
+        this->pending.emplace(ticket, this->loop.run_after(this->work, [this, exchange, ticket] {
+            const auto timer = this->pending.extract(ticket);
+            this->run(*exchange);
+        }));
+    }
+
+private:
+    void run(tanager::http_exchange& exchange) {
+        if (this->faults.strike("error_before")) {
+            exchange.reply({status_failed, {}, "failed before running\n"});
+            return;
+        }
+        this->runs.note_started(exchange.request().body);
+        if (this->faults.strike("cut_after")) {
+            exchange.abort();
+            return;
+        }
+        this->runs.note_finished();
+        const nlohmann::json body{{"receipt", ++this->last_receipt},
+                                  {"method", exchange.request().method},
+                                  {"path", exchange.request().path},
+                                  {"order", exchange.request().body}};
+        const auto text = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+        exchange.reply({status_ok, {{"Content-Type", "application/json"}}, text});
+    }
+
+    tanager::event_loop& loop;
+    std::chrono::milliseconds work;
+    tanager::standin::fault_switch faults;
+    tanager::standin::run_counter runs;
+    std::uint64_t last_ticket = 0;
+    std::uint64_t last_receipt = 0;
+    std::map<std::uint64_t, std::unique_ptr<tanager::loop_timer>> pending;
+};
+
+} // namespace
+
+int main(int argc, char** argv) {
+    using namespace tanager::standin; // NOLINT(google-build-using-namespace)
+    std::string listen = "127.0.0.1:0";
+    std::uint64_t work_ms = 5; // NOLINT(*-magic-numbers)
+    CLI::App app{"Stand-in for a plain service.", "standin-service"};
+    app.add_option("--listen", listen, "ip:port; port 0 takes a free one");
+    app.add_option("--work-ms", work_ms, "time that one request takes");
+    CLI11_PARSE(app, argc, argv);
+    const auto loop = start_standin("standin-service");
+    plain_service served(*loop, std::chrono::milliseconds{work_ms});
+    const auto server =
+        listen_or_exit(*loop, listen, [&](const std::shared_ptr<tanager::http_exchange>& exchange) {
+            served.serve(exchange);
+        });
+    return run_until_terminated(*loop);
+}
--- /dev/null
+++ b/standins/support/fault_switch.cpp
@@ -0,0 +1,39 @@
+#include "standins/support/fault_switch.h"
+
+#include "logging/event_log.h"
+#include "standins/support/query.h"
+
+namespace tanager::standin {
+
+bool fault_switch::serve(http_exchange& exchange) {
+    const auto parsed = parse_path(exchange.request().path);
+    if (parsed.path != "/faults") {
+        return false;
+    }
+    for (const auto& [kind, value] : parsed.query) {
+        this->remaining[kind] = parsed.number(kind);
+        write_event(log_event::fault_switched, {{"kind", kind}, {"count", value}});
+    }
+    std::string text;
+    for (const auto& [kind, count] : this->remaining) {
+        text += kind + " " + std::to_string(count) + "\n";
+    }
+    exchange.reply({200, {{"Content-Type", "text/plain"}}, text}); // NOLINT(*-magic-numbers)
+    return true;
+}
+
+bool fault_switch::strike(const std::string& kind) {
+    const auto found = this->remaining.find(kind);
+    if (found == this->remaining.end() || found->second == 0) {
+        return false;
+    }
+    --found->second;
+    return true;
+}
+
+std::uint64_t fault_switch::level(const std::string& kind) const {
+    const auto found = this->remaining.find(kind);
+    return found == this->remaining.end() ? 0 : found->second;
+}
+
+} // namespace tanager::standin
--- /dev/null
+++ b/standins/support/fault_switch.h
@@ -0,0 +1,27 @@
+// Faults that are switched on a stand-in while it runs: POST /faults?<kind>=<count>&...
+#pragma once
+
+#include "net/http_exchange.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace tanager::standin {
+
+class fault_switch {
+public:
+    // Serves /faults; returns whether the request was for it.
+    bool serve(http_exchange& exchange);
+
+    // Uses up one count of a fault; returns whether there was one.
+    bool strike(const std::string& kind);
+
+    // Returns a fault's standing value without using it up.
+    std::uint64_t level(const std::string& kind) const;
+
+private:
+    std::map<std::string, std::uint64_t> remaining;
+};
+
+} // namespace tanager::standin
--- /dev/null
+++ b/standins/support/run_counter.cpp
@@ -0,0 +1,37 @@
+#include "standins/support/run_counter.h"
+
+#include "standins/support/query.h"
+
+#include <nlohmann/json.hpp>
+
+namespace tanager::standin {
+
+bool run_counter::serve(http_exchange& exchange) const {
+    if (parse_path(exchange.request().path).path != "/runs") {
+        return false;
+    }
+    std::uint64_t total = 0;
+    for (const auto& [work, count] : this->started) {
+        total += count;
+    }
+    const nlohmann::json body{{"started", total},
+                              {"finished", this->finished},
+                              {"cancelled", this->cancelled},
+                              {"by_work", this->started}};
+    exchange.reply({200, {{"Content-Type", "application/json"}}, body.dump()}); // NOLINT(*-magic-numbers)
+    return true;
+}
+
+void run_counter::note_started(const std::string& work) {
+    ++this->started[work];
+}
+
+void run_counter::note_finished() {
+    ++this->finished;
+}
+
+void run_counter::note_cancelled() {
+    ++this->cancelled;
+}
+
+} // namespace tanager::standin
--- /dev/null
+++ b/standins/support/standin_text.h
@@ -0,0 +1,15 @@
+// The text that the engine stand-in generates, so that a caller can tell its own answer from any other.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace tanager::standin {
+
+// Returns the i-th token of the answer to a prompt.
+std::string make_token(const std::string& prompt, std::uint32_t index);
+
+// Returns the whole answer.
+std::string make_answer(const std::string& prompt, std::uint32_t tokens);
+
+} // namespace tanager::standin
