--- a/src/agent/internal/answer_check.cpp
+++ b/src/agent/internal/answer_check.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::size_t longest_json_bytes = 8 * 1024 * 1024;
+constexpr std::size_t longest_json_bytes = std::size_t{8} * 1024 * 1024;
 
 } // namespace
 
--- a/src/agent/internal/backend_call.cpp
+++ b/src/agent/internal/backend_call.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::size_t high_water_bytes = 256 * 1024;
+constexpr std::size_t high_water_bytes = std::size_t{256} * 1024;
 constexpr int first_server_error = 500;
 
 } // namespace
--- a/src/agent/internal/grpc_answer_stream.cpp
+++ b/src/agent/internal/grpc_answer_stream.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-constexpr std::size_t longest_joined_frame_bytes = 64 * 1024;
+constexpr std::size_t longest_joined_frame_bytes = std::size_t{64} * 1024;
 
 } // namespace
 
--- a/src/entry/internal/answer_writer.cpp
+++ b/src/entry/internal/answer_writer.cpp
@@ -4,8 +4,8 @@
 
 namespace {
 
-constexpr std::size_t collected_bytes_bound = 256 * 1024;
-constexpr std::size_t high_water_bytes = 128 * 1024;
+constexpr std::size_t collected_bytes_bound = std::size_t{256} * 1024;
+constexpr std::size_t high_water_bytes = std::size_t{128} * 1024;
 
 // A comment in the stream, which clients skip; a header would have to be sent before the outcome is known.
 constexpr std::string_view stream_outcome_comment = ": tanager-outcome complete\n\n";
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -13,8 +13,8 @@
 
 // What a server accepts at most.
 struct http_server_limits {
-    std::size_t header_bytes = 16 * 1024;
-    std::size_t body_bytes = 4 * 1024 * 1024;
+    std::size_t header_bytes = std::size_t{16} * 1024;
+    std::size_t body_bytes = std::size_t{4} * 1024 * 1024;
     int descriptors = 4096;
     std::chrono::seconds idle_timeout{60};
 
--- a/src/net/internal/http_client.cpp
+++ b/src/net/internal/http_client.cpp
@@ -14,7 +14,7 @@
 
 constexpr int status_no_content = 204;
 constexpr int status_not_modified = 304;
-constexpr ev_ssize_t longest_reply_bytes = 64 * 1024 * 1024;
+constexpr ev_ssize_t longest_reply_bytes = std::size_t{64} * 1024 * 1024;
 
 evhttp_cmd_type to_command(const std::string& method) {
     if (method == "POST") {
--- a/src/net/internal/http_exchange.cpp
+++ b/src/net/internal/http_exchange.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::size_t low_water_bytes = 16 * 1024;
+constexpr std::size_t low_water_bytes = std::size_t{16} * 1024;
 
 std::string method_name(evhttp_cmd_type type) {
     switch (type) {
--- a/standins/support/standin_frame.cpp
+++ b/standins/support/standin_frame.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr std::size_t largest_body_bytes = 64 * 1024 * 1024;
+constexpr std::size_t largest_body_bytes = std::size_t{64} * 1024 * 1024;
 constexpr int descriptor_bound = 20'000;
 
 [[noreturn]] void exit_with(const error& cause) {
