--- /dev/null
+++ b/bench/load/latency_report.h
@@ -0,0 +1,27 @@
+// Percentiles of measured times.
+#pragma once
+
+#include "base/clock.h"
+
+#include <string>
+#include <vector>
+
+namespace tanager {
+
+class latency_report {
+public:
+    void add(duration value);
+
+    // Returns the value that the given part (0 to 1) of all samples does not pass; 0 without samples.
+    duration percentile(double part) const;
+
+    std::size_t count() const;
+
+    // Returns `name_p50_us=... name_p95_us=... name_p99_us=...`.
+    std::string to_fields(const std::string& name) const;
+
+private:
+    std::vector<duration> samples;
+};
+
+} // namespace tanager
--- /dev/null
+++ b/bench/load/load_generator.h
@@ -0,0 +1,67 @@
+// Open-loop load: requests leave at their intended times whether or not earlier ones have been answered, and
+// latency counts from the intended time.
+#pragma once
+
+#include "base/clock.h"
+#include "bench/load/latency_report.h"
+#include "net/event_loop.h"
+#include "net/http_client.h"
+
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace tanager {
+
+// One stream of requests to one address.
+struct load_plan {
+    std::string name;
+    socket_address target;
+    http_request request;
+    double requests_per_second = 100;
+};
+
+struct load_result {
+    latency_report first_data;
+    latency_report whole;
+    std::uint64_t started = 0;
+    std::uint64_t complete = 0;
+    std::uint64_t failed = 0;
+};
+
+class load_generator {
+public:
+    // Arrivals are a Poisson process drawn from the seed.
+    load_generator(event_loop& loop, const clock& time, std::uint64_t seed);
+
+    void add(const load_plan& plan);
+
+    // Sends for the given time, then waits for the answers under way.
+    void run(duration length);
+
+    const load_result& result_of(std::size_t index) const;
+
+private:
+    struct load_stream {
+        load_plan plan;
+        std::mt19937_64 random;
+        time_point next_due;
+        load_result result;
+    };
+
+    void send_due();
+    void send(load_stream& stream, time_point intended);
+    void schedule();
+
+    event_loop& loop;
+    const clock& time;
+    std::uint64_t seed;
+    std::unique_ptr<http_client> client;
+    std::vector<std::unique_ptr<load_stream>> streams;
+    time_point stop_at;
+    std::uint64_t open = 0;
+    std::unique_ptr<loop_timer> timer;
+};
+
+} // namespace tanager
--- /dev/null
+++ b/bench/load/main.cpp
@@ -0,0 +1,63 @@
+// Open-loop load on one or more addresses in one run, side by side.
+#include "base/system_clock.h"
+#include "bench/load/load_generator.h"
+#include "logging/event_log.h"
+
+#include <CLI/CLI.hpp>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+int main(int argc, char** argv) {
+    std::vector<std::string> targets;
+    std::string key;
+    std::string model = "swatch-check";
+    std::uint32_t tokens = 8;         // NOLINT(*-magic-numbers)
+    std::uint32_t prompt_bytes = 200; // NOLINT(*-magic-numbers)
+    double rate = 100;                // NOLINT(*-magic-numbers)
+    double seconds = 10;              // NOLINT(*-magic-numbers)
+    std::uint64_t seed = 1;
+    CLI::App app{"Open-loop load on one or more addresses in one run.", "tanager-load"};
+    app.add_option("--target", targets, "name=ip:port, once for each side of the comparison")->required();
+    app.add_option("--key", key, "the caller's bearer key");
+    app.add_option("--model", model, "the work entry that is asked for");
+    app.add_option("--tokens", tokens);
+    app.add_option("--prompt-bytes", prompt_bytes);
+    app.add_option("--rate", rate, "requests a second to each target");
+    app.add_option("--seconds", seconds);
+    app.add_option("--seed", seed);
+    CLI11_PARSE(app, argc, argv);
+    tanager::open_event_log("tanager-load", tanager::log_level::warning);
+    auto loop = tanager::event_loop::create();
+    if (!loop) {
+        std::cerr << loop.error().detail << '\n';
+        return EXIT_FAILURE;
+    }
+    const tanager::system_clock time;
+    tanager::load_generator generator(**loop, time, seed);
+    const nlohmann::json body{{"model", model},
+                              {"prompt", std::string(prompt_bytes, 'p')},
+                              {"max_tokens", tokens},
+                              {"stream", true}};
+    std::vector<std::string> names;
+    for (const auto& target : targets) {
+        const auto equals = target.find('=');
+        const auto address = tanager::parse_address(target.substr(equals + 1));
+        if (equals == std::string::npos || !address) {
+            std::cerr << "'" << target << "' is not name=ip:port\n";
+            return EXIT_FAILURE;
+        }
+        names.push_back(target.substr(0, equals));
+        generator.add({names.back(),
+                       *address,
+                       {"POST", "/v1/completions", {{"Authorization", "Bearer " + key}}, body.dump()},
+                       rate});
+    }
+    generator.run(std::chrono::duration_cast<tanager::duration>(std::chrono::duration<double>(seconds)));
+    for (std::size_t i = 0; i < names.size(); ++i) {
+        const auto& result = generator.result_of(i);
+        std::cout << "target=" << names[i] << " started=" << result.started << " complete=" << result.complete
+                  << " failed=" << result.failed << ' ' << result.first_data.to_fields("first") << ' '
+                  << result.whole.to_fields("whole") << '\n';
+    }
+    return 0;
+}
--- a/src/agent/agent_setup.cpp
+++ b/src/agent/agent_setup.cpp
@@ -60,7 +60,11 @@
               this->ledger,
               this->status,
               [this] { return this->queue_stage.size(); }),
-          pages(this->metrics, this->invariants, [this] { return this->refusal(); }) {
+          pages(
+              this->metrics,
+              this->invariants,
+              [this] { return this->refusal(); },
+              [this] { this->refresh_gauges(); }) {
         this->known.on_change([this] { this->on_catalogue_change(); });
         this->backend_stage.on_released([this] { this->queue_stage.start_ready(); });
         this->housekeeping = loop.run_every(housekeeping_interval, [this] { this->keep_house(); });
@@ -140,6 +144,9 @@
 
     void keep_house() {
         this->registry.forget_old();
+    }
+
+    void refresh_gauges() {
         this->metrics.set_gauge("tanager_entries_connected", static_cast<double>(this->hub.size()));
         this->metrics.set_gauge("tanager_control_sent_bytes", static_cast<double>(this->hub.sent_bytes()));
         this->metrics.set_gauge("tanager_catalogue_revision", static_cast<double>(this->known.revision()));
--- a/src/agent/internal/admission_filter.cpp
+++ b/src/agent/internal/admission_filter.cpp
@@ -6,7 +6,7 @@
 namespace tanager {
 
 result<void> agent_status::check() const {
-    if (this->is_leaving()) {
+    if (this->leaving || this->draining) {
         return fail(result_code::agent_leaving, "the agent takes no new work");
     }
     if (!this->ready) {
@@ -28,11 +28,11 @@
 }
 
 bool agent_status::is_ready() const {
-    return this->ready;
+    return this->ready && !this->draining;
 }
 
 bool agent_status::is_leaving() const {
-    return this->leaving || this->draining;
+    return this->leaving;
 }
 
 void refuse_work(const dispatched_work& work,
--- a/src/agent/internal/admission_filter.h
+++ b/src/agent/internal/admission_filter.h
@@ -27,7 +27,10 @@
     // An operator's drain can be taken back.
     void set_draining(bool draining);
 
+    // Returns whether the process has what it needs and is not being drained.
     bool is_ready() const;
+
+    // Returns whether the process is on its way out, which a drain is not.
     bool is_leaving() const;
 
 private:
--- a/src/agent/internal/attempt_registry.cpp
+++ b/src/agent/internal/attempt_registry.cpp
@@ -39,8 +39,9 @@
 
 bool attempt_registry::mark_dispatched(const attempt_name& attempt) {
     auto* const state = this->find(attempt);
+    const bool is_repeated = state != nullptr && *state == attempt_state::dispatched;
+    this->invariants.check(!is_repeated, invariant::attempt_runs_once, to_text(attempt));
     const bool may_run = state != nullptr && *state == attempt_state::admitted;
-    this->invariants.check(may_run, invariant::attempt_runs_once, to_text(attempt));
     if (may_run) {
         *state = attempt_state::dispatched;
     }
--- a/src/agent/tests/agent_tests.cpp
+++ b/src/agent/tests/agent_tests.cpp
@@ -0,0 +1,151 @@
+#include "agent/attempt_registry.h"
+#include "agent/internal/answer_check.h"
+#include "base/mocks/counting_invariant_monitor.h"
+#include "base/mocks/manual_clock.h"
+#include "testing/story.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <map>
+#include <random>
+
+using tanager::testing::section;
+
+namespace tanager {
+
+class agent_tests : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(agent_tests);
+    CPPUNIT_TEST(an_attempt_runs_once);
+    CPPUNIT_TEST(a_settled_attempt_never_starts);
+    CPPUNIT_TEST(forgotten_attempts_are_answered_cautiously);
+    CPPUNIT_TEST(random_orders_never_contradict);
+    CPPUNIT_TEST(answers_are_checked_by_shape);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void an_attempt_runs_once() {
+        manual_clock time;
+        counting_invariant_monitor invariants;
+        attempt_registry registry(time, std::chrono::hours{2}, invariants);
+        CPPUNIT_ASSERT(registry.admit({1, 1}));
+        CPPUNIT_ASSERT(registry.mark_dispatched({1, 1}));
+        CPPUNIT_ASSERT(registry.admit({1, 1}).error().code == result_code::attempt_repeated);
+        CPPUNIT_ASSERT(!registry.settle({1, 1}));
+        CPPUNIT_ASSERT(invariants.violations.empty());
+        section("a second dispatch is stopped and reported", [&] {
+            CPPUNIT_ASSERT(!registry.mark_dispatched({1, 1}));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, invariants.violations.size());
+        });
+        section("so is a refusal after it ran", [&] {
+            registry.mark_refused({1, 1});
+            CPPUNIT_ASSERT_EQUAL(std::size_t{2}, invariants.violations.size());
+            CPPUNIT_ASSERT(!registry.settle({1, 1}));
+        });
+    }
+
+    void a_settled_attempt_never_starts() {
+        manual_clock time;
+        counting_invariant_monitor invariants;
+        attempt_registry registry(time, std::chrono::hours{2}, invariants);
+        section("when the settlement overtakes the dispatch", [&] {
+            CPPUNIT_ASSERT(registry.settle({1, 5}));
+            CPPUNIT_ASSERT(registry.admit({1, 5}).error().code == result_code::attempt_cancelled);
+        });
+        section("when it meets the attempt in the queue", [&] {
+            CPPUNIT_ASSERT(registry.admit({1, 6}));
+            CPPUNIT_ASSERT(registry.settle({1, 6}));
+            CPPUNIT_ASSERT(!registry.mark_dispatched({1, 6}));
+        });
+    }
+
+    void forgotten_attempts_are_answered_cautiously() {
+        manual_clock time;
+        counting_invariant_monitor invariants;
+        attempt_registry registry(time, std::chrono::hours{2}, invariants);
+        registry.admit({1, 10});
+        registry.mark_dispatched({1, 10});
+        time.advance(std::chrono::hours{3});
+        registry.forget_old();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, registry.size());
+        CPPUNIT_ASSERT(!registry.settle({1, 10}));
+        CPPUNIT_ASSERT(!registry.settle({1, 9}));
+        CPPUNIT_ASSERT(registry.admit({1, 10}).error().code == result_code::attempt_repeated);
+        CPPUNIT_ASSERT(registry.settle({1, 11}));
+        CPPUNIT_ASSERT(registry.settle({2, 1}));
+    }
+
+    void random_orders_never_contradict() {
+        constexpr std::uint64_t seed = 42;
+        constexpr int steps = 200'000;
+        std::mt19937_64 random(seed);
+        manual_clock time;
+        counting_invariant_monitor invariants;
+        attempt_registry registry(time, std::chrono::minutes{1}, invariants);
+        std::map<attempt_name, int> runs;
+        std::map<attempt_name, bool> said_not_run;
+        std::vector<attempt_name> admitted;
+        std::size_t settled = 0;
+        for (int step = 0; step < steps; ++step) {
+            const attempt_name attempt{1 + random() % 3,
+                                       1 + random() % 40 + static_cast<std::uint64_t>(step) / 500};
+            switch (random() % 5) {
+            case 0:
+            case 1:
+                if (registry.admit(attempt)) {
+                    admitted.push_back(attempt);
+                }
+                break;
+            case 2:
+                if (!admitted.empty()) {
+                    const auto next = admitted.back();
+                    admitted.pop_back();
+                    const bool was_settled = said_not_run.contains(next);
+                    const bool may_run = registry.mark_dispatched(next);
+                    CPPUNIT_ASSERT(!(was_settled && may_run));
+                    runs[next] += may_run ? 1 : 0;
+                }
+                break;
+            case 3:
+                if (registry.settle(attempt)) {
+                    said_not_run[attempt] = true;
+                    ++settled;
+                }
+                break;
+            default:
+                time.advance(std::chrono::milliseconds{random() % 20});
+                registry.forget_old();
+            }
+        }
+        for (const auto& [attempt, count] : runs) {
+            CPPUNIT_ASSERT(count <= 1);
+            CPPUNIT_ASSERT(count == 0 || !said_not_run.contains(attempt));
+        }
+        CPPUNIT_ASSERT(invariants.violations.empty());
+        CPPUNIT_ASSERT(runs.size() > 100);
+        CPPUNIT_ASSERT(settled > 100);
+    }
+
+    void answers_are_checked_by_shape() {
+        section("JSON must be whole", [] {
+            answer_check check(answer_shape::json);
+            CPPUNIT_ASSERT(check.feed("{\"a\":"));
+            CPPUNIT_ASSERT(check.finish().error().code == result_code::backend_answer_malformed);
+            CPPUNIT_ASSERT(check.feed("1}"));
+            CPPUNIT_ASSERT(check.finish());
+        });
+        section("a stream must be closed", [] {
+            answer_check check(answer_shape::event_stream);
+            CPPUNIT_ASSERT(check.feed("data: {}\n\n"));
+            CPPUNIT_ASSERT(check.finish().error().code == result_code::backend_answer_truncated);
+            CPPUNIT_ASSERT(check.feed("garbage\n").error().code == result_code::backend_answer_malformed);
+        });
+        section("a plain service's answer is its own affair", [] {
+            answer_check check(answer_shape::opaque);
+            CPPUNIT_ASSERT(check.feed("\x01\x02"));
+            CPPUNIT_ASSERT(check.finish());
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(agent_tests);
+
+} // namespace tanager
--- a/src/apps/tanagerctl/blocking_store.cpp
+++ b/src/apps/tanagerctl/blocking_store.cpp
@@ -48,7 +48,7 @@
 
 result<std::uint64_t>
 blocking_store::put(const std::string& name, const std::string& value, std::uint64_t expected) {
-    const auto written = wait_for<std::uint64_t>(
+    auto written = wait_for<std::uint64_t>(
         *this->loop, [&](auto callback) { this->store->put(name, value, expected, callback); });
     if (written || written.error().code != result_code::store_unavailable) {
         return written;
--- a/src/apps/tanagerctl/catalogue_commands.cpp
+++ b/src/apps/tanagerctl/catalogue_commands.cpp
@@ -51,7 +51,7 @@
 }
 
 result<stored_object> catalogue_commands::read_standing(const std::string& object_name) {
-    const auto standing = this->store.get(stored_name(object_name));
+    auto standing = this->store.get(stored_name(object_name));
     if (!standing && standing.error().code == result_code::object_unknown) {
         return stored_object{stored_name(object_name), 0, false, "{}"};
     }
@@ -71,8 +71,8 @@
         this->errors << object_name << ": not written, version " << standing.version
                      << " is no longer the newest; another edit won";
         if (winner) {
-            this->errors << " as version " << winner->version << ":\n"
-                         << diff_json(standing.value, winner->value);
+            this->errors << " as version " << winner->version << "; yours (-) against it (+):\n"
+                         << diff_json(json, winner->value);
         }
         this->errors << '\n';
         return exit_code::conflict;
--- /dev/null
+++ b/src/entry/agent_selector.h
@@ -0,0 +1,46 @@
+// What a request needs to know of the agents.
+#pragma once
+
+#include "catalogue/types/catalogue_entry.h"
+#include "routing/types/routing_candidate.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace tanager {
+
+// Where an attempt is sent.
+struct agent_target {
+    std::string host;
+    std::string address;
+    std::uint64_t incarnation = 0;
+
+    friend bool operator==(const agent_target&, const agent_target&) = default;
+};
+
+class agent_selector {
+public:
+    agent_selector() = default;
+    agent_selector(const agent_selector&) = delete;
+    agent_selector& operator=(const agent_selector&) = delete;
+    agent_selector(agent_selector&&) = delete;
+    agent_selector& operator=(agent_selector&&) = delete;
+    virtual ~agent_selector() = default;
+
+    // Returns the agents of a pool as routing sees them.
+    virtual std::vector<routing_candidate> candidates(const pool_entry& pool,
+                                                      const member_entry& member) const = 0;
+
+    virtual agent_target target_of(const pool_entry& pool, const std::string& host) const = 0;
+
+    // Correct the last report for what this entry has sent since.
+    virtual void
+    note_dispatched(const std::string& host, const std::string& member, std::uint32_t pieces) = 0;
+    virtual void note_ended(const std::string& host, const std::string& member, std::uint32_t pieces) = 0;
+
+    // Returns the process that serves as this host's agent now; 0 when unknown.
+    virtual std::uint64_t incarnation_of(const std::string& host) const = 0;
+};
+
+} // namespace tanager
--- a/src/entry/entry_setup.cpp
+++ b/src/entry/entry_setup.cpp
@@ -55,7 +55,11 @@
               this->metrics,
               this->run_stage),
           identify_stage(this->known, this->time, this->metrics, this->limit_stage),
-          pages(this->metrics, this->invariants, [this] { return this->refusal(); }) {
+          pages(
+              this->metrics,
+              this->invariants,
+              [this] { return this->refusal(); },
+              [this] { this->refresh_gauges(); }) {
         this->known.on_change([this] { this->on_catalogue_change(); });
         this->housekeeping = loop.run_every(housekeeping_interval, [this] { this->keep_house(); });
         this->follower->start();
@@ -157,6 +161,9 @@
 
     void keep_house() {
         this->directory.report_changes();
+    }
+
+    void refresh_gauges() {
         this->metrics.set_gauge("tanager_agent_links", static_cast<double>(this->directory.links()));
         this->metrics.set_gauge("tanager_requests_open", static_cast<double>(this->run_stage.running()));
         this->metrics.set_gauge("tanager_catalogue_revision", static_cast<double>(this->known.revision()));
--- a/src/entry/internal/agent_directory.h
+++ b/src/entry/internal/agent_directory.h
@@ -3,12 +3,12 @@
 #include "base/clock.h"
 #include "base/random_source.h"
 #include "catalogue/catalogue.h"
+#include "entry/agent_selector.h"
 #include "entry/internal/agent_link.h"
 #include "entry/internal/grpc_agent_gateway.h"
 #include "entry/types/entry_settings.h"
 #include "membership/peer_monitor.h"
 #include "platform/types/stored_object.h"
-#include "routing/types/routing_candidate.h"
 
 #include <map>
 #include <memory>
@@ -19,18 +19,9 @@
 
 namespace tanager {
 
-// Where an attempt is sent.
-struct agent_target {
-    std::string host;
-    std::string address;
-    std::uint64_t incarnation = 0;
-
-    friend bool operator==(const agent_target&, const agent_target&) = default;
-};
-
 // What this entry knows of the agents it works with: a bounded part of each pool, chosen by rendezvous
 // hashing.
-class agent_directory {
+class agent_directory final : public agent_selector {
 public:
     agent_directory(event_loop& loop,
                     const clock& time,
@@ -46,17 +37,12 @@
     // Takes in the platform's host list.
     void on_host_list(const std::vector<listed_host>& hosts);
 
-    // Returns the agents of a pool as routing sees them.
-    std::vector<routing_candidate> candidates(const pool_entry& pool, const member_entry& member) const;
-
-    agent_target target_of(const pool_entry& pool, const std::string& host) const;
-
-    // Correct the last report for what this entry has sent since.
-    void note_dispatched(const std::string& host, const std::string& member, std::uint32_t pieces);
-    void note_ended(const std::string& host, const std::string& member, std::uint32_t pieces);
-
-    // Returns the process that serves as this host's agent now; 0 when unknown.
-    std::uint64_t incarnation_of(const std::string& host) const;
+    std::vector<routing_candidate> candidates(const pool_entry& pool,
+                                              const member_entry& member) const override;
+    agent_target target_of(const pool_entry& pool, const std::string& host) const override;
+    void note_dispatched(const std::string& host, const std::string& member, std::uint32_t pieces) override;
+    void note_ended(const std::string& host, const std::string& member, std::uint32_t pieces) override;
+    std::uint64_t incarnation_of(const std::string& host) const override;
 
     // Writes the changes of belief since the last call to the log.
     void report_changes();
--- a/src/entry/internal/entry_settings.cpp
+++ b/src/entry/internal/entry_settings.cpp
@@ -5,7 +5,7 @@
 namespace {
 
 constexpr integer_range body_range{1'024, 64LL * 1024 * 1024};
-constexpr integer_range header_range{1'024, 1'024 * 1024};
+constexpr integer_range header_range{1'024, 1'048'576};
 constexpr integer_range connection_range{16, 1'000'000};
 constexpr integer_range idle_range{1, 3'600};
 constexpr integer_range timeout_range{10, 60'000};
--- a/src/entry/internal/grpc_attempt_call.cpp
+++ b/src/entry/internal/grpc_attempt_call.cpp
@@ -44,8 +44,9 @@
                               protocol::agent_service::Stub& stub,
                               const protocol::dispatch_request& request) {
     // gRPC frees the reactor through its OnDone.
-    this->reactor =
+    auto* const started =
         new grpc_attempt_reactor(loop, this->shared_from_this(), request); // NOLINT(*-owning-memory)
+    this->reactor = started;
     this->reactor->start(stub);
     this->read_next();
 }
--- a/src/entry/internal/request_run.cpp
+++ b/src/entry/internal/request_run.cpp
@@ -43,7 +43,8 @@
     const routing_request wanted{this->request.prefix_hash, this->request.pieces};
     const auto chosen = choose_agent(wanted, candidates, this->tried, this->context.random);
     if (!chosen) {
-        this->give_up(chosen.error());
+        // After a failed attempt, what made it fail says more than that nobody else is left.
+        this->give_up(this->last_failure.value_or(chosen.error()));
         return;
     }
     this->dispatch_to(this->context.directory.target_of(*this->request.pool, *chosen));
@@ -209,6 +210,7 @@
                 {{"request", this->request.received.request_id},
                  {"host", this->target.host},
                  {"code", std::to_string(static_cast<int>(cause.code))}});
+    this->last_failure = cause;
     this->tried.push_back(this->target.host);
     this->begin_attempt();
 }
--- a/src/entry/internal/request_run.h
+++ b/src/entry/internal/request_run.h
@@ -5,7 +5,7 @@
 #include "base/invariant_monitor.h"
 #include "base/random_source.h"
 #include "entry/agent_gateway.h"
-#include "entry/internal/agent_directory.h"
+#include "entry/agent_selector.h"
 #include "entry/internal/answer_writer.h"
 #include "entry/types/entry_settings.h"
 #include "entry/types/request_messages.h"
@@ -28,7 +28,7 @@
     random_source& random;
     metrics_registry& metrics;
     invariant_monitor& invariants;
-    agent_directory& directory;
+    agent_selector& directory;
     agent_gateway& gateway;
     retry_budget& budget;
     const entry_settings& settings;
@@ -77,6 +77,7 @@
     std::optional<answer_assembler> assembler;
     std::shared_ptr<attempt_call> call;
     std::vector<std::string> tried;
+    std::optional<error> last_failure;
     std::uint32_t attempts = 0;
     bool may_have_run = false;
     bool is_waiting_for_drain = false;
--- a/src/limits/internal/admission_queue.cpp
+++ b/src/limits/internal/admission_queue.cpp
@@ -8,7 +8,7 @@
     : ledger(ledger), time(time), bounds(bounds) {}
 
 result<void> admission_queue::enqueue(const queued_work& work) {
-    const auto fits = this->ledger.check(work.member, work.pieces);
+    auto fits = this->ledger.check(work.member, work.pieces);
     if (!fits && fits.error().code == result_code::request_too_large_for_pool) {
         return fits;
     }
--- a/src/limits/internal/share_ledger.cpp
+++ b/src/limits/internal/share_ledger.cpp
@@ -42,7 +42,7 @@
 }
 
 result<void> share_ledger::acquire(const std::string& member, std::uint32_t pieces) {
-    const auto allowed = this->check(member, pieces);
+    auto allowed = this->check(member, pieces);
     if (!allowed) {
         return allowed;
     }
--- a/src/membership/tests/membership_tests.cpp
+++ b/src/membership/tests/membership_tests.cpp
@@ -84,6 +84,7 @@
 
     void watchers_are_few_and_never_none() {
         std::vector<std::string> hosts;
+        hosts.reserve(40);
         for (int i = 0; i < 40; ++i) {
             hosts.push_back("entry-" + std::to_string(i));
         }
--- a/src/metrics/internal/metrics_registry.cpp
+++ b/src/metrics/internal/metrics_registry.cpp
@@ -86,7 +86,10 @@
         cumulative += *bucket;
         const double upper = bucket.bin(0).upper();
         const std::string bound = std::isinf(upper) ? "+Inf" : format_number(upper);
-        text += name + "_bucket{" + labels + ",le=\"" + bound + "\"} " + format_number(cumulative) + "\n";
+        text += name;
+        text += "_bucket{" + labels + ",le=\"";
+        text += bound + "\"} ";
+        text += format_number(cumulative) + "\n";
     }
     text += name + "_sum{" + labels + "} " + format_number(series.sum_seconds) + "\n";
     text += name + "_count{" + labels + "} " + format_number(cumulative) + "\n";
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -54,6 +54,9 @@
     void run();
     void stop();
 
+    // Waits for events and serves them once; for callers that check a condition in between.
+    void run_once();
+
     event_base* native() const;
 
 private:
--- a/src/net/internal/event_loop.cpp
+++ b/src/net/internal/event_loop.cpp
@@ -128,6 +128,10 @@
     event_base_loop(this->base, EVLOOP_NO_EXIT_ON_EMPTY);
 }
 
+void event_loop::run_once() {
+    event_base_loop(this->base, EVLOOP_ONCE);
+}
+
 void event_loop::stop() {
     event_base_loopbreak(this->base);
 }
--- a/src/program/internal/health_pages.cpp
+++ b/src/program/internal/health_pages.cpp
@@ -13,8 +13,9 @@
 
 health_pages::health_pages(metrics_registry& metrics,
                            const logging_invariant_monitor& invariants,
-                           std::function<std::string()> refusal)
-    : metrics(metrics), invariants(invariants), refusal(std::move(refusal)) {}
+                           std::function<std::string()> refusal,
+                           std::function<void()> refresh)
+    : metrics(metrics), invariants(invariants), refusal(std::move(refusal)), refresh(std::move(refresh)) {}
 
 bool health_pages::serve(http_exchange& exchange) const {
     const auto& path = exchange.request().path;
@@ -27,6 +28,7 @@
     if (path != "/metrics") {
         return false;
     }
+    this->refresh();
     const auto usage = read_process_usage();
     this->metrics.set_gauge("process_cpu_seconds_total",
                             std::chrono::duration<double>(usage.processor_time).count());
--- a/src/routing/internal/agent_choice.cpp
+++ b/src/routing/internal/agent_choice.cpp
@@ -23,8 +23,7 @@
     return candidate.queued + busy + (candidate.same_data_centre ? 0.0 : distance_penalty);
 }
 
-class affinity_pair {
-public:
+struct affinity_pair {
     void offer(const routing_candidate& candidate, std::uint64_t prefix_hash) {
         const std::uint64_t weight = hash64(candidate.host, prefix_hash);
         if (this->first == nullptr || weight > this->first_weight) {
@@ -40,8 +39,6 @@
 
     const routing_candidate* first = nullptr;
     const routing_candidate* second = nullptr;
-
-private:
     std::uint64_t first_weight = 0;
     std::uint64_t second_weight = 0;
 };
--- a/src/routing/tests/routing_tests.cpp
+++ b/src/routing/tests/routing_tests.cpp
@@ -13,6 +13,7 @@
 
 std::vector<routing_candidate> make_pool(int size) {
     std::vector<routing_candidate> pool;
+    pool.reserve(static_cast<std::size_t>(size));
     for (int i = 0; i < size; ++i) {
         pool.push_back({"host-" + std::to_string(i), true, true, 10, 10, 10, 0});
     }
--- a/standins/service/main.cpp
+++ b/standins/service/main.cpp
@@ -1,5 +1,6 @@
 // Stand-in for a plain service: takes orders, and counts how often it ran each.
 #include "standins/support/fault_switch.h"
+#include "standins/support/query.h"
 #include "standins/support/run_counter.h"
 #include "standins/support/standin_frame.h"
 
@@ -11,6 +12,7 @@
 
 constexpr int status_ok = 200;
 constexpr int status_failed = 500;
+constexpr std::uint64_t bulk_chunk_bytes = 65'536;
 
 // Runs each request after a fixed time of work.
 class plain_service {
@@ -21,6 +23,15 @@
         if (this->faults.serve(*exchange) || this->runs.serve(*exchange)) {
             return;
         }
+        const auto path = tanager::standin::parse_path(exchange->request().path);
+        if (path.path == "/bulk") {
+            this->send_bulk(exchange, path.number("bytes"));
+            return;
+        }
+        if (path.path == "/bulk_sent") {
+            exchange->reply({status_ok, {}, std::to_string(this->bulk_sent)});
+            return;
+        }
         const std::uint64_t ticket = ++this->last_ticket;
         this->pending.emplace(ticket, this->loop.run_after(this->work, [this, exchange, ticket] {
             const auto timer = this->pending.extract(ticket);
@@ -29,6 +40,29 @@
     }
 
 private:
+    // Sends a long answer no faster than it is taken.
+    void send_bulk(const std::shared_ptr<tanager::http_exchange>& exchange, std::uint64_t bytes) {
+        exchange->start(status_ok, {{"Content-Type", "application/octet-stream"}});
+        const auto remaining = std::make_shared<std::uint64_t>(bytes);
+        exchange->on_drained([this, weak = std::weak_ptr(exchange), remaining] {
+            if (const auto alive = weak.lock()) {
+                this->send_chunk(*alive, *remaining);
+            }
+        });
+        this->send_chunk(*exchange, *remaining);
+    }
+
+    void send_chunk(tanager::http_exchange& exchange, std::uint64_t& remaining) {
+        if (remaining == 0) {
+            exchange.finish();
+            return;
+        }
+        const auto length = std::min(remaining, bulk_chunk_bytes);
+        remaining -= length;
+        this->bulk_sent += length;
+        exchange.write(std::string(length, 'x'));
+    }
+
     void run(tanager::http_exchange& exchange) {
         if (this->faults.strike("error_before")) {
             exchange.reply({status_failed, {}, "failed before running\n"});
@@ -54,6 +88,7 @@
     tanager::standin::run_counter runs;
     std::uint64_t last_ticket = 0;
     std::uint64_t last_receipt = 0;
+    std::uint64_t bulk_sent = 0;
     std::map<std::uint64_t, std::unique_ptr<tanager::loop_timer>> pending;
 };
 
--- /dev/null
+++ b/tests/support/child_process.cpp
@@ -0,0 +1,133 @@
+#include "tests/support/child_process.h"
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <spawn.h>
+#include <stdexcept>
+#include <sys/wait.h>
+#include <unistd.h>
+
+extern char** environ; // NOLINT
+
+namespace tanager::testing {
+
+namespace {
+
+constexpr std::chrono::seconds longest_wait{60};
+
+std::string value_of(const std::string& line, const std::string& key) {
+    const auto begin = line.find(" " + key + "=");
+    if (begin == std::string::npos) {
+        throw std::runtime_error("no " + key + " in: " + line);
+    }
+    const auto start = begin + key.size() + 2;
+    return line.substr(start, line.find(' ', start) - start);
+}
+
+} // namespace
+
+child_process::child_process(const std::string& program, const std::vector<std::string>& arguments)
+    : process(0) {
+    std::array<int, 2> pipe_ends{};
+    if (pipe(pipe_ends.data()) != 0) {
+        throw std::runtime_error("no pipe");
+    }
+    std::string path = std::string{TANAGER_BIN_DIR} + "/" + program;
+    std::vector<std::string> words = arguments;
+    std::vector<char*> argv{path.data()};
+    for (auto& word : words) {
+        argv.push_back(word.data());
+    }
+    argv.push_back(nullptr);
+    posix_spawn_file_actions_t actions{};
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_adddup2(&actions, pipe_ends[1], STDERR_FILENO);
+    posix_spawn_file_actions_addclose(&actions, pipe_ends[0]);
+    posix_spawn_file_actions_addclose(&actions, pipe_ends[1]);
+    const int started = posix_spawn(&this->process, path.c_str(), &actions, nullptr, argv.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    close(pipe_ends[1]);
+    if (started != 0) {
+        close(pipe_ends[0]);
+        throw std::runtime_error("cannot start " + path);
+    }
+    this->reader = std::thread([this, descriptor = pipe_ends[0]] { this->collect(descriptor); });
+}
+
+child_process::~child_process() {
+    if (!this->ended) {
+        kill(this->process, SIGCONT);
+        kill(this->process, SIGKILL);
+        this->wait();
+    }
+    this->reader.join();
+}
+
+void child_process::collect(int descriptor) {
+    std::string partial;
+    std::array<char, 4096> buffer{}; // NOLINT(*-magic-numbers)
+    ssize_t length = 0;
+    while ((length = read(descriptor, buffer.data(), buffer.size())) > 0) {
+        partial.append(buffer.data(), static_cast<std::size_t>(length));
+        const std::lock_guard lock(this->mutex);
+        for (auto end = partial.find('\n'); end != std::string::npos; end = partial.find('\n')) {
+            this->lines.push_back(partial.substr(0, end));
+            partial.erase(0, end + 1);
+        }
+        this->changed.notify_all();
+    }
+    close(descriptor);
+    const std::lock_guard lock(this->mutex);
+    this->closed = true;
+    this->changed.notify_all();
+}
+
+std::string child_process::wait_for_line(const std::string& text) {
+    std::unique_lock lock(this->mutex);
+    std::size_t seen = 0;
+    const auto deadline = std::chrono::steady_clock::now() + longest_wait;
+    while (true) {
+        for (; seen < this->lines.size(); ++seen) {
+            if (this->lines[seen].find(text) != std::string::npos) {
+                return this->lines[seen];
+            }
+        }
+        const bool is_late = this->changed.wait_until(lock, deadline) == std::cv_status::timeout;
+        if (is_late || (this->closed && seen >= this->lines.size())) {
+            const std::string last = this->lines.empty() ? "no line at all" : this->lines.back();
+            throw std::runtime_error("no '" + text + "' in the log; last line: " + last);
+        }
+    }
+}
+
+std::string child_process::address(const std::string& key) {
+    return value_of(this->wait_for_line(" " + key + "="), key);
+}
+
+bool child_process::has_line(const std::string& text) {
+    const std::lock_guard lock(this->mutex);
+    return std::ranges::any_of(this->lines,
+                               [&](const std::string& line) { return line.find(text) != std::string::npos; });
+}
+
+void child_process::send_signal(int number) {
+    kill(this->process, number);
+}
+
+int child_process::wait() {
+    if (this->ended) {
+        return this->exit_status;
+    }
+    int status = 0;
+    waitpid(this->process, &status, 0);
+    this->ended = true;
+    this->exit_status = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+    return this->exit_status;
+}
+
+pid_t child_process::id() const {
+    return this->process;
+}
+
+} // namespace tanager::testing
--- /dev/null
+++ b/tests/support/raw_caller.cpp
@@ -0,0 +1,80 @@
+#include "tests/support/raw_caller.h"
+
+#include "net/types/http_types.h"
+
+#include <arpa/inet.h>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+namespace tanager::testing {
+
+namespace {
+
+constexpr timeval longest_wait{30, 0};
+constexpr std::size_t receive_bytes = 64 * 1024UL;
+
+} // namespace
+
+raw_caller::raw_caller(const std::string& address, int receive_buffer_bytes)
+    : descriptor(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    const auto parsed = parse_address(address);
+    sockaddr_in peer{};
+    peer.sin_family = AF_INET;
+    peer.sin_port = htons(parsed->port);
+    inet_pton(AF_INET, parsed->host.c_str(), &peer.sin_addr);
+    setsockopt(this->descriptor, SOL_SOCKET, SO_RCVTIMEO, &longest_wait, sizeof(longest_wait));
+    setsockopt(this->descriptor, SOL_SOCKET, SO_SNDTIMEO, &longest_wait, sizeof(longest_wait));
+    if (receive_buffer_bytes > 0) {
+        setsockopt(
+            this->descriptor, SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes, sizeof(receive_buffer_bytes));
+    }
+    // The sockets interface is typed this way.
+    if (connect(this->descriptor, reinterpret_cast<sockaddr*>(&peer), sizeof(peer)) != 0) { // NOLINT
+        close(this->descriptor);
+        throw std::runtime_error("cannot connect to " + address);
+    }
+}
+
+raw_caller::~raw_caller() {
+    close(this->descriptor);
+}
+
+bool raw_caller::send(const std::string& bytes) {
+    std::size_t sent = 0;
+    while (sent < bytes.size()) {
+        const auto length =
+            ::send(this->descriptor, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL); // NOLINT
+        if (length <= 0) {
+            return false;
+        }
+        sent += static_cast<std::size_t>(length);
+    }
+    return true;
+}
+
+void raw_caller::close_sending() {
+    shutdown(this->descriptor, SHUT_WR);
+}
+
+std::string raw_caller::receive(std::size_t most) {
+    std::string bytes(most, '\0');
+    const auto length = recv(this->descriptor, bytes.data(), bytes.size(), 0);
+    bytes.resize(length > 0 ? static_cast<std::size_t>(length) : 0);
+    return bytes;
+}
+
+std::string raw_caller::receive_until(const std::string& text) {
+    std::string all;
+    while (all.find(text) == std::string::npos) {
+        const std::string bytes = this->receive(receive_bytes);
+        if (bytes.empty()) {
+            break;
+        }
+        all += bytes;
+    }
+    return all;
+}
+
+} // namespace tanager::testing
--- /dev/null
+++ b/tests/support/site.cpp
@@ -0,0 +1,248 @@
+#include "tests/support/site.h"
+
+#include "base/digest.h"
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+namespace tanager::testing {
+
+namespace {
+
+constexpr int status_ok = 200;
+constexpr std::uint32_t slots = 4;
+constexpr std::uint32_t helper_cap = 400;
+constexpr std::uint32_t orders_cap = 40;
+
+bool is_service_pool(const std::string& pool) {
+    return pool == "orders";
+}
+
+std::string make_folder() {
+    std::string pattern = (std::filesystem::temp_directory_path() / "tanager-site-XXXXXX").string();
+    if (mkdtemp(pattern.data()) == nullptr) {
+        throw std::runtime_error("no temporary folder");
+    }
+    return pattern;
+}
+
+} // namespace
+
+site::site() : folder(make_folder()) {
+    this->platform = std::make_unique<child_process>("standin-platform", std::vector<std::string>{});
+    this->platform_http = this->platform->address("http");
+    this->write_members();
+    this->write_work();
+}
+
+site::~site() {
+    std::filesystem::remove_all(this->folder);
+}
+
+std::string site::write_settings(const std::string& host, const std::string& text) const {
+    const std::string path = this->folder + "/" + host + ".ini";
+    std::ofstream(path) << text;
+    return path;
+}
+
+void site::start_process(running_agent& row, const std::string& listen, const std::string& http_listen) {
+    const std::string path = this->write_settings(
+        row.plan.host,
+        "[agent]\nhost = " + row.plan.host + "\ndata_centre = nottm-a\nlisten = " + listen +
+            "\nhttp_listen = " + http_listen + "\n[backend]\naddress = " + row.backend_address +
+            "\ncapacity_pieces = " + std::to_string(row.plan.capacity_pieces) +
+            "\n[reports]\nshortest_interval_ms = 50\n");
+    row.process =
+        std::make_unique<child_process>("tanager-agent", std::vector<std::string>{"--config", path});
+    row.grpc = row.process->address("grpc");
+    row.pages = row.process->address("http");
+}
+
+void site::start_agents(const std::vector<agent_plan>& plans) {
+    std::map<std::string, std::uint32_t> taken_slots;
+    for (const auto& plan : plans) {
+        running_agent row;
+        row.plan = plan;
+        row.slot = taken_slots[plan.pool]++;
+        const std::string program = is_service_pool(plan.pool) ? "standin-service" : "standin-engine";
+        row.backend = std::make_unique<child_process>(program, plan.backend_arguments);
+        row.backend_address = row.backend->address("http");
+        this->start_process(row, "127.0.0.1:0", "127.0.0.1:0");
+        row.reached_at = row.grpc;
+        if (plan.behind_proxy) {
+            row.proxy = std::make_unique<child_process>("standin-proxy",
+                                                        std::vector<std::string>{"--target", row.grpc});
+            row.reached_at = row.proxy->address("proxy");
+        }
+        this->agents[plan.host] = std::move(row);
+    }
+    this->write_pools();
+}
+
+void site::write_pools(const std::string& draining_host) {
+    for (const std::string pool : {"helper", "orders"}) {
+        nlohmann::json json{{"kind", is_service_pool(pool) ? "service" : "model"},
+                            {"region", "east-midlands"},
+                            {"slots", slots},
+                            {"agents", nlohmann::json::array()}};
+        if (!is_service_pool(pool)) {
+            json["model"] = "helper-7b";
+        }
+        for (const auto& [host, row] : this->agents) {
+            if (row.plan.pool == pool) {
+                json["agents"].push_back({{"host", host},
+                                          {"data_centre", "nottm-a"},
+                                          {"address", row.reached_at},
+                                          {"slot", row.slot},
+                                          {"draining", host == draining_host}});
+            }
+        }
+        this->put_entry("pool/" + pool, json.dump());
+    }
+}
+
+void site::write_members() {
+    for (const auto& [name, key] :
+         std::map<std::string, std::string>{{"midlands", midlands_key}, {"yesil", yesil_key}}) {
+        const nlohmann::json json{
+            {"key_digests", {sha256_hex(key)}},
+            {"caps",
+             {{{"pool", "helper"}, {"pieces", helper_cap}}, {{"pool", "orders"}, {"pieces", orders_cap}}}}};
+        this->put_entry("member/" + name, json.dump());
+    }
+}
+
+void site::write_work() {
+    const auto write =
+        [this](const std::string& name, const std::string& owner, const std::string& pool, bool idempotent) {
+            const nlohmann::json json{{"owner", owner},
+                                      {"class", name},
+                                      {"pool", pool},
+                                      {"idempotent", idempotent},
+                                      {"deadline_ms", 30'000}};
+            this->put_entry("work/" + name, json.dump());
+        };
+    write("swatch", "midlands", "helper", true);
+    write("gel-order", "midlands", "orders", false);
+    write("stock", "midlands", "orders", true);
+    write("rulebook", "yesil", "helper", true);
+}
+
+void site::start_entry_only(const std::string& host) {
+    std::string seeds;
+    for (const auto& [agent_host, row] : this->agents) {
+        seeds += (seeds.empty() ? "" : ", ") + row.reached_at;
+    }
+    const std::string path = this->write_settings(host,
+                                                  "[entry]\nhost = " + host +
+                                                      "\ndata_centre = nottm-a\nregion = east-midlands\n"
+                                                      "[http]\nlisten = 127.0.0.1:0\n"
+                                                      "[platform]\naddress = " +
+                                                      this->platform_http +
+                                                      "\nhost_list_interval_ms = 100\n"
+                                                      "timeout_ms = 500\n[peers]\nagents = " +
+                                                      seeds + "\n");
+    this->entries[host] =
+        std::make_unique<child_process>("tanager-entry", std::vector<std::string>{"--config", path});
+    this->entry_http[host] = this->entries[host]->address("http");
+}
+
+void site::start_entry(const std::string& host) {
+    this->start_entry_only(host);
+    this->wait_ready(this->entry_http[host]);
+    for (const auto& [agent_host, row] : this->agents) {
+        this->wait_ready(row.pages);
+        this->entries[host]->wait_for_line("agent_connected host=" + agent_host);
+    }
+}
+
+void site::restart_agent(const std::string& host, int signal_number) {
+    auto& row = this->agents.at(host);
+    row.process->send_signal(signal_number);
+    row.process->wait();
+    const std::string listen = row.grpc;
+    const std::string http_listen = row.pages;
+    this->start_process(row, listen, http_listen);
+}
+
+void site::wait_ready(const std::string& address) {
+    this->caller.poll_until(
+        address, "/healthz", [](const http_reply& reply) { return reply.status == status_ok; });
+}
+
+std::uint64_t site::put_entry(const std::string& object_name, const std::string& json) {
+    const std::string path = "/v1/objects/catalogue/" + object_name;
+    const auto standing = this->caller.get(this->platform_http, path);
+    const auto version = standing.status == status_ok
+                             ? nlohmann::json::parse(standing.body).at("version").get<std::uint64_t>()
+                             : 0;
+    const auto written = this->caller.fetch(this->platform_http,
+                                            {"PUT", path + "?expected=" + std::to_string(version), {}, json});
+    if (written.status != status_ok) {
+        throw std::runtime_error("cannot write " + object_name);
+    }
+    return nlohmann::json::parse(written.body).at("version").get<std::uint64_t>();
+}
+
+void site::put_hosts(const std::string& json) {
+    this->caller.post(this->platform_http, "/v1/hosts", json);
+}
+
+child_process& site::agent(const std::string& host) {
+    return *this->agents.at(host).process;
+}
+
+child_process& site::backend(const std::string& host) {
+    return *this->agents.at(host).backend;
+}
+
+child_process& site::entry(const std::string& host) {
+    return *this->entries.at(host);
+}
+
+std::string site::platform_address() const {
+    return this->platform_http;
+}
+
+std::string site::entry_address(const std::string& host) {
+    return this->entry_http.at(host);
+}
+
+std::string site::agent_address(const std::string& host) {
+    return this->agents.at(host).grpc;
+}
+
+std::string site::agent_pages(const std::string& host) {
+    return this->agents.at(host).pages;
+}
+
+std::string site::backend_address(const std::string& host) {
+    return this->agents.at(host).backend_address;
+}
+
+std::string site::proxy_control(const std::string& host) {
+    return this->agents.at(host).proxy->address("http");
+}
+
+std::uint64_t site::runs_of(const std::string& host, const std::string& work) {
+    const auto runs = nlohmann::json::parse(this->caller.get(this->backend_address(host), "/runs").body);
+    return runs.at("by_work").value(work, std::uint64_t{0});
+}
+
+void site::check_invariants() {
+    for (const auto& [host, row] : this->agents) {
+        if (row.process->has_line("invariant_violated")) {
+            throw std::runtime_error(host + " broke an invariant");
+        }
+    }
+    for (const auto& [host, process] : this->entries) {
+        if (process->has_line("invariant_violated")) {
+            throw std::runtime_error(host + " broke an invariant");
+        }
+    }
+}
+
+} // namespace tanager::testing
--- /dev/null
+++ b/tests/support/site.h
@@ -0,0 +1,107 @@
+// A small site of real processes on loopback.
+#pragma once
+
+#include "tests/support/child_process.h"
+#include "tests/support/site_caller.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace tanager::testing {
+
+inline constexpr const char* midlands_key = "midlands-test-key";
+inline constexpr const char* yesil_key = "yesil-test-key";
+
+// How an agent and its backend server are started.
+struct agent_plan {
+    std::string host;
+    std::string pool;
+    std::vector<std::string> backend_arguments;
+    std::uint32_t capacity_pieces = 64;
+    bool behind_proxy = false; // entries reach the agent through a fault-injecting proxy
+};
+
+// Members `midlands` and `yesil`; pools `helper` (model) and `orders` (plain service); work `swatch`
+// (idempotent, helper), `gel-order` (not idempotent, orders) and `stock` (idempotent, orders) of midlands,
+// and `rulebook` (idempotent, helper) of yesil.
+class site {
+public:
+    site();
+    ~site();
+    site(const site&) = delete;
+    site& operator=(const site&) = delete;
+    site(site&&) = delete;
+    site& operator=(site&&) = delete;
+
+    // Starts backend servers and agents, and writes the catalogue for them.
+    void start_agents(const std::vector<agent_plan>& plans);
+
+    // Starts an entry and waits until it has heard of every agent.
+    void start_entry(const std::string& host);
+
+    // Starts an entry without waiting for anything.
+    void start_entry_only(const std::string& host);
+
+    // Ends an agent's process by a signal and starts another one on the same port.
+    void restart_agent(const std::string& host, int signal_number);
+
+    // Waits until a page of a process answers 200.
+    void wait_ready(const std::string& address);
+
+    // Writes a catalogue entry over whatever stands; returns its version.
+    std::uint64_t put_entry(const std::string& object_name, const std::string& json);
+
+    // Writes the platform's host list.
+    void put_hosts(const std::string& json);
+
+    child_process& agent(const std::string& host);
+    child_process& backend(const std::string& host);
+    child_process& entry(const std::string& host);
+
+    std::string platform_address() const;
+    std::string entry_address(const std::string& host);
+    std::string agent_address(const std::string& host); // gRPC
+    std::string agent_pages(const std::string& host);   // HTTP
+    std::string backend_address(const std::string& host);
+    std::string proxy_control(const std::string& host);
+
+    // Writes the two pools anew, for instance with a draining host.
+    void write_pools(const std::string& draining_host = {});
+
+    // Returns how often a backend server ran a piece of work.
+    std::uint64_t runs_of(const std::string& host, const std::string& work);
+
+    // Throws when any process has logged a broken invariant.
+    void check_invariants();
+
+    site_caller caller;
+
+private:
+    struct running_agent {
+        agent_plan plan;
+        std::uint32_t slot = 0;
+        std::unique_ptr<child_process> backend;
+        std::unique_ptr<child_process> process;
+        std::unique_ptr<child_process> proxy;
+        std::string backend_address;
+        std::string grpc;
+        std::string pages;
+        std::string reached_at; // the agent's own address, or its proxy's
+    };
+
+    void start_process(running_agent& row, const std::string& listen, const std::string& http_listen);
+    std::string write_settings(const std::string& host, const std::string& text) const;
+    void write_members();
+    void write_work();
+
+    std::string folder;
+    std::unique_ptr<child_process> platform;
+    std::string platform_http;
+    std::map<std::string, running_agent> agents;
+    std::map<std::string, std::unique_ptr<child_process>> entries;
+    std::map<std::string, std::string> entry_http;
+};
+
+} // namespace tanager::testing
--- /dev/null
+++ b/tests/support/site_caller.cpp
@@ -0,0 +1,160 @@
+#include "tests/support/site_caller.h"
+
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+namespace tanager::testing {
+
+namespace {
+
+constexpr std::chrono::seconds longest_wait{60};
+constexpr std::chrono::seconds call_timeout{60};
+
+// Collects into a pending answer, so that a test can look at it while it grows.
+class answer_collector final : public http_reply_handler {
+public:
+    explicit answer_collector(std::shared_ptr<pending_answer> answer) : answer(std::move(answer)) {}
+
+    void on_head(int status, const http_headers& headers) override {
+        this->head = {status, headers, {}};
+    }
+
+    void on_data(std::string_view data) override {
+        this->answer->partial += data;
+    }
+
+    void on_end() override {
+        this->head.body = this->answer->partial;
+        this->answer->reply = this->head;
+    }
+
+    void on_failure(const http_failure& failure) override {
+        this->answer->failure = failure;
+    }
+
+private:
+    std::shared_ptr<pending_answer> answer;
+    http_reply head;
+};
+
+std::string text_of_choice(const nlohmann::json& choice) {
+    if (choice.contains("text")) {
+        return choice["text"].get<std::string>();
+    }
+    const auto& part = choice.contains("delta") ? choice["delta"] : choice["message"];
+    return part.value("content", std::string{});
+}
+
+std::string text_of_json(const std::string& text) {
+    const auto json = nlohmann::json::parse(text, nullptr, false);
+    return json.is_object() && json.contains("choices") ? text_of_choice(json["choices"][0]) : std::string{};
+}
+
+} // namespace
+
+bool pending_answer::is_settled() const {
+    return this->reply.has_value() || this->failure.has_value();
+}
+
+site_caller::site_caller()
+    : own_loop(std::move(*event_loop::create())), client(http_client::create(*this->own_loop)) {}
+
+std::shared_ptr<pending_answer> site_caller::start(const std::string& address, const http_request& request) {
+    auto answer = std::make_shared<pending_answer>();
+    answer->call = this->client->start(
+        *parse_address(address), request, {call_timeout, false}, std::make_shared<answer_collector>(answer));
+    return answer;
+}
+
+void site_caller::run_until(const std::function<bool()>& condition) {
+    const auto deadline = std::chrono::steady_clock::now() + longest_wait;
+    const auto ticks =
+        this->own_loop->run_every(std::chrono::milliseconds{5}, [] {}); // NOLINT(*-magic-numbers)
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() > deadline) {
+            throw std::runtime_error("the awaited condition did not come true");
+        }
+        this->own_loop->run_once();
+    }
+}
+
+http_reply site_caller::fetch(const std::string& address, const http_request& request) {
+    const auto answer = this->start(address, request);
+    this->run_until([&] { return answer->is_settled(); });
+    if (!answer->reply) {
+        throw std::runtime_error("no answer from " + address + ": " + answer->failure->cause.detail);
+    }
+    return *answer->reply;
+}
+
+http_reply site_caller::get(const std::string& address, const std::string& path) {
+    return this->fetch(address, {"GET", path, {}, {}});
+}
+
+http_reply site_caller::post(const std::string& address, const std::string& path, const std::string& body) {
+    return this->fetch(address, {"POST", path, {}, body});
+}
+
+void site_caller::poll_until(const std::string& address,
+                             const std::string& path,
+                             const std::function<bool(const http_reply&)>& condition) {
+    const auto deadline = std::chrono::steady_clock::now() + longest_wait;
+    while (!condition(this->get(address, path))) {
+        if (std::chrono::steady_clock::now() > deadline) {
+            throw std::runtime_error("the awaited page did not appear at " + address + path);
+        }
+    }
+}
+
+event_loop& site_caller::loop() {
+    return *this->own_loop;
+}
+
+http_request completion(const std::string& key,
+                        const std::string& work,
+                        const std::string& prompt,
+                        std::uint32_t tokens,
+                        bool stream) {
+    const nlohmann::json body{
+        {"model", work}, {"prompt", prompt}, {"max_tokens", tokens}, {"stream", stream}};
+    return {"POST", "/v1/completions", {{"Authorization", "Bearer " + key}}, body.dump()};
+}
+
+http_request service_call(const std::string& key,
+                          const std::string& work,
+                          const std::string& body,
+                          const std::string& idempotency_key) {
+    http_request request{"POST", "/services/" + work + "/", {{"Authorization", "Bearer " + key}}, body};
+    if (!idempotency_key.empty()) {
+        request.headers.push_back({"Idempotency-Key", idempotency_key});
+    }
+    return request;
+}
+
+std::string text_of(const http_reply& reply) {
+    if (!find_header(reply.headers, "Content-Type").starts_with("text/event-stream")) {
+        return text_of_json(reply.body);
+    }
+    std::string text;
+    constexpr std::string_view prefix = "data: ";
+    std::size_t begin = 0;
+    while (begin < reply.body.size()) {
+        const auto end = std::min(reply.body.find('\n', begin), reply.body.size());
+        const std::string line = reply.body.substr(begin, end - begin);
+        if (line.starts_with(prefix)) {
+            text += text_of_json(line.substr(prefix.size()));
+        }
+        begin = end + 1;
+    }
+    return text;
+}
+
+double metric(const http_reply& page, const std::string& series) {
+    const auto begin = page.body.find("\n" + series + " ");
+    if (begin == std::string::npos) {
+        return 0;
+    }
+    return std::stod(page.body.substr(begin + series.size() + 2));
+}
+
+} // namespace tanager::testing
--- /dev/null
+++ b/tests/support/site_caller.h
@@ -0,0 +1,71 @@
+// A caller that drives its own loop until its answers are there.
+#pragma once
+
+#include "net/event_loop.h"
+#include "net/http_client.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace tanager::testing {
+
+// An answer under way or received.
+struct pending_answer {
+    std::optional<http_reply> reply;
+    std::optional<http_failure> failure;
+    std::string partial; // the body so far
+    std::shared_ptr<http_call> call;
+
+    bool is_settled() const;
+};
+
+class site_caller {
+public:
+    site_caller();
+
+    // Starts a call.
+    std::shared_ptr<pending_answer> start(const std::string& address, const http_request& request);
+
+    // Serves events until a condition holds; throws after a minute.
+    void run_until(const std::function<bool()>& condition);
+
+    // Makes a call and waits for its answer; throws when the connection fails.
+    http_reply fetch(const std::string& address, const http_request& request);
+
+    http_reply get(const std::string& address, const std::string& path);
+    http_reply post(const std::string& address, const std::string& path, const std::string& body = {});
+
+    // Asks for a page again and again until its body satisfies a condition.
+    void poll_until(const std::string& address,
+                    const std::string& path,
+                    const std::function<bool(const http_reply&)>& condition);
+
+    event_loop& loop();
+
+private:
+    std::unique_ptr<event_loop> own_loop;
+    std::unique_ptr<http_client> client;
+};
+
+// Returns a streamed or whole completion request.
+http_request completion(const std::string& key,
+                        const std::string& work,
+                        const std::string& prompt,
+                        std::uint32_t tokens,
+                        bool stream);
+
+// Returns a call of a plain service.
+http_request service_call(const std::string& key,
+                          const std::string& work,
+                          const std::string& body,
+                          const std::string& idempotency_key = {});
+
+// Returns the generated text in a streamed or whole completion.
+std::string text_of(const http_reply& reply);
+
+// Returns the number that follows a series' name in a /metrics page; 0 when it is not there.
+double metric(const http_reply& page, const std::string& series);
+
+} // namespace tanager::testing
--- /dev/null
+++ b/tests/tests/leaving_tests.cpp
@@ -0,0 +1,190 @@
+// Processes and hosts that leave by plan: no request is cut, and no new work arrives.
+#include "standins/support/standin_text.h"
+#include "testing/story.h"
+#include "tests/support/site.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <csignal>
+
+namespace tanager::testing {
+
+namespace {
+
+// Keeps a number of completions running at one entry and checks each answer.
+class steady_load {
+public:
+    steady_load(site& place, std::string entry, std::size_t width)
+        : place(place), entry(std::move(entry)), width(width) {}
+
+    // Tops the load up and checks what has ended.
+    void turn() {
+        for (std::size_t i = 0; i < this->running.size();) {
+            if (!this->running[i].answer->is_settled()) {
+                ++i;
+                continue;
+            }
+            this->check(this->running[i]);
+            this->running.erase(this->running.begin() + static_cast<std::ptrdiff_t>(i));
+        }
+        while (!this->is_ending && this->running.size() < this->width) {
+            const auto prompt = "load " + std::to_string(++this->last);
+            const auto request = completion(midlands_key, "swatch", prompt, 20, this->last % 2 == 0);
+            this->running.push_back({prompt, this->place.caller.start(this->entry, request)});
+        }
+    }
+
+    void run_until(const std::function<bool()>& condition) {
+        this->place.caller.run_until([&] {
+            this->turn();
+            return condition();
+        });
+    }
+
+    // Runs a number of further requests.
+    void run_more(std::size_t count) {
+        const std::size_t goal = this->whole + count;
+        this->run_until([&] { return this->whole >= goal; });
+    }
+
+    void end() {
+        this->is_ending = true;
+        this->run_until([&] { return this->running.empty(); });
+    }
+
+    std::size_t whole = 0;
+    std::vector<std::string> failures;
+
+private:
+    struct running_request {
+        std::string prompt;
+        std::shared_ptr<pending_answer> answer;
+    };
+
+    void check(const running_request& ended) {
+        const bool is_whole =
+            ended.answer->reply && text_of(*ended.answer->reply) == standin::make_answer(ended.prompt, 20);
+        if (is_whole) {
+            ++this->whole;
+        } else {
+            this->failures.push_back(
+                ended.prompt + ": " +
+                (ended.answer->reply ? ended.answer->reply->body : ended.answer->failure->cause.detail));
+        }
+    }
+
+    site& place;
+    std::string entry;
+    std::size_t width;
+    std::uint64_t last = 0;
+    bool is_ending = false;
+    std::vector<running_request> running;
+};
+
+void assert_no_failures(const steady_load& load) {
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(
+        load.failures.empty() ? "" : load.failures.front(), std::size_t{0}, load.failures.size());
+}
+
+const std::vector<std::string> quick_engine{"--token-microseconds", "2000"};
+
+} // namespace
+
+class leaving_tests : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(leaving_tests);
+    CPPUNIT_TEST(agents_are_replaced_under_load);
+    CPPUNIT_TEST(a_drained_host_gets_no_new_work);
+    CPPUNIT_TEST(a_host_listed_as_leaving_gets_no_new_work);
+    CPPUNIT_TEST(an_entry_stops_gracefully);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void agents_are_replaced_under_load() {
+        site place;
+        place.start_agents(
+            {{"m1", "helper", quick_engine}, {"m2", "helper", quick_engine}, {"m3", "helper", quick_engine}});
+        place.start_entry("e1");
+        steady_load load(place, place.entry_address("e1"), 24);
+        load.run_more(50);
+        for (const std::string host : {"m1", "m2", "m3"}) {
+            section(host + " is replaced", [&] {
+                auto& leaving = place.agent(host);
+                leaving.send_signal(SIGTERM);
+                load.run_until([&] { return leaving.has_line("program_stopped"); });
+                CPPUNIT_ASSERT_EQUAL(0, leaving.wait());
+                place.restart_agent(host, SIGCONT);
+                load.run_until(
+                    [&] { return place.caller.get(place.agent_pages(host), "/healthz").status == 200; });
+                load.run_more(50);
+            });
+        }
+        load.end();
+        assert_no_failures(load);
+        place.check_invariants();
+    }
+
+    void a_drained_host_gets_no_new_work() {
+        site place;
+        place.start_agents({{"m1", "helper", quick_engine}, {"m2", "helper", quick_engine}});
+        place.start_entry("e1");
+        steady_load load(place, place.entry_address("e1"), 8);
+        load.run_more(20);
+        place.write_pools("m1");
+        const auto is_drained = [&] {
+            return place.caller.get(place.agent_pages("m1"), "/healthz").status == 503 &&
+                   place.caller.get(place.backend_address("m1"), "/load").body.find("\"running\":0") !=
+                       std::string::npos;
+        };
+        load.run_until(is_drained);
+        const auto runs_before = place.caller.get(place.backend_address("m1"), "/runs").body;
+        load.run_more(40);
+        CPPUNIT_ASSERT_EQUAL(runs_before, place.caller.get(place.backend_address("m1"), "/runs").body);
+        section("until the drain is taken back", [&] {
+            place.write_pools();
+            load.run_until(
+                [&] { return place.caller.get(place.backend_address("m1"), "/runs").body != runs_before; });
+        });
+        load.end();
+        assert_no_failures(load);
+        place.check_invariants();
+    }
+
+    void a_host_listed_as_leaving_gets_no_new_work() {
+        site place;
+        place.start_agents({{"m1", "helper", quick_engine}, {"m2", "helper", quick_engine}});
+        place.start_entry("e1");
+        steady_load load(place, place.entry_address("e1"), 8);
+        load.run_more(20);
+        place.put_hosts(
+            R"({"hosts":[{"host":"m1","data_centre":"nottm-a","group":"helper","state":"leaving"}]})");
+        load.run_until([&] { return place.agent("m1").has_line("agent_leaving"); });
+        load.run_until([&] {
+            return place.caller.get(place.backend_address("m1"), "/load").body.find("\"running\":0") !=
+                   std::string::npos;
+        });
+        const auto runs_before = place.caller.get(place.backend_address("m1"), "/runs").body;
+        load.run_more(40);
+        CPPUNIT_ASSERT_EQUAL(runs_before, place.caller.get(place.backend_address("m1"), "/runs").body);
+        load.end();
+        assert_no_failures(load);
+        place.check_invariants();
+    }
+
+    void an_entry_stops_gracefully() {
+        site place;
+        place.start_agents({{"m1", "helper", {"--token-microseconds", "10000"}}});
+        place.start_entry("e1");
+        const auto answer = place.caller.start(place.entry_address("e1"),
+                                               completion(midlands_key, "swatch", "until the end", 60, true));
+        place.caller.run_until([&] { return !answer->partial.empty(); });
+        place.entry("e1").send_signal(SIGTERM);
+        place.caller.run_until([&] { return answer->is_settled(); });
+        CPPUNIT_ASSERT(answer->reply.has_value());
+        CPPUNIT_ASSERT_EQUAL(standin::make_answer("until the end", 60), text_of(*answer->reply));
+        CPPUNIT_ASSERT_EQUAL(0, place.entry("e1").wait());
+        place.check_invariants();
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(leaving_tests);
+
+} // namespace tanager::testing
