--- a/src/agent/agent_setup.cpp
+++ b/src/agent/agent_setup.cpp
@@ -59,6 +59,7 @@
                           this->queue_stage),
           shares(settings.host, this->known, this->ledger, this->status),
           hub(loop,
+              this->time,
               settings,
               this->incarnation,
               this->known,
--- a/src/agent/internal/entry_hub.cpp
+++ b/src/agent/internal/entry_hub.cpp
@@ -14,6 +14,7 @@
 } // namespace
 
 entry_hub::entry_hub(event_loop& loop,
+                     const clock& time,
                      const agent_settings& settings,
                      std::uint64_t incarnation,
                      catalogue& known,
@@ -21,44 +22,54 @@
                      agent_status& status,
                      claim_windows& windows,
                      std::function<std::size_t()> queue_size)
-    : loop(loop),
+    : time(time),
       settings(settings),
       incarnation(incarnation),
       known(known),
       ledger(ledger),
       status(status),
       windows(windows),
-      queue_size(std::move(queue_size))
+      queue_size(std::move(queue_size)),
+      ticks(loop.run_every(settings.shortest_report_interval, [this] { this->on_tick(); }))
 {
-    this->on_tick();
 }
 
-std::chrono::milliseconds entry_hub::report_interval() const
+std::chrono::milliseconds entry_hub::affordable_interval() const
 {
     constexpr std::size_t milliseconds_per_second = 1'000;
-    const std::size_t bytes_per_round = this->streams.size() * typical_report_bytes;
+    const std::size_t bytes_per_round = this->entries.size() * typical_report_bytes;
     const std::chrono::milliseconds affordable{bytes_per_round * milliseconds_per_second /
                                                this->settings.control_bytes_per_second};
     return std::max(this->settings.shortest_report_interval, affordable);
 }
 
+std::chrono::milliseconds entry_hub::interval_of(const connected_entry& entry) const
+{
+    return std::max(this->affordable_interval(), entry.wanted_interval);
+}
+
 void entry_hub::on_tick()
 {
-    this->broadcast();
-    this->ticks = this->loop.run_after(this->report_interval(), [this] { this->on_tick(); });
+    const auto now = this->time.now();
+    for (auto& [id, entry] : this->entries) {
+        if (entry.next_report <= now) {
+            this->send(entry, this->make_report());
+        }
+    }
 }
 
 void entry_hub::add(const std::shared_ptr<entry_stream>& stream)
 {
     const std::uint64_t id = ++this->last_id;
-    this->streams.emplace(id, stream);
-    write_event(log_event::entry_connected, {{"entries", std::to_string(this->streams.size())}});
+    auto& entry = this->entries[id];
+    entry.stream = stream;
+    write_event(log_event::entry_connected, {{"entries", std::to_string(this->entries.size())}});
     stream->on_message([this, id](const protocol::entry_message& message) { this->on_message(id, message); });
     stream->on_closed([this, id] {
-        this->streams.erase(id);
-        write_event(log_event::entry_disconnected, {{"entries", std::to_string(this->streams.size())}});
+        this->entries.erase(id);
+        write_event(log_event::entry_disconnected, {{"entries", std::to_string(this->entries.size())}});
     });
-    this->send(id, this->make_report());
+    this->send(entry, this->make_report());
 }
 
 protocol::agent_message entry_hub::make_report() const
@@ -72,7 +83,6 @@
     report.set_capacity_pieces(this->ledger.capacity());
     report.set_used_pieces(this->ledger.used());
     report.set_queued_requests(static_cast<std::uint32_t>(this->queue_size()));
-    report.set_report_interval_milliseconds(static_cast<std::uint32_t>(this->report_interval().count()));
     // Entries know the shares from the catalogue; idle members would only fill the report.
     for (const auto& row : this->ledger.usage()) {
         if (row.used == 0) {
@@ -86,26 +96,30 @@
     return report;
 }
 
-void entry_hub::send(std::uint64_t id, const protocol::agent_message& message)
+void entry_hub::send(connected_entry& entry, protocol::agent_message message)
 {
-    const auto found = this->streams.find(id);
-    if (found != this->streams.end()) {
-        this->bytes += message.ByteSizeLong() + framing_bytes;
-        found->second->send(message);
-    }
+    const auto interval = this->interval_of(entry);
+    message.set_report_interval_milliseconds(static_cast<std::uint32_t>(interval.count()));
+    this->bytes += message.ByteSizeLong() + framing_bytes;
+    entry.next_report = this->time.now() + interval;
+    entry.stream->send(message);
 }
 
 void entry_hub::broadcast()
 {
     const auto report = this->make_report();
-    for (const auto& [id, stream] : this->streams) {
-        this->bytes += report.ByteSizeLong() + framing_bytes;
-        stream->send(report);
+    for (auto& [id, entry] : this->entries) {
+        this->send(entry, report);
     }
 }
 
 void entry_hub::on_message(std::uint64_t id, const protocol::entry_message& message)
 {
+    const auto sender = this->entries.find(id);
+    if (sender == this->entries.end()) {
+        return;
+    }
+    sender->second.wanted_interval = std::chrono::milliseconds{message.report_interval_milliseconds()};
     for (const auto& row : message.claim_windows()) {
         this->windows.note(row.shard(), row.window());
     }
@@ -134,21 +148,22 @@
     if (message.has_pull()) {
         fill_message(this->known.changes_since(message.pull().since()), *answer.mutable_delta());
     }
-    this->send(id, answer);
+    this->send(sender->second, std::move(answer));
 }
 
 void entry_hub::close_all()
 {
     this->ticks.reset();
-    const auto closing = this->streams;
-    for (const auto& [id, stream] : closing) {
-        stream->close();
+    // Closing a stream may remove its row at once.
+    const auto closing = this->entries;
+    for (const auto& [id, entry] : closing) {
+        entry.stream->close();
     }
 }
 
 std::size_t entry_hub::size() const
 {
-    return this->streams.size();
+    return this->entries.size();
 }
 
 std::uint64_t entry_hub::sent_bytes() const
--- a/src/agent/internal/entry_hub.h
+++ b/src/agent/internal/entry_hub.h
@@ -18,6 +18,7 @@
 class entry_hub {
 public:
     entry_hub(event_loop& loop,
+              const clock& time,
               const agent_settings& settings,
               std::uint64_t incarnation,
               catalogue& known,
@@ -42,11 +43,20 @@
 private:
     void on_message(std::uint64_t id, const protocol::entry_message& message);
     void on_tick();
+    struct connected_entry {
+        std::shared_ptr<entry_stream> stream;
+        std::chrono::milliseconds wanted_interval{0};
+        time_point next_report;
+    };
+
     protocol::agent_message make_report() const;
-    std::chrono::milliseconds report_interval() const;
-    void send(std::uint64_t id, const protocol::agent_message& message);
 
-    event_loop& loop;
+    // Returns the interval that this agent's control bytes allow, with so many entries.
+    std::chrono::milliseconds affordable_interval() const;
+    std::chrono::milliseconds interval_of(const connected_entry& entry) const;
+    void send(connected_entry& entry, protocol::agent_message message);
+
+    const clock& time;
     agent_settings settings;
     std::uint64_t incarnation;
     catalogue& known;
@@ -54,7 +64,7 @@
     agent_status& status;
     claim_windows& windows;
     std::function<std::size_t()> queue_size;
-    std::map<std::uint64_t, std::shared_ptr<entry_stream>> streams;
+    std::map<std::uint64_t, connected_entry> entries;
     std::uint64_t last_id = 0;
     std::uint64_t bytes = 0;
     std::unique_ptr<loop_timer> ticks;
--- a/src/entry/internal/agent_directory.cpp
+++ b/src/entry/internal/agent_directory.cpp
@@ -14,6 +14,8 @@
 constexpr int missed_reports = 3;
 constexpr std::chrono::milliseconds report_grace{500};
 constexpr std::chrono::milliseconds pull_patience{500};
+// Time between two reports over all agents, which bounds an entry's processor time for them.
+constexpr std::chrono::milliseconds report_spacing{25};
 
 std::uint32_t less_or_zero(std::uint32_t from, std::uint32_t amount)
 {
@@ -130,6 +132,8 @@
     message.set_entry_incarnation(this->incarnation);
     message.set_entry_host(this->settings.host);
     message.set_catalogue_revision(this->known.revision());
+    const std::chrono::milliseconds interval = report_spacing * this->links_by_address.size();
+    message.set_report_interval_milliseconds(static_cast<std::uint32_t>(interval.count()));
     for (const auto& [shard, window] : this->claim_windows) {
         auto* const row = message.add_claim_windows();
         row->set_shard(shard);
