Let the frames of one turn of the loop travel together

Cause: an answer of 8 tokens crossed from agent to entry in 10 frames, each a wake-up of four threads; perf showed futexes and context switches on top. Change: a frame may carry head, data and end together; an agent's stream writes once the loop has served what is at hand.

--- a/src/agent/internal/grpc_answer_stream.cpp
+++ b/src/agent/internal/grpc_answer_stream.cpp
@@ -1,5 +1,7 @@
 #include "agent/internal/grpc_answer_stream.h"
 
+#include "answers/answer_sequencer.h"
+
 namespace tanager {
 
 namespace {
@@ -8,7 +10,10 @@
 
 } // namespace
 
-grpc_answer_stream::grpc_answer_stream(grpc_answer_reactor* reactor) : reactor(reactor) {}
+grpc_answer_stream::grpc_answer_stream(event_loop& loop, grpc_answer_reactor* reactor)
+    : loop(loop), reactor(reactor)
+{
+}
 
 void grpc_answer_stream::write(protocol::answer_frame frame)
 {
@@ -17,14 +22,24 @@
     }
     const std::size_t bytes = frame.data().size();
     this->queue_bytes += bytes;
-    const bool may_join = !this->queue.empty() && frame.has_data() && this->queue.back().has_data() &&
-                          this->queue.back().data().size() + bytes <= longest_joined_frame_bytes;
-    if (may_join) {
-        this->queue.back().mutable_data()->append(frame.data());
-    } else {
+    const bool is_joined = !this->queue.empty() &&
+                           answer_sequencer::try_join(this->queue.back(), frame, longest_joined_frame_bytes);
+    if (!is_joined) {
         this->queue.push_back(std::move(frame));
     }
-    this->start_next();
+    this->schedule_flush();
+}
+
+void grpc_answer_stream::schedule_flush()
+{
+    if (this->is_flush_due) {
+        return;
+    }
+    this->is_flush_due = true;
+    this->loop.post([self = this->shared_from_this()] {
+        self->is_flush_due = false;
+        self->start_next();
+    });
 }
 
 void grpc_answer_stream::start_next()
@@ -63,7 +78,7 @@
     this->is_finished = true;
     this->drained_callback = nullptr;
     this->cancelled_callback = nullptr;
-    this->start_next();
+    this->schedule_flush();
 }
 
 void grpc_answer_stream::end_call()
@@ -103,7 +118,7 @@
 }
 
 grpc_answer_reactor::grpc_answer_reactor(event_loop& loop)
-    : loop(loop), core(std::make_shared<grpc_answer_stream>(this))
+    : loop(loop), core(std::make_shared<grpc_answer_stream>(loop, this))
 {
 }
 
--- a/src/agent/internal/grpc_answer_stream.h
+++ b/src/agent/internal/grpc_answer_stream.h
@@ -16,7 +16,7 @@
 class grpc_answer_stream final : public answer_stream,
                                  public std::enable_shared_from_this<grpc_answer_stream> {
 public:
-    explicit grpc_answer_stream(grpc_answer_reactor* reactor);
+    grpc_answer_stream(event_loop& loop, grpc_answer_reactor* reactor);
 
     void write(protocol::answer_frame frame) override;
     void finish() override;
@@ -29,10 +29,14 @@
     void note_cancelled();
 
 private:
+    // Starts to write once the loop has served what is at hand, so that frames of one turn travel together.
+    void schedule_flush();
     void start_next();
     void end_call();
 
+    event_loop& loop;
     grpc_answer_reactor* reactor;
+    bool is_flush_due = false;
     std::deque<protocol::answer_frame> queue;
     std::size_t queue_bytes = 0;
     protocol::answer_frame in_flight;
--- a/src/answers/answer_sequencer.h
+++ b/src/answers/answer_sequencer.h
@@ -24,6 +24,10 @@
     // Ends the attempt without a whole answer.
     protocol::answer_frame make_failure(const error& cause, bool not_run) const;
 
+    // Adds a frame to the one before it, if the two fit into one of at most `longest` bytes of data.
+    static bool
+    try_join(protocol::answer_frame& before, const protocol::answer_frame& next, std::size_t longest);
+
 private:
     protocol::answer_frame make_frame() const;
 
--- a/src/answers/internal/answer_assembler.cpp
+++ b/src/answers/internal/answer_assembler.cpp
@@ -12,23 +12,26 @@
     if (this->ended || this->failed) {
         return frame_verdict::duplicate;
     }
-    switch (frame.part_case()) {
-    case protocol::answer_frame::kHead: {
-        const bool is_first = !this->head_seen;
-        this->head_seen = true;
-        return is_first ? frame_verdict::pass : frame_verdict::duplicate;
+    const bool is_empty =
+        !frame.has_head() && frame.data().empty() && !frame.has_end() && !frame.has_failure();
+    if (is_empty) {
+        return frame_verdict::mismatch;
+    }
+    if (frame.has_head() && this->head_seen) {
+        return frame_verdict::duplicate;
     }
-    case protocol::answer_frame::kData:
-        return this->accept_data(frame);
-    case protocol::answer_frame::kEnd:
+    this->head_seen = this->head_seen || frame.has_head();
+    if (!frame.data().empty()) {
+        const auto verdict = this->accept_data(frame);
+        if (verdict != frame_verdict::pass) {
+            return verdict;
+        }
+    }
+    if (frame.has_end()) {
         return this->accept_end(frame);
-    case protocol::answer_frame::kFailure:
-        this->failed = true;
-        return frame_verdict::pass;
-    case protocol::answer_frame::PART_NOT_SET:
-        break;
     }
-    return frame_verdict::mismatch;
+    this->failed = frame.has_failure();
+    return frame_verdict::pass;
 }
 
 frame_verdict answer_assembler::accept_data(const protocol::answer_frame& frame)
--- a/src/answers/internal/answer_sequencer.cpp
+++ b/src/answers/internal/answer_sequencer.cpp
@@ -45,4 +45,22 @@
     return frame;
 }
 
+bool answer_sequencer::try_join(protocol::answer_frame& before,
+                                const protocol::answer_frame& next,
+                                std::size_t longest)
+{
+    const bool is_open = !before.has_end() && !before.has_failure() && !next.has_head();
+    if (!is_open || before.data().size() + next.data().size() > longest) {
+        return false;
+    }
+    before.mutable_data()->append(next.data());
+    if (next.has_end()) {
+        *before.mutable_end() = next.end();
+    }
+    if (next.has_failure()) {
+        *before.mutable_failure() = next.failure();
+    }
+    return true;
+}
+
 } // namespace tanager
--- a/src/entry/internal/request_run.cpp
+++ b/src/entry/internal/request_run.cpp
@@ -135,14 +135,17 @@
 {
     if (frame.has_head()) {
         this->writer.set_head(frame.head());
-    } else if (frame.has_data()) {
+    }
+    if (!frame.data().empty()) {
         this->observe_data();
         this->writer.write(frame.data());
-    } else if (frame.has_end()) {
+    }
+    if (frame.has_end()) {
         this->end_attempt();
         this->complete();
         return;
-    } else if (frame.has_failure()) {
+    }
+    if (frame.has_failure()) {
         this->end_attempt();
         const auto code = static_cast<result_code>(frame.failure().code());
         this->on_attempt_failed({code, frame.failure().detail()}, frame.failure().not_run());
