Quarantine requests that crash backend servers

Cause: a request that crashes its engine would be sent on to the next one by our own retries and by its caller's resends. Change: module quarantine (crash reports exchanged between all processes; one crash makes a suspect that runs alone, two refuse it for ten minutes), work that runs alone in the ledger and the queue, and a backend monitor that tells a crash from a broken connection. Found by its test, and mended: an agent whose backend server was gone drew work by refusing it fastest (it now reports not ready and probes until somebody listens again); not-run was said after an idempotent attempt that had run when a later attempt was refused (every ended attempt counts now); refusals used up the attempts of a request (they are bounded apart). Ruled out: refusing after one crash (those that ran beside it would be refused, too), judging by a restart counter (not every backend server has one). Conclusion: holds for crashes that leave the port closed; an engine that is restarted within the probe's time is taken for alive.

--- a/src/agent/agent_setup.cpp
+++ b/src/agent/agent_setup.cpp
@@ -21,6 +21,7 @@
 
 // Longer than the longest deadline that the catalogue accepts.
 constexpr std::chrono::hours attempt_memory{2};
+constexpr std::chrono::minutes crash_memory{10};
 constexpr std::chrono::seconds housekeeping_interval{1};
 constexpr std::chrono::milliseconds drain_check_interval{10};
 constexpr std::chrono::milliseconds leaving_notice{300};
@@ -36,6 +37,12 @@
           ledger(settings.capacity_pieces, this->invariants),
           registry(this->time, attempt_memory, this->invariants),
           client(http_client::create(loop)),
+          monitor(loop,
+                  *this->client,
+                  backend,
+                  this->incarnation,
+                  [this](bool is_down) { this->on_backend_change(is_down); }),
+          crashes(this->time, crash_memory),
           backend_stage(loop,
                         this->time,
                         *this->client,
@@ -43,6 +50,8 @@
                         this->known,
                         this->ledger,
                         this->registry,
+                        this->monitor,
+                        this->crashes,
                         this->metrics),
           queue_stage(loop,
                       this->time,
@@ -54,6 +63,7 @@
           admission_stage(this->incarnation,
                           this->status,
                           this->windows,
+                          this->crashes,
                           this->registry,
                           this->metrics,
                           this->queue_stage),
@@ -66,6 +76,7 @@
               this->ledger,
               this->status,
               this->windows,
+              this->crashes,
               [this] { return this->queue_stage.size(); }),
           pages(
               this->metrics,
@@ -74,6 +85,7 @@
               [this] { this->refresh_gauges(); })
     {
         this->known.on_change([this] { this->on_catalogue_change(); });
+        this->backend_stage.on_crash([this] { this->hub.broadcast_crashes(); });
         this->backend_stage.on_released([this] { this->queue_stage.start_ready(); });
         this->housekeeping = loop.run_every(housekeeping_interval, [this] { this->keep_house(); });
     }
@@ -156,9 +168,19 @@
         }
     }
 
+    void on_backend_change(bool is_down)
+    {
+        this->status.set_backend_down(is_down);
+        this->hub.broadcast();
+        if (is_down) {
+            this->queue_stage.refuse_all({result_code::backend_unreachable, "the backend server went down"});
+        }
+    }
+
     void keep_house()
     {
         this->registry.forget_old();
+        this->crashes.forget_old();
     }
 
     void refresh_gauges()
@@ -211,6 +233,8 @@
     agent_status status;
     claim_windows windows;
     std::unique_ptr<http_client> client;
+    backend_monitor monitor;
+    crash_ledger crashes;
     backend_filter backend_stage;
     queue_filter queue_stage;
     admission_filter admission_stage;
--- a/src/agent/internal/admission_filter.cpp
+++ b/src/agent/internal/admission_filter.cpp
@@ -13,6 +13,9 @@
     if (!this->ready) {
         return fail(result_code::agent_not_ready, "the agent has no catalogue yet");
     }
+    if (this->backend_down) {
+        return fail(result_code::backend_unreachable, "nobody listens at the backend server's address");
+    }
     return {};
 }
 
@@ -26,6 +29,11 @@
     this->leaving = true;
 }
 
+void agent_status::set_backend_down(bool down)
+{
+    this->backend_down = down;
+}
+
 void agent_status::set_draining(bool is_now_draining)
 {
     this->draining = is_now_draining;
@@ -33,7 +41,7 @@
 
 bool agent_status::is_ready() const
 {
-    return this->ready && !this->draining;
+    return this->ready && !this->draining && !this->backend_down;
 }
 
 bool agent_status::is_leaving() const
@@ -62,12 +70,14 @@
 admission_filter::admission_filter(std::uint64_t incarnation,
                                    const agent_status& status,
                                    const claim_windows& windows,
+                                   const crash_ledger& crashes,
                                    attempt_registry& registry,
                                    metrics_registry& metrics,
                                    sink<dispatched_work>& next)
     : incarnation(incarnation),
       status(status),
       windows(windows),
+      crashes(crashes),
       registry(registry),
       metrics(metrics),
       next(next)
@@ -82,6 +92,9 @@
     if (!this->windows.is_open(work.request->claim_shard(), work.request->claim_window())) {
         return fail(result_code::claim_window_closed, "the claim is too old to be acted on");
     }
+    if (this->crashes.verdict_of(work.request->fingerprint()) == crash_verdict::refused) {
+        return fail(result_code::request_quarantined, "it was running at two crashes");
+    }
     return this->status.check();
 }
 
@@ -100,6 +113,8 @@
         refuse_work(work, this->registry, this->metrics, allowed.error());
         return;
     }
+    work.alone = work.request->run_alone() ||
+                 this->crashes.verdict_of(work.request->fingerprint()) == crash_verdict::suspect;
     this->next.accept(std::move(work));
 }
 
--- a/src/agent/internal/admission_filter.h
+++ b/src/agent/internal/admission_filter.h
@@ -8,6 +8,7 @@
 #include "base/sink.h"
 #include "catalogue/catalogue.h"
 #include "metrics/metrics_registry.h"
+#include "quarantine/crash_ledger.h"
 
 #include <cstdint>
 #include <memory>
@@ -25,6 +26,9 @@
     // Leaving is final for this process.
     void set_leaving();
 
+    // While nobody listens at the backend server's address.
+    void set_backend_down(bool down);
+
     // An operator's drain can be taken back.
     void set_draining(bool draining);
 
@@ -38,6 +42,7 @@
     bool ready = false;
     bool leaving = false;
     bool draining = false;
+    bool backend_down = false;
 };
 
 // Ends an attempt that has not been given to the backend server.
@@ -52,6 +57,7 @@
     admission_filter(std::uint64_t incarnation,
                      const agent_status& status,
                      const claim_windows& windows,
+                     const crash_ledger& crashes,
                      attempt_registry& registry,
                      metrics_registry& metrics,
                      sink<dispatched_work>& next);
@@ -64,6 +70,7 @@
     std::uint64_t incarnation;
     const agent_status& status;
     const claim_windows& windows;
+    const crash_ledger& crashes;
     attempt_registry& registry;
     metrics_registry& metrics;
     sink<dispatched_work>& next;
--- a/src/agent/internal/backend_call.cpp
+++ b/src/agent/internal/backend_call.cpp
@@ -16,12 +16,14 @@
                            metrics_registry& metrics,
                            dispatched_work work,
                            bool is_model,
+                           lost_callback lost,
                            done_callback done)
     : loop(loop),
       time(time),
       metrics(metrics),
       work(std::move(work)),
       is_model(is_model),
+      lost(std::move(lost)),
       done(std::move(done)),
       sequencer(this->work.attempt),
       check(answer_shape::opaque)
@@ -122,14 +124,20 @@
         this->metrics.observe(
             "tanager_request_seconds", this->work.label, this->time.now() - this->work.received);
     }
-    this->end({whole, false});
+    this->end({whole, false, 0});
 }
 
 void backend_call::on_failure(const http_failure& failure)
 {
-    const bool not_run = failure.progress == call_progress::not_sent;
-    const auto code = not_run ? result_code::backend_unreachable : result_code::backend_failed;
-    this->end({fail(code, failure.cause.detail), not_run});
+    if (failure.progress == call_progress::not_sent) {
+        this->end({fail(result_code::backend_unreachable, failure.cause.detail), true, 0});
+        return;
+    }
+    const auto self = this->shared_from_this();
+    this->lost([self, detail = failure.cause.detail](std::uint64_t crash) {
+        const auto code = crash == 0 ? result_code::backend_failed : result_code::backend_crashed;
+        self->end({fail(code, detail), false, crash});
+    });
 }
 
 void backend_call::on_cancelled()
@@ -151,7 +159,7 @@
         return;
     }
     const auto self = this->shared_from_this();
-    this->end({tl::make_unexpected(cause), false});
+    this->end({tl::make_unexpected(cause), false, 0});
     // Posted, since this may run inside one of the call's own callbacks.
     this->loop.post([self] { self->call->cancel(); });
 }
@@ -165,7 +173,9 @@
     const auto self = this->shared_from_this();
     this->deadline_timer.reset();
     if (!outcome.ended) {
-        this->work.stream->write(this->sequencer.make_failure(outcome.ended.error(), outcome.not_run));
+        auto frame = this->sequencer.make_failure(outcome.ended.error(), outcome.not_run);
+        frame.mutable_failure()->set_crash(outcome.crash);
+        this->work.stream->write(std::move(frame));
     }
     this->work.stream->finish();
     this->done(this->work, outcome);
--- a/src/agent/internal/backend_call.h
+++ b/src/agent/internal/backend_call.h
@@ -16,7 +16,8 @@
 // How one backend call ended.
 struct backend_outcome {
     result<void> ended;
-    bool not_run = false; // the backend server never received the request
+    bool not_run = false;    // the backend server never received the request
+    std::uint64_t crash = 0; // names the crash that ended it; 0 for none
 };
 
 // Runs one attempt on the backend server and turns its reply into frames.
@@ -24,11 +25,15 @@
 public:
     using done_callback = std::function<void(const dispatched_work&, const backend_outcome&)>;
 
+    // Finds out why the connection broke, and calls back with the crash, or 0.
+    using lost_callback = std::function<void(std::function<void(std::uint64_t crash)>)>;
+
     backend_call(event_loop& loop,
                  const clock& time,
                  metrics_registry& metrics,
                  dispatched_work work,
                  bool is_model,
+                 lost_callback lost,
                  done_callback done);
 
     void start(http_client& client, const socket_address& backend);
@@ -51,6 +56,7 @@
     metrics_registry& metrics;
     dispatched_work work;
     bool is_model;
+    lost_callback lost;
     done_callback done;
     answer_sequencer sequencer;
     answer_check check;
--- a/src/agent/internal/backend_filter.cpp
+++ b/src/agent/internal/backend_filter.cpp
@@ -13,6 +13,8 @@
                                const catalogue& known,
                                share_ledger& ledger,
                                attempt_registry& registry,
+                               backend_monitor& monitor,
+                               crash_ledger& crashes,
                                metrics_registry& metrics)
     : loop(loop),
       time(time),
@@ -21,6 +23,8 @@
       known(known),
       ledger(ledger),
       registry(registry),
+      monitor(monitor),
+      crashes(crashes),
       metrics(metrics)
 {
 }
@@ -36,15 +40,16 @@
     ++this->running_attempts;
     const auto pool = this->known.find_pool(work.request->pool());
     const bool is_model = pool == nullptr || pool->kind == pool_kind::model;
-    const auto call =
-        std::make_shared<backend_call>(this->loop,
-                                       this->time,
-                                       this->metrics,
-                                       std::move(work),
-                                       is_model,
-                                       [this](const dispatched_work& ended, const backend_outcome& outcome) {
-                                           this->on_done(ended, outcome);
-                                       });
+    const auto call = std::make_shared<backend_call>(
+        this->loop,
+        this->time,
+        this->metrics,
+        std::move(work),
+        is_model,
+        [this](std::function<void(std::uint64_t)> verdict) { this->monitor.investigate(std::move(verdict)); },
+        [this](const dispatched_work& ended, const backend_outcome& outcome) {
+            this->on_done(ended, outcome);
+        });
     call->start(this->client, this->backend);
 }
 
@@ -52,6 +57,18 @@
 {
     --this->running_attempts;
     this->ledger.release(work.request->member(), work.request->pieces());
+    const auto fingerprint = work.request->fingerprint();
+    if (outcome.crash != 0) {
+        this->crashes.record({outcome.crash, fingerprint});
+        this->metrics.count("tanager_crash_suspects_total");
+        this->crash_callback();
+    }
+    if (outcome.not_run) {
+        this->monitor.note_refused();
+    }
+    if (outcome.ended && work.alone) {
+        this->crashes.clear(fingerprint);
+    }
     if (outcome.ended) {
         this->metrics.count("tanager_attempts_finished_total");
         write_event(log_event::attempt_finished, {{"request", work.request->request_id()}});
@@ -76,6 +93,11 @@
     this->released_callback = std::move(callback);
 }
 
+void backend_filter::on_crash(std::function<void()> callback)
+{
+    this->crash_callback = std::move(callback);
+}
+
 std::size_t backend_filter::running() const
 {
     return this->running_attempts;
--- a/src/agent/internal/backend_filter.h
+++ b/src/agent/internal/backend_filter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agent/attempt_registry.h"
+#include "agent/internal/backend_monitor.h"
 #include "agent/types/dispatched_work.h"
 #include "base/clock.h"
 #include "base/sink.h"
@@ -9,6 +10,7 @@
 #include "metrics/metrics_registry.h"
 #include "net/event_loop.h"
 #include "net/http_client.h"
+#include "quarantine/crash_ledger.h"
 
 #include <functional>
 
@@ -26,6 +28,8 @@
                    const catalogue& known,
                    share_ledger& ledger,
                    attempt_registry& registry,
+                   backend_monitor& monitor,
+                   crash_ledger& crashes,
                    metrics_registry& metrics);
 
     void accept(dispatched_work work) override;
@@ -33,6 +37,9 @@
     // Called each time pieces were given back.
     void on_released(std::function<void()> callback);
 
+    // Called each time a crash was recorded.
+    void on_crash(std::function<void()> callback);
+
     // Returns the attempts that the backend server is running.
     std::size_t running() const;
 
@@ -46,9 +53,12 @@
     const catalogue& known;
     share_ledger& ledger;
     attempt_registry& registry;
+    backend_monitor& monitor;
+    crash_ledger& crashes;
     metrics_registry& metrics;
     std::size_t running_attempts = 0;
     std::function<void()> released_callback;
+    std::function<void()> crash_callback;
 };
 
 } // namespace tanager
--- /dev/null
+++ b/src/agent/internal/backend_monitor.cpp
@@ -0,0 +1,84 @@
+#include "agent/internal/backend_monitor.h"
+
+#include "base/digest.h"
+#include "logging/event_log.h"
+
+namespace tanager {
+
+namespace {
+
+constexpr std::chrono::milliseconds probe_timeout{300};
+constexpr std::chrono::milliseconds recovery_interval{100};
+
+} // namespace
+
+backend_monitor::backend_monitor(event_loop& loop,
+                                 http_client& client,
+                                 socket_address backend,
+                                 std::uint64_t incarnation,
+                                 std::function<void(bool is_down)> changed)
+    : loop(loop),
+      client(client),
+      backend(std::move(backend)),
+      incarnation(incarnation),
+      changed(std::move(changed))
+{
+    this->probe([this](bool is_refused) { this->set_down(is_refused); });
+}
+
+void backend_monitor::probe(std::function<void(bool is_refused)> callback)
+{
+    const http_call_options options{probe_timeout, false};
+    this->client.fetch(
+        this->backend, {"GET", "/", {}, {}}, options, [callback = std::move(callback)](const auto& reply) {
+            callback(!reply && reply.error().progress == call_progress::not_sent);
+        });
+}
+
+void backend_monitor::investigate(verdict_callback callback)
+{
+    this->waiting.push_back(std::move(callback));
+    if (this->waiting.size() == 1) {
+        this->probe([this](bool is_refused) { this->on_lost_probe(is_refused); });
+    }
+}
+
+void backend_monitor::on_lost_probe(bool is_refused)
+{
+    const auto lost = std::move(this->waiting);
+    this->waiting.clear();
+    std::uint64_t crash = 0;
+    if (is_refused) {
+        crash = hash64(std::to_string(++this->crashes), this->incarnation);
+        write_event(log_event::backend_crashed, {{"calls", std::to_string(lost.size())}});
+        this->set_down(true);
+    }
+    for (const auto& callback : lost) {
+        callback(crash);
+    }
+}
+
+void backend_monitor::note_refused()
+{
+    this->set_down(true);
+}
+
+void backend_monitor::set_down(bool down)
+{
+    if (down == this->is_down) {
+        return;
+    }
+    this->is_down = down;
+    if (down) {
+        write_event(log_event::backend_unreachable, {{"address", to_text(this->backend)}});
+        this->recovery_probe = this->loop.run_every(recovery_interval, [this] {
+            this->probe([this](bool is_refused) { this->set_down(is_refused); });
+        });
+    } else {
+        write_event(log_event::backend_reachable, {{"address", to_text(this->backend)}});
+        this->recovery_probe.reset();
+    }
+    this->changed(down);
+}
+
+} // namespace tanager
--- a/src/agent/internal/entry_hub.cpp
+++ b/src/agent/internal/entry_hub.cpp
@@ -2,6 +2,7 @@
 
 #include "logging/event_log.h"
 #include "protocol/catalogue_messages.h"
+#include "quarantine/crash_messages.h"
 
 namespace tanager {
 
@@ -21,6 +22,7 @@
                      const share_ledger& ledger,
                      agent_status& status,
                      claim_windows& windows,
+                     crash_ledger& crashes,
                      std::function<std::size_t()> queue_size)
     : time(time),
       settings(settings),
@@ -29,6 +31,7 @@
       ledger(ledger),
       status(status),
       windows(windows),
+      crashes(crashes),
       queue_size(std::move(queue_size)),
       ticks(loop.run_every(settings.shortest_report_interval, [this] { this->on_tick(); }))
 {
@@ -69,7 +72,9 @@
         this->entries.erase(id);
         write_event(log_event::entry_disconnected, {{"entries", std::to_string(this->entries.size())}});
     });
-    this->send(entry, this->make_report());
+    auto first = this->make_report();
+    add_crashes(this->crashes, first);
+    this->send(entry, std::move(first));
 }
 
 protocol::agent_message entry_hub::make_report() const
@@ -113,6 +118,15 @@
     }
 }
 
+void entry_hub::broadcast_crashes()
+{
+    auto report = this->make_report();
+    add_crashes(this->crashes, report);
+    for (auto& [id, entry] : this->entries) {
+        this->send(entry, report);
+    }
+}
+
 void entry_hub::on_message(std::uint64_t id, const protocol::entry_message& message)
 {
     const auto sender = this->entries.find(id);
@@ -123,6 +137,9 @@
     for (const auto& row : message.claim_windows()) {
         this->windows.note(row.shard(), row.window());
     }
+    if (record_crashes(message, this->crashes)) {
+        this->broadcast_crashes();
+    }
     if (message.host_listed_leaving() && !this->status.is_leaving()) {
         this->status.set_leaving();
         write_event(log_event::agent_leaving, {{"host", this->settings.host}, {"source", "host list"}});
--- a/src/agent/internal/entry_hub.h
+++ b/src/agent/internal/entry_hub.h
@@ -25,6 +25,7 @@
               const share_ledger& ledger,
               agent_status& status,
               claim_windows& windows,
+              crash_ledger& crashes,
               std::function<std::size_t()> queue_size);
 
     void add(const std::shared_ptr<entry_stream>& stream);
@@ -32,6 +33,9 @@
     // Sends the present state to every entry now.
     void broadcast();
 
+    // Tells every entry of the crashes that this agent knows of.
+    void broadcast_crashes();
+
     // Ends every connection.
     void close_all();
 
@@ -63,6 +67,7 @@
     const share_ledger& ledger;
     agent_status& status;
     claim_windows& windows;
+    crash_ledger& crashes;
     std::function<std::size_t()> queue_size;
     std::map<std::uint64_t, connected_entry> entries;
     std::uint64_t last_id = 0;
--- a/src/agent/internal/grpc_entry_stream.cpp
+++ b/src/agent/internal/grpc_entry_stream.cpp
@@ -4,9 +4,10 @@
 
 namespace {
 
-bool carries_catalogue(const protocol::agent_message& message)
+// Load reports supersede one another; what else a message carries must arrive.
+bool carries_more_than_load(const protocol::agent_message& message)
 {
-    return message.has_pull() || message.has_delta();
+    return message.has_pull() || message.has_delta() || message.crashes_size() > 0;
 }
 
 } // namespace
@@ -24,8 +25,8 @@
     if (this->reactor == nullptr || this->is_closing) {
         return;
     }
-    const bool may_replace =
-        !this->queue.empty() && !carries_catalogue(this->queue.back()) && !carries_catalogue(message);
+    const bool may_replace = !this->queue.empty() && !carries_more_than_load(this->queue.back()) &&
+                             !carries_more_than_load(message);
     if (may_replace) {
         this->queue.back() = message;
     } else {
--- a/src/agent/internal/queue_filter.cpp
+++ b/src/agent/internal/queue_filter.cpp
@@ -24,8 +24,12 @@
 void queue_filter::accept(dispatched_work work)
 {
     const std::uint64_t ticket = ++this->last_ticket;
-    const queued_work row{
-        ticket, work.request->member(), work.request->pieces(), work.request->priority(), work.deadline};
+    const queued_work row{ticket,
+                          work.request->member(),
+                          work.request->pieces(),
+                          work.request->priority(),
+                          work.deadline,
+                          work.alone};
     const auto queued = this->queue.enqueue(row);
     if (!queued) {
         refuse_work(work, this->registry, this->metrics, queued.error());
--- a/src/agent/types/dispatched_work.h
+++ b/src/agent/types/dispatched_work.h
@@ -18,6 +18,7 @@
     metric_label label;
     time_point received;
     time_point deadline;
+    bool alone = false; // nothing else may run beside it
 };
 
 } // namespace tanager
--- a/src/base/internal/result_code.cpp
+++ b/src/base/internal/result_code.cpp
@@ -69,6 +69,8 @@
     code_row{result_code::answer_incomplete, "answer_incomplete", status_bad_gateway},
     code_row{result_code::outcome_unknown, "outcome_unknown", status_bad_gateway},
     code_row{result_code::agent_connection_lost, "agent_connection_lost", status_bad_gateway},
+    code_row{result_code::backend_crashed, "backend_crashed", status_bad_gateway},
+    code_row{result_code::request_quarantined, "request_quarantined", status_unprocessable},
     code_row{result_code::store_unavailable, "store_unavailable", status_unavailable},
     code_row{result_code::version_conflict, "version_conflict", status_conflict},
     code_row{result_code::object_unknown, "object_unknown", status_not_found},
--- a/src/base/types/result_code.h
+++ b/src/base/types/result_code.h
@@ -60,6 +60,7 @@
     answer_incomplete = 505,
     outcome_unknown = 506,
     agent_connection_lost = 507,
+    backend_crashed = 508,
 
     // 600: platform and catalogue
     store_unavailable = 601,
@@ -75,6 +76,9 @@
     claim_store_unavailable = 705,
     claim_store_full = 706,
     claim_answer_not_kept = 707,
+
+    // 800: requests that crash backend servers
+    request_quarantined = 801,
 };
 
 // Returns the stable lower-case name of a code, as written in logs, replies and docs.
--- a/src/entry/entry_setup.cpp
+++ b/src/entry/entry_setup.cpp
@@ -9,6 +9,7 @@
 #include "entry/internal/grpc_agent_gateway.h"
 #include "entry/internal/identify_filter.h"
 #include "entry/internal/limit_filter.h"
+#include "entry/internal/quarantine_filter.h"
 #include "entry/internal/request_refusal.h"
 #include "entry/internal/run_filter.h"
 #include "logging/event_log.h"
@@ -26,6 +27,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds housekeeping_interval{100};
+constexpr std::chrono::minutes crash_memory{10};
 constexpr std::chrono::milliseconds drain_check_interval{10};
 constexpr std::chrono::seconds claim_patience_at_stop{10};
 
@@ -47,17 +49,26 @@
               settings.host_list_interval,
               [this](const std::vector<listed_host>& listed) { this->on_host_list(listed); })),
           gateway(loop),
-          directory(loop, this->time, this->random, settings, this->incarnation, this->known, this->gateway),
+          crashes(this->time, crash_memory),
+          directory(loop,
+                    this->time,
+                    this->random,
+                    settings,
+                    this->incarnation,
+                    this->known,
+                    this->crashes,
+                    this->gateway),
           readiness(this->known, this->directory, settings.seed_agents.size()),
           budget(settings.retry_share, settings.retry_reserve),
           run_stage(this->make_context()),
           claims(this->make_claim_context()),
           claim_stage(this->claims, this->incarnation, this->metrics, this->run_stage),
+          quarantine_stage(this->crashes, this->metrics, this->claim_stage),
           limit_stage(
               settings.open_requests,
               [this] { return this->open_requests(); },
               this->metrics,
-              this->claim_stage),
+              this->quarantine_stage),
           identify_stage(this->known, this->time, this->metrics, this->limit_stage),
           pages(
               this->metrics,
@@ -107,6 +118,7 @@
                 this->directory,
                 this->gateway,
                 this->budget,
+                this->crashes,
                 this->settings,
                 this->incarnation,
                 this->last_sequence};
@@ -203,6 +215,7 @@
     void keep_house()
     {
         this->directory.report_changes();
+        this->crashes.forget_old();
     }
 
     void refresh_gauges()
@@ -245,12 +258,14 @@
     std::shared_ptr<catalogue_follower> follower;
     std::shared_ptr<host_list_follower> hosts;
     grpc_agent_gateway gateway;
+    crash_ledger crashes;
     agent_directory directory;
     catalogue_readiness readiness;
     retry_budget budget;
     run_filter run_stage;
     claim_book claims;
     claim_filter claim_stage;
+    quarantine_filter quarantine_stage;
     limit_filter limit_stage;
     identify_filter identify_stage;
     health_pages pages;
--- a/src/entry/internal/agent_directory.cpp
+++ b/src/entry/internal/agent_directory.cpp
@@ -3,6 +3,7 @@
 #include "base/digest.h"
 #include "logging/event_log.h"
 #include "protocol/catalogue_messages.h"
+#include "quarantine/crash_messages.h"
 
 #include <algorithm>
 
@@ -50,6 +51,7 @@
                                  const entry_settings& settings,
                                  std::uint64_t incarnation,
                                  catalogue& known,
+                                 crash_ledger& crashes,
                                  grpc_agent_gateway& gateway)
     : loop(loop),
       time(time),
@@ -57,6 +59,7 @@
       settings(settings),
       incarnation(incarnation),
       known(known),
+      crashes(crashes),
       gateway(gateway),
       monitor(time)
 {
@@ -144,7 +147,9 @@
 
 void agent_directory::on_connected(const std::string& address)
 {
-    this->links_by_address.at(address)->send(this->make_message());
+    auto message = this->make_message();
+    add_crashes(this->crashes, message);
+    this->links_by_address.at(address)->send(message);
 }
 
 void agent_directory::on_broken(const std::string& address)
@@ -162,6 +167,12 @@
     const std::chrono::milliseconds interval{message.report_interval_milliseconds()};
     const bool is_current = this->monitor.record_heartbeat(
         host, message.agent_incarnation(), message.leaving(), missed_reports * interval + report_grace);
+    if (record_crashes(message, this->crashes)) {
+        // Other agents hear of it through the entries.
+        auto relayed = this->make_message();
+        add_crashes(this->crashes, relayed);
+        this->send_to_all(relayed);
+    }
     if (!is_current) {
         return;
     }
--- a/src/entry/internal/agent_directory.h
+++ b/src/entry/internal/agent_directory.h
@@ -9,6 +9,7 @@
 #include "entry/types/entry_settings.h"
 #include "membership/peer_monitor.h"
 #include "platform/types/stored_object.h"
+#include "quarantine/crash_ledger.h"
 
 #include <map>
 #include <memory>
@@ -29,6 +30,7 @@
                     const entry_settings& settings,
                     std::uint64_t incarnation,
                     catalogue& known,
+                    crash_ledger& crashes,
                     grpc_agent_gateway& gateway);
 
     // Opens and closes links as the catalogue says, and tells all agents its revision.
@@ -87,6 +89,7 @@
     entry_settings settings;
     std::uint64_t incarnation;
     catalogue& known;
+    crash_ledger& crashes;
     grpc_agent_gateway& gateway;
     peer_monitor monitor;
     std::map<std::string, std::unique_ptr<agent_link>> links_by_address;
--- /dev/null
+++ b/src/entry/internal/quarantine_filter.cpp
@@ -0,0 +1,38 @@
+#include "entry/internal/quarantine_filter.h"
+
+#include "base/digest.h"
+#include "entry/internal/request_refusal.h"
+
+namespace tanager {
+
+namespace {
+
+std::uint64_t fingerprint_of(const identified_request& request)
+{
+    const std::uint64_t work = hash64(request.work->name, hash64(request.member->name));
+    return hash64(request.backend->body, hash64(request.backend->path, work));
+}
+
+} // namespace
+
+quarantine_filter::quarantine_filter(const crash_ledger& crashes,
+                                     metrics_registry& metrics,
+                                     sink<identified_request>& next)
+    : crashes(crashes), metrics(metrics), next(next)
+{
+}
+
+void quarantine_filter::accept(identified_request request)
+{
+    request.fingerprint = fingerprint_of(request);
+    if (this->crashes.verdict_of(request.fingerprint) == crash_verdict::refused) {
+        refuse_request(request.received,
+                       {result_code::request_quarantined, "it was running at two crashes"},
+                       request_outcome::not_run,
+                       this->metrics);
+        return;
+    }
+    this->next.accept(std::move(request));
+}
+
+} // namespace tanager
--- a/src/entry/internal/request_run.cpp
+++ b/src/entry/internal/request_run.cpp
@@ -11,6 +11,8 @@
 // The agent ends an attempt at its deadline; the entry waits a little longer for that word.
 constexpr std::chrono::milliseconds deadline_grace{500};
 constexpr std::chrono::seconds settle_patience{3};
+// Refusals cost little and are not counted as attempts, but do not go on for ever.
+constexpr std::uint32_t refusals_bound = 8;
 constexpr std::chrono::milliseconds settle_interval{100};
 
 } // namespace
@@ -73,6 +75,9 @@
     message.set_idempotent(this->request.work->idempotent);
     message.set_claim_shard(this->request.claim.shard);
     message.set_claim_window(this->request.claim.window);
+    message.set_fingerprint(this->request.fingerprint);
+    message.set_run_alone(this->context.crashes.verdict_of(this->request.fingerprint) ==
+                          crash_verdict::suspect);
     message.set_method(this->request.backend->method);
     message.set_path(this->request.backend->path);
     message.set_body(this->request.backend->body);
@@ -96,7 +101,6 @@
     this->target = chosen;
     this->attempt = {this->context.incarnation, ++this->context.last_sequence};
     this->assembler.emplace(this->attempt);
-    this->may_have_run = true;
     this->context.directory.note_dispatched(chosen.host, this->request.member->name, this->request.pieces);
     this->call = this->context.gateway.dispatch(
         chosen.address, this->make_message(this->attempt, chosen), this->shared_from_this());
@@ -148,6 +152,9 @@
     if (frame.has_failure()) {
         this->end_attempt();
         const auto code = static_cast<result_code>(frame.failure().code());
+        if (frame.failure().crash() != 0) {
+            this->context.crashes.record({frame.failure().crash(), this->request.fingerprint});
+        }
         this->on_attempt_failed({code, frame.failure().detail()}, frame.failure().not_run());
         return;
     }
@@ -196,21 +203,34 @@
 {
     const bool is_safe = not_run || this->request.work->idempotent;
     const bool is_in_time = this->context.time.now() < this->request.deadline;
-    return is_safe && is_in_time && !this->writer.has_delivered() &&
-           this->attempts < this->context.settings.attempts;
+    const bool is_quarantined =
+        this->context.crashes.verdict_of(this->request.fingerprint) == crash_verdict::refused;
+    return is_safe && is_in_time && !is_quarantined && !this->writer.has_delivered() &&
+           this->attempts - this->refusals < this->context.settings.attempts &&
+           this->refusals < refusals_bound;
+}
+
+void request_run::note_ended_attempt(bool not_run)
+{
+    if (not_run) {
+        ++this->refusals;
+    } else {
+        this->may_have_run = true;
+    }
 }
 
 void request_run::on_attempt_failed(const error& cause, bool not_run)
 {
-    this->may_have_run = !not_run;
     this->writer.reset();
     const bool needs_settlement = cause.code == result_code::agent_connection_lost &&
                                   !this->request.work->idempotent && !this->writer.has_delivered();
     if (needs_settlement) {
+        this->is_settling = true;
         this->settle_until = this->context.time.now() + settle_patience;
         this->ask_for_settlement();
         return;
     }
+    this->note_ended_attempt(not_run);
     if (!this->may_try_again(not_run) || cause.code == result_code::request_too_large_for_pool) {
         this->give_up(cause);
         return;
@@ -265,7 +285,8 @@
     }
     const bool not_run = outcome == settlement::not_run;
     const error cause{result_code::outcome_unknown, "the connection to the agent broke"};
-    this->may_have_run = !not_run;
+    this->is_settling = false;
+    this->note_ended_attempt(not_run);
     if (not_run && this->may_try_again(true)) {
         this->try_again({result_code::agent_connection_lost, cause.detail});
         return;
@@ -330,6 +351,8 @@
     if (this->has_ended) {
         return;
     }
+    // What is still open at an agent may run or be running.
+    this->may_have_run = this->may_have_run || this->assembler.has_value() || this->is_settling;
     if (this->assembler) {
         this->call->cancel();
         this->end_attempt();
--- a/src/entry/internal/request_run.h
+++ b/src/entry/internal/request_run.h
@@ -12,6 +12,7 @@
 #include "limits/retry_budget.h"
 #include "metrics/metrics_registry.h"
 #include "net/event_loop.h"
+#include "quarantine/crash_ledger.h"
 
 #include <functional>
 #include <memory>
@@ -31,6 +32,7 @@
     agent_selector& directory;
     agent_gateway& gateway;
     retry_budget& budget;
+    crash_ledger& crashes;
     const entry_settings& settings;
     std::uint64_t incarnation;
     std::uint64_t& last_sequence;
@@ -57,6 +59,7 @@
     void observe_data();
     void read_on();
     void end_attempt();
+    void note_ended_attempt(bool not_run);
     void on_attempt_failed(const error& cause, bool not_run);
     bool may_try_again(bool not_run) const;
     void try_again(const error& cause);
@@ -79,7 +82,9 @@
     std::vector<std::string> tried;
     std::optional<error> last_failure;
     std::uint32_t attempts = 0;
-    bool may_have_run = false;
+    std::uint32_t refusals = 0; // of these, the ones that were not run
+    bool may_have_run = false;  // of the attempts that have ended, any
+    bool is_settling = false;
     bool is_waiting_for_drain = false;
     bool has_ended = false;
     bool first_data_seen = false;
--- a/src/entry/tests/entry_tests.cpp
+++ b/src/entry/tests/entry_tests.cpp
@@ -51,6 +51,7 @@
                                   this->selector,
                                   this->gateway,
                                   this->budget,
+                                  this->crashes,
                                   this->settings,
                                   7,
                                   this->last_sequence};
@@ -71,6 +72,7 @@
     fake_selector selector;
     fake_gateway gateway;
     retry_budget budget{0.1, 20};
+    crash_ledger crashes{this->time, std::chrono::minutes{10}};
     entry_settings settings;
     std::uint64_t last_sequence = 0;
     int ended = 0;
@@ -147,6 +149,14 @@
             bench.attempt(1).answer("[1]");
             CPPUNIT_ASSERT_EQUAL(std::string{"[1]"}, exchange->sent.body);
         });
+        section("nor is not-run said when a later attempt was refused", [] {
+            run_bench bench;
+            const auto exchange = bench.start(true);
+            bench.attempt(0).fail_attempt(result_code::backend_failed, false);
+            bench.attempt(1).fail_attempt(result_code::agent_leaving, true);
+            bench.attempt(2).fail_attempt(result_code::agent_leaving, true);
+            CPPUNIT_ASSERT_EQUAL(std::string{"unknown"}, outcome_of(*exchange));
+        });
         section("and not-run is never said after an attempt that may have run", [] {
             run_bench bench;
             bench.settings.attempts = 1;
@@ -236,14 +246,13 @@
     void retries_stop_with_the_budget()
     {
         run_bench bench;
-        bench.settings.attempts = 2;
         constexpr int requests = 300;
         for (int i = 0; i < requests; ++i) {
             bench.start(true);
             const std::size_t first = bench.gateway.attempts.size() - 1;
             bench.attempt(first).fail_attempt(result_code::agent_queue_full, true);
-            if (bench.gateway.attempts.size() > first + 1) {
-                bench.attempt(first + 1).fail_attempt(result_code::agent_queue_full, true);
+            for (std::size_t next = first + 1; next < bench.gateway.attempts.size(); ++next) {
+                bench.attempt(next).fail_attempt(result_code::agent_queue_full, true);
             }
         }
         const std::size_t retries = bench.gateway.attempts.size() - requests;
--- a/src/entry/types/request_messages.h
+++ b/src/entry/types/request_messages.h
@@ -68,6 +68,7 @@
     std::shared_ptr<const backend_request> backend;
     std::uint32_t pieces = 1;
     std::uint64_t prefix_hash = 0;
+    std::uint64_t fingerprint = 0; // equal for each resend of the request
     bool wants_stream = false;
     std::string idempotency_key; // empty when the caller gave none
     time_point deadline;
--- a/src/limits/internal/admission_queue.cpp
+++ b/src/limits/internal/admission_queue.cpp
@@ -33,9 +33,12 @@
 {
     std::vector<queued_work> started;
     for (auto work = this->waiting.begin(); work != this->waiting.end();) {
-        if (this->ledger.acquire(work->member, work->pieces)) {
+        if (this->ledger.acquire(work->member, work->pieces, work->alone)) {
             started.push_back(*work);
             work = this->waiting.erase(work);
+        } else if (work->alone) {
+            // Whatever started behind it would keep it waiting.
+            break;
         } else {
             ++work;
         }
--- a/src/limits/internal/share_ledger.cpp
+++ b/src/limits/internal/share_ledger.cpp
@@ -46,13 +46,17 @@
     return {};
 }
 
-result<void> share_ledger::acquire(const std::string& member, std::uint32_t pieces)
+result<void> share_ledger::acquire(const std::string& member, std::uint32_t pieces, bool alone)
 {
+    if (this->is_held_alone || (alone && this->total_used > 0)) {
+        return fail(result_code::agent_queue_full, "work that must run alone holds the backend server");
+    }
     auto allowed = this->check(member, pieces);
     if (!allowed) {
         return allowed;
     }
     auto& account = this->accounts[member];
+    this->is_held_alone = alone;
     account.used += pieces;
     this->total_used += pieces;
     this->invariants.check(account.used <= account.share, invariant::share_never_exceeded, member);
@@ -67,6 +71,7 @@
         is_held, invariant::share_never_exceeded, member + " gives back more than it holds");
     account.used -= std::min(account.used, pieces);
     this->total_used -= std::min(this->total_used, pieces);
+    this->is_held_alone = this->is_held_alone && this->total_used > 0;
 }
 
 std::uint32_t share_ledger::capacity() const
--- a/src/limits/share_ledger.h
+++ b/src/limits/share_ledger.h
@@ -35,8 +35,9 @@
     // request_too_large_for_pool when they never can.
     result<void> check(const std::string& member, std::uint32_t pieces) const;
 
-    // Takes pieces that `check` allows. Fails like `check`.
-    result<void> acquire(const std::string& member, std::uint32_t pieces);
+    // Takes pieces that `check` allows. Fails like `check`. Work that runs alone waits until nothing else
+    // runs, and holds off everything else until it gives its pieces back.
+    result<void> acquire(const std::string& member, std::uint32_t pieces, bool alone = false);
 
     // Gives pieces back.
     void release(const std::string& member, std::uint32_t pieces);
@@ -53,6 +54,7 @@
 
     std::uint32_t total_capacity;
     std::uint32_t total_used = 0;
+    bool is_held_alone = false;
     invariant_monitor& invariants;
     std::map<std::string, account> accounts;
 };
--- a/src/limits/types/queued_work.h
+++ b/src/limits/types/queued_work.h
@@ -14,6 +14,7 @@
     std::uint32_t pieces = 0;
     std::uint32_t priority = 0; // higher first
     time_point deadline;
+    bool alone = false; // nothing else may run beside it
 
     friend bool operator==(const queued_work&, const queued_work&) = default;
 };
--- a/src/logging/internal/log_event.cpp
+++ b/src/logging/internal/log_event.cpp
@@ -45,6 +45,8 @@
     event_row{log_event::entry_connected, "entry_connected", log_level::info},
     event_row{log_event::entry_disconnected, "entry_disconnected", log_level::info},
     event_row{log_event::backend_unreachable, "backend_unreachable", log_level::warning},
+    event_row{log_event::backend_crashed, "backend_crashed", log_level::warning},
+    event_row{log_event::backend_reachable, "backend_reachable", log_level::info},
     event_row{log_event::fault_switched, "fault_switched", log_level::info},
 };
 
--- a/src/logging/types/log_event.h
+++ b/src/logging/types/log_event.h
@@ -46,6 +46,8 @@
     entry_connected = 4005,
     entry_disconnected = 4006,
     backend_unreachable = 4007,
+    backend_crashed = 4008,
+    backend_reachable = 4009,
 
     // 5000: stand-ins
     fault_switched = 5001,
--- /dev/null
+++ b/src/quarantine/crash_ledger.h
@@ -0,0 +1,44 @@
+// Remembers which requests were running when backend servers crashed.
+#pragma once
+
+#include "base/clock.h"
+#include "quarantine/types/crash_report.h"
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace tanager {
+
+// Reports are exchanged between all processes; recording one twice changes nothing, and their order does not
+// matter.
+class crash_ledger {
+public:
+    // A report counts for `memory` after it was recorded here.
+    crash_ledger(const clock& time, duration memory);
+
+    // Returns whether the report is new here, so that it should be passed on.
+    bool record(const crash_report& report);
+
+    // Records that a request finished while it ran alone, so it did not cause the crashes it was there at.
+    void clear(std::uint64_t fingerprint);
+
+    crash_verdict verdict_of(std::uint64_t fingerprint) const;
+
+    // Returns the newest reports, for a peer that may not have them.
+    std::vector<crash_report> recent() const;
+
+    void forget_old();
+
+private:
+    struct timed_report {
+        time_point recorded;
+        bool cleared = false;
+    };
+
+    const clock& time;
+    duration memory;
+    std::map<crash_report, timed_report> reports;
+};
+
+} // namespace tanager
--- /dev/null
+++ b/src/quarantine/crash_messages.h
@@ -0,0 +1,32 @@
+// Turns crash reports into messages and back.
+#pragma once
+
+#include "quarantine/crash_ledger.h"
+
+#include <tanager.pb.h>
+
+namespace tanager {
+
+// Adds the newest reports of a ledger to a message that has a `crashes` field.
+template <class message_type>
+void add_crashes(const crash_ledger& ledger, message_type& message)
+{
+    for (const auto& report : ledger.recent()) {
+        auto* const row = message.add_crashes();
+        row->set_crash(report.crash);
+        row->set_fingerprint(report.fingerprint);
+    }
+}
+
+// Records the reports of a message; returns whether any was new.
+template <class message_type>
+bool record_crashes(const message_type& message, crash_ledger& ledger)
+{
+    bool any_new = false;
+    for (const auto& row : message.crashes()) {
+        any_new = ledger.record({row.crash(), row.fingerprint()}) || any_new;
+    }
+    return any_new;
+}
+
+} // namespace tanager
--- /dev/null
+++ b/src/quarantine/internal/crash_ledger.cpp
@@ -0,0 +1,73 @@
+#include "quarantine/crash_ledger.h"
+
+#include <algorithm>
+
+namespace tanager {
+
+namespace {
+
+constexpr std::size_t kept_reports = 4'096;
+constexpr std::size_t exchanged_reports = 256;
+constexpr int crashes_until_refusal = 2;
+
+} // namespace
+
+crash_ledger::crash_ledger(const clock& time, duration memory) : time(time), memory(memory) {}
+
+bool crash_ledger::record(const crash_report& report)
+{
+    const bool is_new = this->reports.emplace(report, timed_report{this->time.now(), false}).second;
+    if (this->reports.size() > kept_reports) {
+        const auto oldest =
+            std::ranges::min_element(this->reports, {}, [](const auto& row) { return row.second.recorded; });
+        this->reports.erase(oldest);
+    }
+    return is_new;
+}
+
+void crash_ledger::clear(std::uint64_t fingerprint)
+{
+    for (auto& [report, row] : this->reports) {
+        row.cleared = row.cleared || report.fingerprint == fingerprint;
+    }
+}
+
+crash_verdict crash_ledger::verdict_of(std::uint64_t fingerprint) const
+{
+    const auto now = this->time.now();
+    const auto crashes = std::ranges::count_if(this->reports, [&](const auto& row) {
+        const bool counts = !row.second.cleared && now - row.second.recorded <= this->memory;
+        return counts && row.first.fingerprint == fingerprint;
+    });
+    if (crashes == 0) {
+        return crash_verdict::clean;
+    }
+    return crashes < crashes_until_refusal ? crash_verdict::suspect : crash_verdict::refused;
+}
+
+std::vector<crash_report> crash_ledger::recent() const
+{
+    std::vector<std::pair<time_point, crash_report>> by_time;
+    for (const auto& [report, row] : this->reports) {
+        if (!row.cleared) {
+            by_time.emplace_back(row.recorded, report);
+        }
+    }
+    std::ranges::sort(by_time, std::greater<>{});
+    std::vector<crash_report> newest;
+    for (const auto& [recorded, report] : by_time) {
+        if (newest.size() == exchanged_reports) {
+            break;
+        }
+        newest.push_back(report);
+    }
+    return newest;
+}
+
+void crash_ledger::forget_old()
+{
+    const auto now = this->time.now();
+    std::erase_if(this->reports, [&](const auto& row) { return now - row.second.recorded > this->memory; });
+}
+
+} // namespace tanager
--- /dev/null
+++ b/src/quarantine/tests/quarantine_tests.cpp
@@ -0,0 +1,132 @@
+#include "base/mocks/counting_invariant_monitor.h"
+#include "base/mocks/manual_clock.h"
+#include "limits/admission_queue.h"
+#include "quarantine/crash_ledger.h"
+#include "testing/story.h"
+
+#include <algorithm>
+#include <cppunit/extensions/HelperMacros.h>
+#include <random>
+
+using tanager::testing::section;
+
+namespace tanager {
+
+namespace {
+
+constexpr std::chrono::minutes memory{10};
+
+} // namespace
+
+class quarantine_tests : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(quarantine_tests);
+    CPPUNIT_TEST(two_crashes_refuse_a_request);
+    CPPUNIT_TEST(the_innocent_are_cleared_by_finishing);
+    CPPUNIT_TEST(a_suspect_runs_alone);
+    CPPUNIT_TEST(random_crashes_stop_at_two);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void two_crashes_refuse_a_request()
+    {
+        manual_clock time;
+        crash_ledger ledger(time, memory);
+        CPPUNIT_ASSERT(ledger.verdict_of(7) == crash_verdict::clean);
+        CPPUNIT_ASSERT(ledger.record({1, 7}));
+        CPPUNIT_ASSERT(ledger.verdict_of(7) == crash_verdict::suspect);
+        section("the same crash heard of twice is one crash", [&] {
+            CPPUNIT_ASSERT(!ledger.record({1, 7}));
+            CPPUNIT_ASSERT(ledger.verdict_of(7) == crash_verdict::suspect);
+        });
+        CPPUNIT_ASSERT(ledger.record({2, 7}));
+        CPPUNIT_ASSERT(ledger.verdict_of(7) == crash_verdict::refused);
+        CPPUNIT_ASSERT(ledger.verdict_of(8) == crash_verdict::clean);
+        section("for a while", [&] {
+            time.advance(memory + std::chrono::seconds{1});
+            CPPUNIT_ASSERT(ledger.verdict_of(7) == crash_verdict::clean);
+            ledger.forget_old();
+            CPPUNIT_ASSERT(ledger.recent().empty());
+        });
+    }
+
+    void the_innocent_are_cleared_by_finishing()
+    {
+        manual_clock time;
+        crash_ledger ledger(time, memory);
+        ledger.record({1, 7});
+        ledger.record({1, 8});
+        ledger.clear(8);
+        CPPUNIT_ASSERT(ledger.verdict_of(7) == crash_verdict::suspect);
+        CPPUNIT_ASSERT(ledger.verdict_of(8) == crash_verdict::clean);
+        section("and hearing of the same crash again changes nothing", [&] {
+            ledger.record({1, 8});
+            CPPUNIT_ASSERT(ledger.verdict_of(8) == crash_verdict::clean);
+        });
+    }
+
+    void a_suspect_runs_alone()
+    {
+        counting_invariant_monitor invariants;
+        manual_clock time;
+        share_ledger ledger(10, invariants);
+        ledger.set_share("m", 10);
+        admission_queue queue(ledger, time, {});
+        const auto deadline = time.now() + std::chrono::hours{1};
+        queue.enqueue({1, "m", 1, 0, deadline, false});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, queue.start_ready().size());
+        queue.enqueue({2, "m", 1, 0, deadline, true});
+        queue.enqueue({3, "m", 1, 0, deadline, false});
+        section("it waits for what runs, and what came later waits for it",
+                [&] { CPPUNIT_ASSERT(queue.start_ready().empty()); });
+        ledger.release("m", 1);
+        section("then it runs, and nothing beside it", [&] {
+            const auto started = queue.start_ready();
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, started.size());
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, started.front().ticket);
+            CPPUNIT_ASSERT(queue.start_ready().empty());
+        });
+        ledger.release("m", 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, queue.start_ready().size());
+        CPPUNIT_ASSERT(invariants.violations.empty());
+    }
+
+    // A culprit is resent for ever among innocent requests; engines crash whenever they run it.
+    void random_crashes_stop_at_two()
+    {
+        constexpr int rounds = 2'000;
+        constexpr std::uint64_t culprit = 1'000;
+        std::mt19937_64 random(5);
+        for (int round = 0; round < rounds; ++round) {
+            manual_clock time;
+            crash_ledger ledger(time, memory);
+            std::uint64_t crashes = 0;
+            for (int step = 0; step < 30; ++step) {
+                std::vector<std::uint64_t> batch{random() % 3 == 0 ? culprit : random() % 20};
+                const bool alone = ledger.verdict_of(batch.front()) == crash_verdict::suspect;
+                while (!alone && batch.size() < 1 + random() % 5) {
+                    batch.push_back(random() % 20);
+                }
+                std::erase_if(batch, [&](auto fingerprint) {
+                    const auto verdict = ledger.verdict_of(fingerprint);
+                    return verdict == crash_verdict::refused || (verdict == crash_verdict::suspect && !alone);
+                });
+                if (std::ranges::find(batch, culprit) != batch.end()) {
+                    ++crashes;
+                    for (const auto fingerprint : batch) {
+                        ledger.record({crashes, fingerprint});
+                    }
+                } else if (alone && !batch.empty()) {
+                    ledger.clear(batch.front());
+                }
+            }
+            CPPUNIT_ASSERT(crashes <= 2);
+            for (std::uint64_t innocent = 0; innocent < 20; ++innocent) {
+                CPPUNIT_ASSERT(ledger.verdict_of(innocent) != crash_verdict::refused);
+            }
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(quarantine_tests);
+
+} // namespace tanager
