Probe a backend server by connecting only, and hold the connection

Change: probe_connection connects, holds for 50 ms, and takes a peer that closes at once for gone. Ruled out: a longer wait before the probe (hopes where the hold observes), a health page (not every plain service has one). Conclusion: a lost call is reported 50 ms later; nothing is ever sent to a backend server but work.

--- a/src/agent/agent_setup.cpp
+++ b/src/agent/agent_setup.cpp
@@ -37,11 +37,8 @@
           ledger(settings.capacity_pieces, this->invariants),
           registry(this->time, attempt_memory, this->invariants),
           client(http_client::create(loop)),
-          monitor(loop,
-                  *this->client,
-                  backend,
-                  this->incarnation,
-                  [this](bool is_down) { this->on_backend_change(is_down); }),
+          monitor(
+              loop, backend, this->incarnation, [this](bool is_down) { this->on_backend_change(is_down); }),
           crashes(this->time, crash_memory),
           backend_stage(loop,
                         this->time,
--- a/src/agent/internal/backend_monitor.cpp
+++ b/src/agent/internal/backend_monitor.cpp
@@ -2,6 +2,7 @@
 
 #include "base/digest.h"
 #include "logging/event_log.h"
+#include "net/connect_probe.h"
 
 namespace tanager {
 
@@ -13,26 +14,21 @@
 } // namespace
 
 backend_monitor::backend_monitor(event_loop& loop,
-                                 http_client& client,
                                  socket_address backend,
                                  std::uint64_t incarnation,
                                  std::function<void(bool is_down)> changed)
-    : loop(loop),
-      client(client),
-      backend(std::move(backend)),
-      incarnation(incarnation),
-      changed(std::move(changed))
+    : loop(loop), backend(std::move(backend)), incarnation(incarnation), changed(std::move(changed))
 {
     this->probe([this](bool is_refused) { this->set_down(is_refused); });
 }
 
 void backend_monitor::probe(std::function<void(bool is_refused)> callback)
 {
-    const http_call_options options{probe_timeout, false};
-    this->client.fetch(
-        this->backend, {"GET", "/", {}, {}}, options, [callback = std::move(callback)](const auto& reply) {
-            callback(!reply && reply.error().progress == call_progress::not_sent);
-        });
+    // A request would be work for a plain service, so the probe only connects.
+    probe_connection(this->loop,
+                     this->backend,
+                     probe_timeout,
+                     [callback = std::move(callback)](bool is_listening) { callback(!is_listening); });
 }
 
 void backend_monitor::investigate(verdict_callback callback)
--- a/src/agent/internal/backend_monitor.h
+++ b/src/agent/internal/backend_monitor.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "net/event_loop.h"
-#include "net/http_client.h"
+#include "net/types/http_types.h"
 
 #include <cstdint>
 #include <functional>
@@ -21,7 +21,6 @@
 
     // `changed` hears each time the backend server goes down or comes back. Probes once at the start.
     backend_monitor(event_loop& loop,
-                    http_client& client,
                     socket_address backend,
                     std::uint64_t incarnation,
                     std::function<void(bool is_down)> changed);
@@ -38,7 +37,6 @@
     void set_down(bool down);
 
     event_loop& loop;
-    http_client& client;
     socket_address backend;
     std::uint64_t incarnation;
     std::function<void(bool)> changed;
--- a/src/platform/mocks/faulty_store.h
+++ b/src/platform/mocks/faulty_store.h
@@ -42,7 +42,7 @@
         const result<stored_object> object = found == this->objects.end()
                                                  ? fail(result_code::object_unknown, name)
                                                  : result<stored_object>{found->second};
-        this->answers.push_back([callback, object] { callback(object); });
+        this->answers.emplace_back([callback, object] { callback(object); });
     }
 
     void put(const std::string& name,
@@ -56,14 +56,14 @@
         if (this->strikes(this->faults.refused)) {
             this->count_and_answer(this->refused, fail_later);
         } else if (this->strikes(this->faults.late_effect)) {
-            this->answers.push_back([this, name, value, expected] { this->write(name, value, expected); });
+            this->answers.emplace_back([this, name, value, expected] { this->write(name, value, expected); });
             this->count_and_answer(this->late_effects, fail_later);
         } else if (this->strikes(this->faults.lost_answer)) {
             this->write(name, value, expected);
             this->count_and_answer(this->lost_answers, fail_later);
         } else {
             const auto version = this->write(name, value, expected);
-            this->answers.push_back([callback, version] { callback(version); });
+            this->answers.emplace_back([callback, version] { callback(version); });
         }
     }
 
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -29,7 +29,7 @@
 } // namespace
 
 child_process::child_process(const std::string& program, const std::vector<std::string>& arguments)
-    : process(0)
+
 {
     std::array<int, 2> pipe_ends{};
     if (pipe(pipe_ends.data()) != 0) {
@@ -101,7 +101,9 @@
         const bool is_late = this->changed.wait_until(lock, deadline) == std::cv_status::timeout;
         if (is_late || (this->closed && seen >= this->lines.size())) {
             const std::string last = this->lines.empty() ? "no line at all" : this->lines.back();
-            throw std::runtime_error("no '" + text + "' in the log; last line: " + last);
+            std::string problem = "no '";
+            problem.append(text).append("' in the log; last line: ").append(last);
+            throw std::runtime_error(problem);
         }
     }
 }
@@ -118,7 +120,7 @@
                                [&](const std::string& line) { return line.find(text) != std::string::npos; });
 }
 
-void child_process::send_signal(int number)
+void child_process::send_signal(int number) const
 {
     kill(this->process, number);
 }
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -31,7 +31,7 @@
 
     bool has_line(const std::string& text);
 
-    void send_signal(int number);
+    void send_signal(int number) const;
 
     // Waits until the program has ended; returns its exit code, or the negative number of a fatal signal.
     int wait();
@@ -41,7 +41,7 @@
 private:
     void collect(int descriptor);
 
-    pid_t process;
+    pid_t process = 0;
     bool ended = false;
     int exit_status = 0;
     std::mutex mutex;
