Wait for what an entry knows, and end without tearing down under gRPC

Cause: stories and the demo sent their first request when an agent was ready, not when the entry knew it; one of three runs of a story then waited for ever. In one run of the demo an entry's graceful stop did not exit with 0: the loop was destroyed while gRPC's threads could still post to it. Ruled out: waiting a while after readiness; joining gRPC's threads (the callback API gives no handle to them). Conclusion: the cause of the failed stop is inferred, not shown.

--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -80,6 +80,16 @@
     done
 }
 
+# wait_metric ADDRESS SERIES VALUE: waits until /metrics shows a value, for at most 20 seconds.
+wait_metric() {
+    local tries=400
+    until [ "$(curl -s "http://$1/metrics" | awk -v name="$2" '$1 == name { print $2 }')" = "$3" ]; do
+        tries=$((tries - 1))
+        [ "$tries" -gt 0 ] || { echo "$1 does not show $2 $3" >&2; return 1; }
+        sleep 0.05
+    done
+}
+
 # stop_gracefully NAME: SIGTERM, then waits for the process; fails unless it exits with 0.
 stop_gracefully() {
     local id
--- a/src/apps/tanagerctl/tanagerctl.cpp
+++ b/src/apps/tanagerctl/tanagerctl.cpp
@@ -3,6 +3,7 @@
 #include "apps/tanagerctl/object_file.h"
 #include "base/digest.h"
 #include "base/types/result_code.h"
+#include "program/program_frame.h"
 
 #include <CLI/CLI.hpp>
 #include <iostream>
@@ -14,12 +15,28 @@
 // What the command line was given.
 struct control_arguments {
     std::string platform;
+    std::string config_path;
+    bool check_only = false;
     std::vector<std::string> files;
     std::string name;
     std::uint64_t expected = 0;
     int code = 0;
 };
 
+// Reads the settings file; what the command line gives goes before it. Prints every problem and returns
+// whether there was none.
+bool read_config(control_arguments& given)
+{
+    auto reader = tanager::settings_reader::open(given.config_path);
+    if (!reader) {
+        std::cerr << reader.error().detail << '\n';
+        return false;
+    }
+    const std::string address = reader->read_address({"platform", "address"}, given.platform);
+    given.platform = given.platform.empty() ? address : given.platform;
+    return !tanager::report_problems(*reader);
+}
+
 exit_code check_files(const std::vector<std::string>& paths)
 {
     exit_code worst = exit_code::success;
@@ -81,7 +98,8 @@
     CLI::App app{"Edits the catalogue and asks what the system does.", "tanagerctl"};
     app.set_version_flag("--version", "tanagerctl 0.1.0");
     app.add_option("--platform", given.platform, "the object API, ip:port");
-    app.require_subcommand(1);
+    app.add_option("--config", given.config_path, "INI file with [platform] address");
+    app.add_flag("--check-config", given.check_only, "check the INI file and exit");
     auto* const apply = app.add_subcommand("apply", "write entries from files <kind>/<name>.json");
     apply->add_option("files", given.files)->required();
     auto* const expect =
@@ -104,6 +122,16 @@
     } catch (const CLI::ParseError& failure) {
         return app.exit(failure) == 0 ? 0 : static_cast<int>(exit_code::usage);
     }
+    if (!given.config_path.empty() && !read_config(given)) {
+        return static_cast<int>(exit_code::settings_invalid);
+    }
+    if (given.check_only) {
+        return 0;
+    }
+    if (app.get_subcommands().empty()) {
+        std::cerr << app.help();
+        return static_cast<int>(exit_code::usage);
+    }
     if (app.got_subcommand("check")) {
         return static_cast<int>(check_files(given.files));
     }
--- a/src/entry/entry_setup.cpp
+++ b/src/entry/entry_setup.cpp
@@ -28,6 +28,8 @@
 
 constexpr std::chrono::milliseconds housekeeping_interval{100};
 constexpr std::chrono::minutes crash_memory{10};
+// How much more rarely an entry that holds no watch reads the host list.
+constexpr int host_list_slowdown = 10;
 constexpr std::chrono::milliseconds drain_check_interval{10};
 constexpr std::chrono::seconds claim_patience_at_stop{10};
 
@@ -205,6 +207,9 @@
         }
         const bool is_watcher =
             is_elected_watcher(this->settings.host, peers, this->settings.watchers_per_data_centre);
+        // The others hear of leaving hosts from the agents themselves.
+        const auto interval = this->settings.host_list_interval;
+        this->hosts->set_interval(is_watcher ? interval : interval * host_list_slowdown);
         if (is_watcher) {
             this->follower->start();
         } else {
@@ -220,6 +225,8 @@
 
     void refresh_gauges()
     {
+        this->metrics.set_gauge("tanager_agents_taking_work",
+                                static_cast<double>(this->directory.agents_taking_work()));
         this->metrics.set_gauge("tanager_agent_links", static_cast<double>(this->directory.links()));
         this->metrics.set_gauge("tanager_requests_open", static_cast<double>(this->open_requests()));
         this->metrics.set_gauge("tanager_catalogue_revision", static_cast<double>(this->known.revision()));
--- a/src/entry/internal/agent_directory.cpp
+++ b/src/entry/internal/agent_directory.cpp
@@ -357,6 +357,13 @@
     return highest;
 }
 
+std::size_t agent_directory::agents_taking_work() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(this->records, [this](const auto& row) {
+        return row.second.ready && this->monitor.state_of(row.first) == peer_state::live;
+    }));
+}
+
 std::size_t agent_directory::links() const
 {
     return this->links_by_address.size();
--- a/src/entry/internal/agent_directory.h
+++ b/src/entry/internal/agent_directory.h
@@ -58,6 +58,9 @@
 
     std::size_t links() const;
 
+    // Returns the agents that are live and ready, as far as this entry knows.
+    std::size_t agents_taking_work() const;
+
 private:
     struct agent_record {
         std::uint32_t capacity = 0;
--- a/src/platform/host_list_follower.h
+++ b/src/platform/host_list_follower.h
@@ -24,6 +24,9 @@
     virtual ~host_list_follower() = default;
 
     virtual void start() = 0;
+
+    // Changes how often the list is read from now on.
+    virtual void set_interval(duration interval) = 0;
 };
 
 } // namespace tanager
--- a/src/platform/internal/host_list_follower.cpp
+++ b/src/platform/internal/host_list_follower.cpp
@@ -20,6 +20,15 @@
         this->ticks = this->loop.run_every(this->interval, [this] { this->read(); });
     }
 
+    void set_interval(duration wanted) override
+    {
+        if (wanted == this->interval) {
+            return;
+        }
+        this->interval = wanted;
+        this->ticks = this->loop.run_every(this->interval, [this] { this->read(); });
+    }
+
 private:
     void read()
     {
--- a/src/program/internal/program_frame.cpp
+++ b/src/program/internal/program_frame.cpp
@@ -4,6 +4,7 @@
 
 #include <CLI/CLI.hpp>
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 
 namespace tanager {
@@ -77,6 +78,13 @@
     return exit_code::success;
 }
 
+void end_process(exit_code code)
+{
+    std::cout.flush();
+    std::cerr.flush();
+    std::_Exit(static_cast<int>(code));
+}
+
 exit_code report_failed_start(const error& cause)
 {
     write_event(log_event::program_failed,
--- a/src/program/program_frame.h
+++ b/src/program/program_frame.h
@@ -53,6 +53,9 @@
 // Runs a service until SIGTERM or SIGINT and its graceful stop.
 exit_code serve_until_stopped(event_loop& loop, service& running);
 
+// Ends the process at once, without destroying what other threads may still use.
+[[noreturn]] void end_process(exit_code code);
+
 // Reports a failed start and returns its exit code.
 exit_code report_failed_start(const error& cause);
 
@@ -90,7 +93,10 @@
     if (!running) {
         return report_failed_start(running.error());
     }
-    return serve_until_stopped(**loop, **running);
+    const exit_code code = serve_until_stopped(**loop, **running);
+    // gRPC's own threads may still hand their last notices to the loop, so neither is taken down before the
+    // process.
+    end_process(code);
 }
 
 } // namespace tanager
--- a/tests/support/raw_caller.cpp
+++ b/tests/support/raw_caller.cpp
@@ -43,7 +43,7 @@
     close(this->descriptor);
 }
 
-bool raw_caller::send(const std::string& bytes)
+bool raw_caller::send(const std::string& bytes) const
 {
     std::size_t sent = 0;
     while (sent < bytes.size()) {
@@ -57,12 +57,12 @@
     return true;
 }
 
-void raw_caller::close_sending()
+void raw_caller::close_sending() const
 {
     shutdown(this->descriptor, SHUT_WR);
 }
 
-std::string raw_caller::receive(std::size_t most)
+std::string raw_caller::receive(std::size_t most) const
 {
     std::string bytes(most, '\0');
     const auto length = recv(this->descriptor, bytes.data(), bytes.size(), 0);
@@ -70,7 +70,7 @@
     return bytes;
 }
 
-std::string raw_caller::receive_until(const std::string& text)
+std::string raw_caller::receive_until(const std::string& text) const
 {
     std::string all;
     while (all.find(text) == std::string::npos) {
--- a/tests/support/raw_caller.h
+++ b/tests/support/raw_caller.h
@@ -16,16 +16,16 @@
     raw_caller& operator=(raw_caller&&) = delete;
 
     // Sends as much as the peer takes; returns whether that was all.
-    bool send(const std::string& bytes);
+    bool send(const std::string& bytes) const;
 
     // Closes the sending side only.
-    void close_sending();
+    void close_sending() const;
 
     // Receives up to a number of bytes; empty at the end of the stream or after 30 s.
-    std::string receive(std::size_t most);
+    std::string receive(std::size_t most) const;
 
     // Receives until the peer closes, or a text has been seen.
-    std::string receive_until(const std::string& text);
+    std::string receive_until(const std::string& text) const;
 
 private:
     int descriptor;
--- a/tests/support/site.cpp
+++ b/tests/support/site.cpp
@@ -48,7 +48,7 @@
 
 std::string site::write_settings(const std::string& host, const std::string& text) const
 {
-    const std::string path = this->folder + "/" + host + ".ini";
+    std::string path = this->folder + "/" + host + ".ini";
     std::ofstream(path) << text;
     return path;
 }
@@ -165,10 +165,9 @@
 {
     this->start_entry_only(host);
     this->wait_ready(this->entry_http[host]);
-    for (const auto& [agent_host, row] : this->agents) {
-        this->wait_ready(row.pages);
-        this->entries[host]->wait_for_line("agent_connected host=" + agent_host);
-    }
+    this->caller.poll_until(this->entry_http[host], "/metrics", [this](const http_reply& page) {
+        return metric(page, "tanager_agents_taking_work") == static_cast<double>(this->agents.size());
+    });
 }
 
 void site::restart_agent(const std::string& host, int signal_number)
--- a/tests/support/site_caller.cpp
+++ b/tests/support/site_caller.cpp
@@ -116,7 +116,9 @@
     const auto deadline = std::chrono::steady_clock::now() + longest_wait;
     while (!condition(this->get(address, path))) {
         if (std::chrono::steady_clock::now() > deadline) {
-            throw std::runtime_error("the awaited page did not appear at " + address + path);
+            std::string problem = "the awaited page did not appear at ";
+            problem.append(address).append(path);
+            throw std::runtime_error(problem);
         }
     }
 }
--- a/tests/tests/claims_tests.cpp
+++ b/tests/tests/claims_tests.cpp
@@ -63,27 +63,27 @@
 
     void callers_who_race_run_one_order()
     {
-        constexpr int orders = 20;
-        constexpr int senders = 6;
+        constexpr std::size_t orders = 20;
+        constexpr std::size_t senders = 6;
         site place;
         place.start_agents({{"o1", "orders", {"--work-ms", "20"}}, {"o2", "orders", {"--work-ms", "20"}}});
         place.start_entry("e1");
         place.start_entry("e2");
         place.caller.post(place.platform_address(), "/faults?lost_answer=10");
         std::vector<std::shared_ptr<pending_answer>> answers;
-        for (int order = 0; order < orders; ++order) {
-            for (int sender = 0; sender < senders; ++sender) {
+        for (std::size_t order = 0; order < orders; ++order) {
+            for (std::size_t sender = 0; sender < senders; ++sender) {
                 const auto name = "order " + std::to_string(order);
                 answers.push_back(place.caller.start(
                     place.entry_address(sender % 2 == 0 ? "e1" : "e2"),
                     service_call(midlands_key, "gel-order", name, "key-" + std::to_string(order))));
             }
         }
-        for (int order = 0; order < orders; ++order) {
+        for (std::size_t order = 0; order < orders; ++order) {
             const auto name = "order " + std::to_string(order);
             int complete = 0;
-            for (int sender = 0; sender < senders; ++sender) {
-                const auto& answer = answers.at(static_cast<std::size_t>(order * senders + sender));
+            for (std::size_t sender = 0; sender < senders; ++sender) {
+                const auto& answer = answers.at(order * senders + sender);
                 place.caller.run_until([&] { return answer->is_settled(); });
                 CPPUNIT_ASSERT(answer->reply.has_value());
                 complete += answer->reply->status == 200 ? 1 : 0;
--- a/tests/tests/leaving_tests.cpp
+++ b/tests/tests/leaving_tests.cpp
@@ -103,6 +103,7 @@
     CPPUNIT_TEST(a_drained_host_gets_no_new_work);
     CPPUNIT_TEST(a_host_listed_as_leaving_gets_no_new_work);
     CPPUNIT_TEST(an_entry_stops_gracefully);
+    CPPUNIT_TEST(programs_end_cleanly_time_after_time);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -195,6 +196,24 @@
         CPPUNIT_ASSERT_EQUAL(0, place.entry("e1").wait());
         place.check_invariants();
     }
+
+    void programs_end_cleanly_time_after_time()
+    {
+        constexpr int rounds = 10;
+        site place;
+        place.start_agents({{"m1", "helper", {}}, {"o1", "orders", {}}});
+        for (int round = 0; round < rounds; ++round) {
+            const auto host = "e" + std::to_string(round);
+            place.start_entry(host);
+            place.entry(host).send_signal(SIGTERM);
+            CPPUNIT_ASSERT_EQUAL(0, place.entry(host).wait());
+        }
+        for (const std::string host : {"m1", "o1"}) {
+            place.agent(host).send_signal(SIGTERM);
+            CPPUNIT_ASSERT_EQUAL(0, place.agent(host).wait());
+        }
+        place.check_invariants();
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(leaving_tests);
--- a/tests/tests/path_tests.cpp
+++ b/tests/tests/path_tests.cpp
@@ -139,7 +139,7 @@
                 const std::string bytes = slow.receive(burst_bytes);
                 CPPUNIT_ASSERT(!bytes.empty());
                 body_bytes += static_cast<std::uint64_t>(std::ranges::count(bytes, 'x'));
-                tail = bytes.size() >= 5 ? bytes : tail + bytes;
+                tail = bytes.size() >= 5 ? bytes : tail.append(bytes);
             }
             CPPUNIT_ASSERT_EQUAL(answer_bytes, body_bytes);
         });
