--- a/src/answers/answer_assembler.h
+++ b/src/answers/answer_assembler.h
@@ -27,9 +27,6 @@
     // Returns whether the end has been accepted.
     bool is_whole() const;
 
-    // Returns whether any byte of the answer has been accepted.
-    bool has_data() const;
-
 private:
     frame_verdict accept_data(const protocol::answer_frame& frame);
     frame_verdict accept_end(const protocol::answer_frame& frame);
--- a/src/answers/internal/answer_assembler.cpp
+++ b/src/answers/internal/answer_assembler.cpp
@@ -66,9 +66,4 @@
     return this->ended;
 }
 
-bool answer_assembler::has_data() const
-{
-    return this->received > 0;
-}
-
 } // namespace tanager
--- a/src/base/types/result_code.h
+++ b/src/base/types/result_code.h
@@ -29,14 +29,12 @@
     request_malformed = 301,
     field_missing = 302,
     field_invalid = 303,
-    body_too_large = 304,
     caller_unknown = 305,
     entry_unknown = 306,
     entry_not_owned = 307,
     path_unknown = 308,
     method_not_allowed = 309,
     not_ready = 310,
-    stopping = 311,
 
     // 400: admission, routing and retries
     member_over_cap = 401,
@@ -44,7 +42,6 @@
     agent_queue_full = 403,
     no_agent_available = 404,
     deadline_unreachable = 405,
-    retry_budget_spent = 406,
     request_too_large_for_pool = 407,
     agent_leaving = 408,
     agent_incarnation_changed = 409,
--- a/src/entry/internal/agent_directory.cpp
+++ b/src/entry/internal/agent_directory.cpp
@@ -18,17 +18,6 @@
 // Time between two reports over all agents, which bounds an entry's processor time for them.
 constexpr std::chrono::milliseconds report_spacing{25};
 
-std::uint32_t less_or_zero(std::uint32_t from, std::uint32_t amount)
-{
-    return from > amount ? from - amount : 0;
-}
-
-std::uint32_t find_or_zero(const std::unordered_map<std::string, std::uint32_t>& map, const std::string& key)
-{
-    const auto found = map.find(key);
-    return found == map.end() ? 0 : found->second;
-}
-
 // Returns the agents of a pool that an entry works with.
 std::vector<pool_agent>
 choose_subset(const pool_entry& pool, const std::string& entry_host, std::size_t bound)
@@ -176,24 +165,10 @@
     if (!is_current) {
         return;
     }
-    this->apply_report(message);
+    this->loads.apply(message);
     this->answer_catalogue_part(address, message);
 }
 
-void agent_directory::apply_report(const protocol::agent_message& message)
-{
-    auto& record = this->records[message.agent_host()];
-    record = {};
-    record.capacity = message.capacity_pieces();
-    record.used = message.used_pieces();
-    record.queued = message.queued_requests();
-    record.catalogue_revision = message.catalogue_revision();
-    record.ready = message.ready();
-    for (const auto& use : message.members()) {
-        record.used_by_member[use.member()] = use.used_pieces();
-    }
-}
-
 void agent_directory::answer_catalogue_part(const std::string& address,
                                             const protocol::agent_message& message)
 {
@@ -251,40 +226,17 @@
     }
 }
 
-routing_candidate agent_directory::make_candidate(const pool_entry& pool,
-                                                  const pool_agent& agent,
-                                                  const member_entry& member) const
-{
-    routing_candidate candidate;
-    candidate.host = agent.host;
-    candidate.same_data_centre = agent.data_centre == this->settings.data_centre;
-    const auto found = this->records.find(agent.host);
-    if (found == this->records.end()) {
-        return candidate;
-    }
-    const auto& record = found->second;
-    candidate.takes_work =
-        record.ready && !agent.draining && this->monitor.state_of(agent.host) == peer_state::live;
-    candidate.member_share =
-        std::min(share_of_slot(member.cap_in(pool.name), pool.slots, agent.slot), record.capacity);
-    const std::uint32_t member_used = find_or_zero(record.used_by_member, member.name) +
-                                      find_or_zero(record.dispatched_by_member, member.name);
-    candidate.free_member_pieces = less_or_zero(candidate.member_share, member_used);
-    candidate.free_pieces = less_or_zero(record.capacity, record.used + record.dispatched_pieces);
-    candidate.queued = record.queued;
-    if (candidate.free_pieces == 0) {
-        candidate.queued += record.dispatched_requests;
-    }
-    return candidate;
-}
-
 std::vector<routing_candidate> agent_directory::candidates(const pool_entry& pool,
                                                            const member_entry& member) const
 {
     std::vector<routing_candidate> rows;
     rows.reserve(pool.agents.size());
     for (const auto& agent : pool.agents) {
-        rows.push_back(this->make_candidate(pool, agent, member));
+        auto row = this->loads.candidate(pool, agent, member);
+        row.same_data_centre = agent.data_centre == this->settings.data_centre;
+        row.takes_work =
+            row.takes_work && !agent.draining && this->monitor.state_of(agent.host) == peer_state::live;
+        rows.push_back(std::move(row));
     }
     return rows;
 }
@@ -302,25 +254,12 @@
                                       const std::string& member,
                                       std::uint32_t pieces)
 {
-    auto& record = this->records[host];
-    record.dispatched_pieces += pieces;
-    record.dispatched_by_member[member] += pieces;
-    ++record.dispatched_requests;
+    this->loads.note_dispatched(host, member, pieces);
 }
 
 void agent_directory::note_ended(const std::string& host, const std::string& member, std::uint32_t pieces)
 {
-    auto& record = this->records[host];
-    auto& dispatched = record.dispatched_by_member[member];
-    if (dispatched >= pieces) {
-        dispatched -= pieces;
-        record.dispatched_pieces = less_or_zero(record.dispatched_pieces, pieces);
-        record.dispatched_requests = less_or_zero(record.dispatched_requests, 1);
-        return;
-    }
-    auto& used = record.used_by_member[member];
-    used = less_or_zero(used, pieces);
-    record.used = less_or_zero(record.used, pieces);
+    this->loads.note_ended(host, member, pieces);
 }
 
 std::uint64_t agent_directory::incarnation_of(const std::string& host) const
@@ -344,23 +283,18 @@
 
 std::size_t agent_directory::heard_agents() const
 {
-    return static_cast<std::size_t>(std::ranges::count_if(
-        this->records, [](const auto& row) { return row.second.catalogue_revision > 0; }));
+    return this->loads.hosts_with_catalogue();
 }
 
 std::uint64_t agent_directory::highest_heard_revision() const
 {
-    std::uint64_t highest = 0;
-    for (const auto& [host, record] : this->records) {
-        highest = std::max(highest, record.catalogue_revision);
-    }
-    return highest;
+    return this->loads.highest_revision();
 }
 
 std::size_t agent_directory::agents_taking_work() const
 {
-    return static_cast<std::size_t>(std::ranges::count_if(this->records, [this](const auto& row) {
-        return row.second.ready && this->monitor.state_of(row.first) == peer_state::live;
+    return static_cast<std::size_t>(std::ranges::count_if(this->hosts_by_address, [this](const auto& row) {
+        return this->loads.is_ready(row.second) && this->monitor.state_of(row.second) == peer_state::live;
     }));
 }
 
--- a/src/entry/internal/agent_directory.h
+++ b/src/entry/internal/agent_directory.h
@@ -5,6 +5,7 @@
 #include "catalogue/catalogue.h"
 #include "entry/agent_selector.h"
 #include "entry/internal/agent_link.h"
+#include "entry/internal/agent_loads.h"
 #include "entry/internal/grpc_agent_gateway.h"
 #include "entry/types/entry_settings.h"
 #include "membership/peer_monitor.h"
@@ -15,7 +16,6 @@
 #include <memory>
 #include <set>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace tanager {
@@ -62,29 +62,14 @@
     std::size_t agents_taking_work() const;
 
 private:
-    struct agent_record {
-        std::uint32_t capacity = 0;
-        std::uint32_t used = 0;
-        std::uint32_t queued = 0;
-        std::uint64_t catalogue_revision = 0;
-        bool ready = false;
-        std::unordered_map<std::string, std::uint32_t> used_by_member;
-        std::uint32_t dispatched_pieces = 0;
-        std::uint32_t dispatched_requests = 0;
-        std::unordered_map<std::string, std::uint32_t> dispatched_by_member;
-    };
-
     void open_link(const std::string& address);
     void on_message(const std::string& address, const protocol::agent_message& message);
     void on_connected(const std::string& address);
     void on_broken(const std::string& address);
-    void apply_report(const protocol::agent_message& message);
     void answer_catalogue_part(const std::string& address, const protocol::agent_message& message);
     protocol::entry_message make_message() const;
     void send_to_all(const protocol::entry_message& message);
     std::set<std::string> wanted_addresses() const;
-    routing_candidate
-    make_candidate(const pool_entry& pool, const pool_agent& agent, const member_entry& member) const;
 
     event_loop& loop;
     const clock& time;
@@ -97,7 +82,7 @@
     peer_monitor monitor;
     std::map<std::string, std::unique_ptr<agent_link>> links_by_address;
     std::map<std::string, std::string> hosts_by_address;
-    std::unordered_map<std::string, agent_record> records;
+    agent_loads loads;
     std::set<std::string> listed_leaving;
     std::map<std::string, std::uint64_t> claim_windows;
     time_point pull_due;
--- /dev/null
+++ b/src/entry/internal/agent_loads.cpp
@@ -0,0 +1,102 @@
+#include "entry/internal/agent_loads.h"
+
+#include <algorithm>
+
+namespace tanager {
+
+namespace {
+
+std::uint32_t less_or_zero(std::uint32_t from, std::uint32_t amount)
+{
+    return from > amount ? from - amount : 0;
+}
+
+std::uint32_t find_or_zero(const std::unordered_map<std::string, std::uint32_t>& map, const std::string& key)
+{
+    const auto found = map.find(key);
+    return found == map.end() ? 0 : found->second;
+}
+
+} // namespace
+
+void agent_loads::apply(const protocol::agent_message& report)
+{
+    auto& load = this->loads[report.agent_host()];
+    load = {};
+    load.capacity = report.capacity_pieces();
+    load.used = report.used_pieces();
+    load.queued = report.queued_requests();
+    load.catalogue_revision = report.catalogue_revision();
+    load.ready = report.ready();
+    for (const auto& use : report.members()) {
+        load.used_by_member[use.member()] = use.used_pieces();
+    }
+}
+
+void agent_loads::note_dispatched(const std::string& host, const std::string& member, std::uint32_t pieces)
+{
+    auto& load = this->loads[host];
+    load.dispatched_pieces += pieces;
+    load.dispatched_by_member[member] += pieces;
+    ++load.dispatched_requests;
+}
+
+void agent_loads::note_ended(const std::string& host, const std::string& member, std::uint32_t pieces)
+{
+    auto& load = this->loads[host];
+    auto& dispatched = load.dispatched_by_member[member];
+    if (dispatched >= pieces) {
+        dispatched -= pieces;
+        load.dispatched_pieces = less_or_zero(load.dispatched_pieces, pieces);
+        load.dispatched_requests = less_or_zero(load.dispatched_requests, 1);
+        return;
+    }
+    auto& used = load.used_by_member[member];
+    used = less_or_zero(used, pieces);
+    load.used = less_or_zero(load.used, pieces);
+}
+
+routing_candidate
+agent_loads::candidate(const pool_entry& pool, const pool_agent& agent, const member_entry& member) const
+{
+    routing_candidate row;
+    row.host = agent.host;
+    const auto found = this->loads.find(agent.host);
+    if (found == this->loads.end()) {
+        return row;
+    }
+    const auto& load = found->second;
+    const std::uint32_t share = share_of_slot(member.cap_in(pool.name), pool.slots, agent.slot);
+    const std::uint32_t member_used =
+        find_or_zero(load.used_by_member, member.name) + find_or_zero(load.dispatched_by_member, member.name);
+    row.takes_work = load.ready;
+    row.member_share = std::min(share, load.capacity);
+    row.free_member_pieces = less_or_zero(row.member_share, member_used);
+    row.free_pieces = less_or_zero(load.capacity, load.used + load.dispatched_pieces);
+    // What was sent to a full agent waits there.
+    row.queued = load.queued + (row.free_pieces == 0 ? load.dispatched_requests : 0);
+    return row;
+}
+
+bool agent_loads::is_ready(const std::string& host) const
+{
+    const auto found = this->loads.find(host);
+    return found != this->loads.end() && found->second.ready;
+}
+
+std::size_t agent_loads::hosts_with_catalogue() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        this->loads, [](const auto& row) { return row.second.catalogue_revision > 0; }));
+}
+
+std::uint64_t agent_loads::highest_revision() const
+{
+    std::uint64_t highest = 0;
+    for (const auto& [host, load] : this->loads) {
+        highest = std::max(highest, load.catalogue_revision);
+    }
+    return highest;
+}
+
+} // namespace tanager
--- a/src/entry/tests/entry_tests.cpp
+++ b/src/entry/tests/entry_tests.cpp
@@ -1,6 +1,7 @@
 #include "base/mocks/counting_invariant_monitor.h"
 #include "base/mocks/manual_clock.h"
 #include "base/system_random.h"
+#include "entry/internal/agent_loads.h"
 #include "entry/internal/completion_body.h"
 #include "entry/internal/request_run.h"
 #include "entry/mocks/fake_agents.h"
@@ -99,6 +100,7 @@
     CPPUNIT_TEST(foreign_frames_never_reach_the_caller);
     CPPUNIT_TEST(a_delivered_stream_is_broken_off);
     CPPUNIT_TEST(retries_stop_with_the_budget);
+    CPPUNIT_TEST(reports_are_corrected_by_own_dispatches);
     CPPUNIT_TEST(completion_bodies_are_checked);
     CPPUNIT_TEST_SUITE_END();
 
@@ -261,6 +263,46 @@
         CPPUNIT_ASSERT_EQUAL(requests, bench.ended);
     }
 
+    void reports_are_corrected_by_own_dispatches()
+    {
+        pool_entry pool;
+        pool.name = "p";
+        pool.slots = 2;
+        const pool_agent agent{"h1", "d", "a", 0, false};
+        member_entry member;
+        member.name = "midlands";
+        member.caps = {{"p", 8}};
+        agent_loads loads;
+        CPPUNIT_ASSERT(!loads.candidate(pool, agent, member).takes_work);
+        protocol::agent_message report;
+        report.set_agent_host("h1");
+        report.set_ready(true);
+        report.set_capacity_pieces(6);
+        report.set_used_pieces(3);
+        auto* const use = report.add_members();
+        use->set_member("midlands");
+        use->set_used_pieces(1);
+        loads.apply(report);
+        CPPUNIT_ASSERT(loads.candidate(pool, agent, member) ==
+                       (routing_candidate{"h1", true, false, 3, 3, 4, 0}));
+        section("what was sent since counts as used", [&] {
+            loads.note_dispatched("h1", "midlands", 3);
+            CPPUNIT_ASSERT(loads.candidate(pool, agent, member) ==
+                           (routing_candidate{"h1", true, false, 0, 0, 4, 1}));
+            loads.note_ended("h1", "midlands", 3);
+            CPPUNIT_ASSERT_EQUAL(3U, loads.candidate(pool, agent, member).free_pieces);
+        });
+        section("what the report counted is free once it has ended", [&] {
+            loads.note_ended("h1", "midlands", 1);
+            CPPUNIT_ASSERT_EQUAL(4U, loads.candidate(pool, agent, member).free_member_pieces);
+        });
+        section("the next report starts afresh", [&] {
+            loads.note_dispatched("h1", "midlands", 2);
+            loads.apply(report);
+            CPPUNIT_ASSERT_EQUAL(3U, loads.candidate(pool, agent, member).free_pieces);
+        });
+    }
+
     void completion_bodies_are_checked()
     {
         const auto code = [](const std::string& text, completion_kind kind) {
--- a/src/logging/types/log_event.h
+++ b/src/logging/types/log_event.h
@@ -36,13 +36,11 @@
     agent_leaving = 3009,
     attempt_settled = 3010,
     claim_recorded = 3011,
-    claim_failed = 3012,
 
     // 4000: agent
     attempt_refused = 4001,
     attempt_finished = 4002,
     attempt_failed = 4003,
-    attempt_cancelled = 4004,
     entry_connected = 4005,
     entry_disconnected = 4006,
     backend_unreachable = 4007,
--- a/src/net/http_exchange.h
+++ b/src/net/http_exchange.h
@@ -47,8 +47,6 @@
 
     // Called once when the caller closes its side before the reply is finished.
     virtual void on_caller_left(notice callback) = 0;
-
-    virtual bool caller_has_left() const = 0;
 };
 
 } // namespace tanager
--- a/src/net/internal/evhttp_exchange.h
+++ b/src/net/internal/evhttp_exchange.h
@@ -33,7 +33,6 @@
     std::size_t unsent_bytes() const override;
     void on_drained(notice callback) override;
     void on_caller_left(notice callback) override;
-    bool caller_has_left() const override;
 
 private:
     static void on_connection_closed(evhttp_connection* connection, void* self);
--- a/src/net/internal/http_exchange.cpp
+++ b/src/net/internal/http_exchange.cpp
@@ -272,9 +272,4 @@
     }
 }
 
-bool evhttp_exchange::caller_has_left() const
-{
-    return this->left;
-}
-
 } // namespace tanager
--- a/src/net/mocks/fake_exchange.h
+++ b/src/net/mocks/fake_exchange.h
@@ -58,11 +58,6 @@
         this->left = std::move(callback);
     }
 
-    bool caller_has_left() const override
-    {
-        return false;
-    }
-
     http_reply sent;
     bool is_finished = false;
     bool is_aborted = false;
