Close connections that no later call may reuse

Change: such a connection is closed after its reply. Story: 100 idle connections before a bound of 80 descriptors. Conclusion: non-idempotent calls no longer leave idle connections behind.

--- a/src/net/internal/http_client.cpp
+++ b/src/net/internal/http_client.cpp
@@ -54,6 +54,7 @@
     {
         this->self_reference = this->shared_from_this();
         this->connection = this->pool.take(this->peer, options.reuse_connection);
+        this->keeps_connection = options.reuse_connection;
         this->set_timeout(options.timeout);
         evhttp_connection_set_max_body_size(this->connection, longest_reply_bytes);
         this->output_watch = evbuffer_add_cb(this->output(), &evhttp_call::on_output_changed, this);
@@ -200,7 +201,11 @@
         auto* const reusable = this->connection;
         const auto receiver = this->handler;
         this->release();
-        this->pool.give_back(this->peer, reusable);
+        if (this->keeps_connection) {
+            this->pool.give_back(this->peer, reusable);
+        } else {
+            this->pool.discard(reusable);
+        }
         receiver->on_end();
     }
 
@@ -240,6 +245,7 @@
     evhttp_connection* connection = nullptr;
     evhttp_request* native = nullptr;
     evbuffer_cb_entry* output_watch = nullptr;
+    bool keeps_connection = true;
     bool head_seen = false;
     bool sent = false;
     bool done = false;
--- a/tests/support/site.cpp
+++ b/tests/support/site.cpp
@@ -141,29 +141,29 @@
     write("rulebook", "yesil", "helper", true);
 }
 
-void site::start_entry_only(const std::string& host)
+void site::start_entry_only(const std::string& host, const std::string& http_settings)
 {
     std::string seeds;
     for (const auto& [agent_host, row] : this->agents) {
         seeds += (seeds.empty() ? "" : ", ") + row.reached_at;
     }
-    const std::string path = this->write_settings(host,
-                                                  "[entry]\nhost = " + host +
-                                                      "\ndata_centre = nottm-a\nregion = east-midlands\n"
-                                                      "[http]\nlisten = 127.0.0.1:0\n"
-                                                      "[platform]\naddress = " +
-                                                      this->platform_http +
-                                                      "\nhost_list_interval_ms = 100\n"
-                                                      "timeout_ms = 500\n[peers]\nagents = " +
-                                                      seeds + "\n");
+    const std::string path =
+        this->write_settings(host,
+                             "[entry]\nhost = " + host +
+                                 "\ndata_centre = nottm-a\nregion = east-midlands\n"
+                                 "[http]\nlisten = 127.0.0.1:0\n" +
+                                 http_settings + "[platform]\naddress = " + this->platform_http +
+                                 "\nhost_list_interval_ms = 100\n"
+                                 "timeout_ms = 500\n[peers]\nagents = " +
+                                 seeds + "\n");
     this->entries[host] =
         std::make_unique<child_process>("tanager-entry", std::vector<std::string>{"--config", path});
     this->entry_http[host] = this->entries[host]->address("http");
 }
 
-void site::start_entry(const std::string& host)
+void site::start_entry(const std::string& host, const std::string& http_settings)
 {
-    this->start_entry_only(host);
+    this->start_entry_only(host, http_settings);
     this->wait_ready(this->entry_http[host]);
     this->caller.poll_until(this->entry_http[host], "/metrics", [this](const http_reply& page) {
         return metric(page, "tanager_agents_taking_work") == static_cast<double>(this->agents.size());
--- a/tests/support/site.h
+++ b/tests/support/site.h
@@ -39,10 +39,10 @@
     void start_agents(const std::vector<agent_plan>& plans);
 
     // Starts an entry and waits until it has heard of every agent.
-    void start_entry(const std::string& host);
+    void start_entry(const std::string& host, const std::string& http_settings = {});
 
-    // Starts an entry without waiting for anything.
-    void start_entry_only(const std::string& host);
+    // Starts an entry without waiting for anything; `http_settings` are further lines of its section [http].
+    void start_entry_only(const std::string& host, const std::string& http_settings = {});
 
     // Ends an agent's process by a signal and starts another one on the same port.
     void restart_agent(const std::string& host, int signal_number);
--- a/tests/tests/bad_input_tests.cpp
+++ b/tests/tests/bad_input_tests.cpp
@@ -5,6 +5,7 @@
 #include "tests/support/site.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <filesystem>
 #include <fstream>
 #include <unistd.h>
 
@@ -31,6 +32,7 @@
     CPPUNIT_TEST_SUITE(bad_input_tests);
     CPPUNIT_TEST(bad_requests_are_refused_with_code_and_field);
     CPPUNIT_TEST(misbehaving_sockets_harm_nobody_else);
+    CPPUNIT_TEST(connections_are_bounded);
     CPPUNIT_TEST(a_bad_engine_is_not_believed);
     CPPUNIT_TEST(bad_settings_are_reported_at_once);
     CPPUNIT_TEST_SUITE_END();
@@ -129,6 +131,35 @@
         place.check_invariants();
     }
 
+    void connections_are_bounded()
+    {
+        constexpr std::size_t descriptor_bound = 80;
+        constexpr std::size_t connections = 100;
+        site place;
+        place.start_agents({{"m1", "helper", {}}});
+        place.start_entry("e1", "descriptors = " + std::to_string(descriptor_bound) + "\n");
+        const auto open_descriptors = [&] {
+            const std::filesystem::directory_iterator listed("/proc/" +
+                                                             std::to_string(place.entry("e1").id()) + "/fd");
+            return static_cast<std::size_t>(std::distance(begin(listed), end(listed)));
+        };
+        std::vector<std::unique_ptr<raw_caller>> idle;
+        for (std::size_t i = 0; i < connections; ++i) {
+            idle.push_back(std::make_unique<raw_caller>(place.entry_address("e1")));
+        }
+        place.caller.run_until([&] { return open_descriptors() >= descriptor_bound; });
+        section("the rest waits outside",
+                [&] { CPPUNIT_ASSERT(open_descriptors() <= descriptor_bound + 8); });
+        section("and is served when others have left", [&] {
+            const auto answer = place.caller.start(place.entry_address("e1"),
+                                                   completion(midlands_key, "swatch", "patient", 2, false));
+            idle.clear();
+            place.caller.run_until([&] { return answer->is_settled(); });
+            CPPUNIT_ASSERT_EQUAL(standin::make_answer("patient", 2), text_of(*answer->reply));
+        });
+        place.check_invariants();
+    }
+
     void a_bad_engine_is_not_believed()
     {
         site place;
