--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -8,7 +8,7 @@
 start() {
     local name=$1
     shift
-    "$@" >"$work_dir/$name.out" 2>"$work_dir/$name.log" &
+    "$@" >"$work_dir/$name.log" 2>&1 &
     process_ids+=($!)
     echo $! >"$work_dir/$name.pid"
 }
--- /dev/null
+++ b/src/answers/event_splitter.h
@@ -0,0 +1,31 @@
+// Cuts a stream of server-sent events between its events.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace tanager {
+
+// Fed with a stream in any cuts. Only whole events come out, so that a stream whose server breaks off in the
+// middle of an event can go on at another one.
+class event_splitter {
+public:
+    // Returns the whole events that are now complete.
+    std::string feed(std::string_view data);
+
+    // Returns the bytes after the last whole event.
+    std::string take_rest();
+
+    // Returns the id of the last whole event, where events carry numbers.
+    std::optional<std::uint64_t> last_id() const;
+
+private:
+    void read_event(std::string_view event);
+
+    std::string pending;
+    std::optional<std::uint64_t> last;
+};
+
+} // namespace tanager
--- a/src/apps/tanagerctl/blocking_store.h
+++ b/src/apps/tanagerctl/blocking_store.h
@@ -2,7 +2,7 @@
 
 #include "net/event_loop.h"
 #include "net/http_client.h"
-#include "platform/http_object_store.h"
+#include "store/http_object_store.h"
 
 #include <memory>
 #include <string>
--- a/src/base/types/result_code.h
+++ b/src/base/types/result_code.h
@@ -35,6 +35,8 @@
     path_unknown = 308,
     method_not_allowed = 309,
     not_ready = 310,
+    route_unknown = 311,
+    framing_ambiguous = 312,
 
     // 400: admission, routing and retries
     member_over_cap = 401,
@@ -48,6 +50,8 @@
     agent_not_ready = 410,
     attempt_cancelled = 411,
     attempt_repeated = 412,
+    no_server_available = 413,
+    no_place_in_time = 414,
 
     // 500: backend servers and answers
     backend_unreachable = 501,
@@ -58,12 +62,16 @@
     outcome_unknown = 506,
     agent_connection_lost = 507,
     backend_crashed = 508,
+    backend_refused = 509,
+    backend_answer_foreign = 510,
 
     // 600: platform and catalogue
     store_unavailable = 601,
     version_conflict = 602,
     object_unknown = 603,
     catalogue_invalid = 604,
+    history_lost = 605,
+    configuration_invalid = 606,
 
     // 700: non-idempotent work with an idempotency key
     claim_in_progress = 701,
--- a/src/claims/claim_book.h
+++ b/src/claims/claim_book.h
@@ -3,7 +3,7 @@
 
 #include "base/clock.h"
 #include "claims/types/claim.h"
-#include "platform/object_store.h"
+#include "store/object_store.h"
 
 #include <chrono>
 #include <functional>
--- a/src/claims/tests/claims_tests.cpp
+++ b/src/claims/tests/claims_tests.cpp
@@ -1,7 +1,7 @@
 #include "base/mocks/manual_clock.h"
 #include "claims/claim_book.h"
 #include "claims/claim_table.h"
-#include "platform/mocks/faulty_store.h"
+#include "store/mocks/faulty_store.h"
 #include "testing/story.h"
 
 #include <cppunit/extensions/HelperMacros.h>
--- a/src/entry/entry_setup.cpp
+++ b/src/entry/entry_setup.cpp
@@ -17,10 +17,10 @@
 #include "membership/watcher_election.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
-#include "platform/catalogue_follower.h"
-#include "platform/host_list_follower.h"
-#include "platform/http_object_store.h"
 #include "program/health_pages.h"
+#include "store/catalogue_follower.h"
+#include "store/host_list_follower.h"
+#include "store/http_object_store.h"
 
 namespace tanager {
 
--- a/src/entry/internal/agent_directory.h
+++ b/src/entry/internal/agent_directory.h
@@ -9,8 +9,8 @@
 #include "entry/internal/grpc_agent_gateway.h"
 #include "entry/types/entry_settings.h"
 #include "membership/peer_monitor.h"
-#include "platform/types/stored_object.h"
 #include "quarantine/crash_ledger.h"
+#include "store/types/stored_object.h"
 
 #include <map>
 #include <memory>
--- /dev/null
+++ b/src/fleet/internal/server_list.cpp
@@ -0,0 +1,122 @@
+#include "fleet/server_list.h"
+
+#include <set>
+
+namespace tanager {
+
+server_list::server_list(const clock& time, duration return_grace)
+    : time(time), return_grace(return_grace), grace_until(time.now())
+{
+}
+
+void server_list::apply_all(const std::vector<backend_server>& listed)
+{
+    std::set<std::string> present;
+    for (const auto& server : listed) {
+        present.insert(server.id);
+        this->put(server);
+    }
+    std::vector<std::string> missing;
+    for (const auto& [id, row] : this->servers) {
+        if (!present.contains(id)) {
+            missing.push_back(id);
+        }
+    }
+    for (const auto& id : missing) {
+        this->remove(id);
+    }
+}
+
+void server_list::apply(const server_change& change)
+{
+    if (change.now) {
+        this->put(*change.now);
+    } else {
+        this->remove(change.id);
+    }
+}
+
+void server_list::put(const backend_server& server)
+{
+    auto& row = this->servers[server.id];
+    const bool is_same_life = row.server != nullptr && row.server->incarnation == server.incarnation &&
+                              row.server->address == server.address;
+    row.said_leaving = is_same_life && row.said_leaving;
+    row.gone_at.reset();
+    if (row.server == nullptr || *row.server != server) {
+        row.server = std::make_shared<const backend_server>(server);
+    }
+    row.said_leaving = row.said_leaving || server.is_draining;
+}
+
+void server_list::remove(const std::string& id)
+{
+    const auto found = this->servers.find(id);
+    if (found == this->servers.end()) {
+        return;
+    }
+    const bool may_have_lapsed = this->time.now() < this->grace_until && !found->second.said_leaving;
+    if (!may_have_lapsed) {
+        this->servers.erase(found);
+    } else if (!found->second.gone_at) {
+        found->second.gone_at = this->grace_until;
+    }
+}
+
+void server_list::note_store_returned()
+{
+    this->grace_until = this->time.now() + this->return_grace;
+}
+
+void server_list::note_leaving(const std::string& id)
+{
+    const auto found = this->servers.find(id);
+    if (found != this->servers.end()) {
+        found->second.said_leaving = true;
+    }
+}
+
+std::vector<std::string> server_list::expire()
+{
+    std::vector<std::string> expired;
+    const auto now = this->time.now();
+    for (const auto& [id, row] : this->servers) {
+        if (row.gone_at && *row.gone_at <= now) {
+            expired.push_back(id);
+        }
+    }
+    for (const auto& id : expired) {
+        this->servers.erase(id);
+    }
+    return expired;
+}
+
+std::vector<std::shared_ptr<const backend_server>> server_list::serving(const std::string& service) const
+{
+    std::vector<std::shared_ptr<const backend_server>> found;
+    for (const auto& [id, row] : this->servers) {
+        if (!row.said_leaving && row.server->service == service) {
+            found.push_back(row.server);
+        }
+    }
+    return found;
+}
+
+std::vector<std::shared_ptr<const backend_server>> server_list::serving() const
+{
+    std::vector<std::shared_ptr<const backend_server>> found;
+    for (const auto& [id, row] : this->servers) {
+        if (!row.said_leaving) {
+            found.push_back(row.server);
+        }
+    }
+    return found;
+}
+
+bool server_list::takes_work(const std::string& id) const
+{
+    const auto found = this->servers.find(id);
+    return found != this->servers.end() && !found->second.said_leaving;
+}
+
+} // namespace tanager
--- /dev/null
+++ b/src/fleet/server_list.h
@@ -0,0 +1,68 @@
+// Which backend servers may be given work, from the store's list.
+#pragma once
+
+#include "base/clock.h"
+#include "fleet/types/backend_server.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace tanager {
+
+// One row of a change: a server as it is now, or its removal.
+struct server_change {
+    std::string id;
+    std::optional<backend_server> now;
+};
+
+// Load pattern: entries come, drain and lapse while the store comes and goes. A server that is known to be
+// draining never takes work again in that life. A server whose entry is missing when the store has just
+// returned may only have lapsed, so it is kept for a grace period; a removal at any other time counts at
+// once.
+class server_list {
+public:
+    // `return_grace` is how long an entry may take to come back after the store has returned.
+    server_list(const clock& time, duration return_grace);
+
+    // Replaces everything that is known.
+    void apply_all(const std::vector<backend_server>& listed);
+
+    void apply(const server_change& change);
+
+    // Records that the store can be reached again after it could not.
+    void note_store_returned();
+
+    // Records a server's own word, or an answer that shows that its address belongs to another one.
+    void note_leaving(const std::string& id);
+
+    // Removes the servers whose grace is over; returns their ids.
+    std::vector<std::string> expire();
+
+    // Returns the servers of a service that take work.
+    std::vector<std::shared_ptr<const backend_server>> serving(const std::string& service) const;
+
+    // Returns every server that takes work.
+    std::vector<std::shared_ptr<const backend_server>> serving() const;
+
+    bool takes_work(const std::string& id) const;
+
+private:
+    struct known_server {
+        std::shared_ptr<const backend_server> server;
+        bool said_leaving = false;
+        std::optional<time_point> gone_at; // missing from the list, kept until then
+    };
+
+    void put(const backend_server& server);
+    void remove(const std::string& id);
+
+    const clock& time;
+    duration return_grace;
+    time_point grace_until;
+    std::map<std::string, known_server> servers;
+};
+
+} // namespace tanager
--- /dev/null
+++ b/src/fleet/server_trust.h
@@ -0,0 +1,51 @@
+// Passes over backend servers that fail, from what requests to them did.
+#pragma once
+
+#include "base/clock.h"
+
+#include <map>
+#include <string>
+
+namespace tanager {
+
+// What one request says of the server that it went to.
+enum class server_sign {
+    answered, // it gave an answer of its own
+    failed,   // it answered with a failure that others would not give
+    silent,   // it could not be reached, broke off or did not answer in time
+    refused   // it had no room
+};
+
+// Load pattern: servers that crash, hang, or fail a part of their requests while others are well. Consecutive
+// silences, or a high share of failures, put a server aside for a period that doubles with each repetition;
+// then single requests try it until one is answered.
+class server_trust {
+public:
+    explicit server_trust(const clock& time);
+
+    // Returns whether the server's standing changed.
+    bool record(const std::string& id, server_sign sign);
+
+    bool is_aside(const std::string& id) const;
+
+    // Returns whether the server has been put aside and has not answered since.
+    bool is_on_trial(const std::string& id) const;
+
+    void forget(const std::string& id);
+
+private:
+    struct standing {
+        unsigned silences = 0;
+        double failure_share = 0;
+        unsigned repetitions = 0;
+        bool on_trial = false;
+        time_point aside_until;
+    };
+
+    bool put_aside(standing& row);
+
+    const clock& time;
+    std::map<std::string, standing> rows;
+};
+
+} // namespace tanager
--- /dev/null
+++ b/src/gateway/gateway_setup.cpp
@@ -0,0 +1,321 @@
+#include "gateway/gateway_setup.h"
+
+#include "base/digest.h"
+#include "base/system_clock.h"
+#include "base/system_random.h"
+#include "gateway/internal/configuration_observer.h"
+#include "gateway/internal/forward_run.h"
+#include "gateway/internal/server_observer.h"
+#include "logging/event_log.h"
+#include "logging/logging_invariant_monitor.h"
+#include "net/http_server.h"
+#include "program/health_pages.h"
+
+#include <algorithm>
+
+namespace tanager {
+
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_unavailable = 503;
+// How long after SIGTERM new connections are still taken: the balancer asks once a second and needs two
+// misses.
+constexpr std::chrono::milliseconds accept_after_stop{2'500};
+// What is left of the grace for the last answers to leave the process.
+constexpr std::chrono::milliseconds end_before_kill{400};
+constexpr std::chrono::milliseconds drain_check_interval{20};
+// How often places that came free elsewhere are handed out, and waiting requests are checked for lateness.
+constexpr std::chrono::milliseconds review_interval{5};
+constexpr std::chrono::milliseconds housekeeping_interval{100};
+// A turn of the loop that comes this much late means that the process stood still.
+constexpr std::chrono::milliseconds gap_bound{400};
+// Retries that a quiet service may spend at once; small, since each gateway has as many.
+constexpr double retry_reserve = 3;
+constexpr std::chrono::milliseconds unready_retry_after{500};
+// What a request without a deadline of its own may take beyond its route's time-out.
+constexpr std::chrono::milliseconds default_patience{15'000};
+
+class lone_view final : public elsewhere_view {
+public:
+    std::uint32_t running_elsewhere(const std::string& /*server_id*/) const override
+    {
+        return 0;
+    }
+};
+
+class gateway_process final : public service {
+public:
+    gateway_process(event_loop& loop,
+                    const gateway_settings& settings,
+                    gateway_dialect dialect,
+                    const socket_address& store_address)
+        : loop(loop),
+          settings(settings),
+          dialect(std::move(dialect)),
+          client(http_client::create(loop)),
+          store_client(http_client::create(loop)),
+          store(this->dialect.make_store(*this->store_client, store_address)),
+          pool(this->time, settings.return_grace, this->elsewhere),
+          desk(this->time, this->random, this->pool),
+          retries(settings.retry_share, retry_reserve),
+          configuration(*this->dialect.entries, this->routes),
+          servers(*this->dialect.entries, this->pool.list()),
+          configuration_follower(object_follower::create(loop,
+                                                         *this->store,
+                                                         this->random,
+                                                         this->dialect.entries->configuration_prefix(),
+                                                         this->configuration)),
+          server_follower(object_follower::create(
+              loop, *this->store, this->random, this->dialect.entries->server_prefix(), this->servers)),
+          pages(
+              this->metrics,
+              this->invariants,
+              [this] { return this->refusal(); },
+              [this] { this->refresh_gauges(); })
+    {
+        this->last_turn = this->time.now();
+        this->review_timer = loop.run_every(review_interval, [this] { this->desk.review(); });
+        this->housekeeping = loop.run_every(housekeeping_interval, [this] { this->keep_house(); });
+        this->configuration_follower->start();
+        this->server_follower->start();
+    }
+
+    result<void> listen()
+    {
+        auto callers = http_server::create(
+            this->loop,
+            this->settings.listen,
+            this->settings.http,
+            [this](const std::shared_ptr<http_exchange>& exchange) { this->on_request(exchange); });
+        if (!callers) {
+            return tl::make_unexpected(callers.error());
+        }
+        this->server = std::move(*callers);
+        auto operators = http_server::create(
+            this->loop,
+            this->settings.pages,
+            this->settings.http,
+            [this](const std::shared_ptr<http_exchange>& exchange) { this->on_page(*exchange); });
+        if (!operators) {
+            return tl::make_unexpected(operators.error());
+        }
+        this->page_server = std::move(*operators);
+        write_event(log_event::program_listening,
+                    {{"http", this->server->address()},
+                     {"pages", this->page_server->address()},
+                     {"host", this->settings.host}});
+        return {};
+    }
+
+    void stop(task finished) override
+    {
+        this->drained = std::move(finished);
+        this->stopped_at = this->time.now();
+        this->server->close_after_replies();
+        this->stop_timer = this->loop.run_every(drain_check_interval, [this] { this->check_drained(); });
+    }
+
+private:
+    void on_page(http_exchange& exchange)
+    {
+        if (exchange.request().path == this->dialect.readiness_path) {
+            const auto reason = this->refusal();
+            exchange.reply({reason.empty() ? status_ok : status_unavailable,
+                            {{"Content-Type", "text/plain"}},
+                            (reason.empty() ? "ready" : reason) + "\n"});
+            return;
+        }
+        if (!this->pages.serve(exchange)) {
+            exchange.reply({http_status_of(result_code::path_unknown), {}, {}});
+        }
+    }
+
+    void on_request(const std::shared_ptr<http_exchange>& exchange)
+    {
+        const auto received = this->time.now();
+        const auto request = this->dialect.wire->decode(exchange->request());
+        if (!request) {
+            this->answer_failure(*exchange, {}, request.error(), std::chrono::milliseconds{0});
+            return;
+        }
+        if (!this->is_informed()) {
+            this->answer_failure(*exchange,
+                                 *request,
+                                 {result_code::not_ready, "no configuration is known yet"},
+                                 unready_retry_after);
+            return;
+        }
+        const auto route = this->routes.find(request->host, request->path);
+        if (route == nullptr) {
+            this->answer_failure(
+                *exchange,
+                *request,
+                {result_code::route_unknown, "no route in version " + std::to_string(this->routes.version())},
+                std::chrono::milliseconds{0});
+            return;
+        }
+        if (this->open_runs >= this->settings.open_requests) {
+            this->answer_failure(
+                *exchange, *request, {result_code::not_ready, "too many open requests"}, unready_retry_after);
+            return;
+        }
+        this->run(exchange, *request, route, received);
+    }
+
+    void run(const std::shared_ptr<http_exchange>& exchange,
+             const caller_request& request,
+             const std::shared_ptr<const route>& route,
+             time_point received)
+    {
+        const auto& service = choose_service(*route, hash64(request.id));
+        const auto* const entry = this->routes.find_service(service);
+        const auto patience = std::min(request.patience.value_or(default_patience),
+                                       route->timeout.count() > 0 ? route->timeout : default_patience);
+        ++this->open_runs;
+        const auto started = std::make_shared<forward_run>(this->context(),
+                                                           routed_request{exchange,
+                                                                          request,
+                                                                          route,
+                                                                          service,
+                                                                          entry != nullptr && entry->is_model,
+                                                                          this->routes.version(),
+                                                                          received,
+                                                                          received + patience},
+                                                           [this] { --this->open_runs; });
+        started->start();
+    }
+
+    forward_context context()
+    {
+        return {this->loop,
+                this->time,
+                this->metrics,
+                *this->dialect.wire,
+                *this->client,
+                this->pool,
+                this->desk,
+                this->retries};
+    }
+
+    void answer_failure(http_exchange& exchange,
+                        const caller_request& request,
+                        const error& cause,
+                        std::chrono::milliseconds retry_after)
+    {
+        write_event(log_event::request_rejected,
+                    {{"request", request.id.empty() ? "-" : request.id},
+                     {"cause", cause.detail},
+                     {"configuration", std::to_string(this->routes.version())},
+                     {"retry_after_ms", std::to_string(retry_after.count())}});
+        this->metrics.count("tanager_requests_rejected_total",
+                            "code=\"" + std::to_string(static_cast<int>(cause.code)) + "\"");
+        exchange.reply(
+            this->dialect.wire->encode_failure(request, http_status_of(cause.code), cause, retry_after));
+    }
+
+    bool is_informed() const
+    {
+        return this->routes.is_known() && this->servers.is_known();
+    }
+
+    std::string refusal() const
+    {
+        if (this->drained) {
+            return "stopping";
+        }
+        return this->is_informed() ? std::string{} : "no configuration is known yet";
+    }
+
+    void keep_house()
+    {
+        const auto now = this->time.now();
+        const auto gap = now - this->last_turn;
+        this->last_turn = now;
+        if (gap > gap_bound) {
+            write_event(
+                log_event::loop_gap,
+                {{"gap_ms",
+                  std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(gap).count())}});
+        }
+        for (const auto& id : this->pool.list().expire()) {
+            write_event(log_event::server_unlisted,
+                        {{"server", id}, {"detail", "not back after the store returned"}});
+        }
+    }
+
+    void refresh_gauges()
+    {
+        this->metrics.set_gauge("tanager_requests_open", static_cast<double>(this->open_runs));
+        this->metrics.set_gauge("tanager_requests_waiting", static_cast<double>(this->desk.waiting()));
+        this->metrics.set_gauge("tanager_configuration_version", static_cast<double>(this->routes.version()));
+        this->metrics.set_gauge("tanager_servers_taking_work",
+                                static_cast<double>(this->pool.list().serving().size()));
+    }
+
+    void check_drained()
+    {
+        const auto since = this->time.now() - this->stopped_at;
+        if (since < accept_after_stop) {
+            return;
+        }
+        this->server->stop_accepting();
+        const bool is_idle = this->open_runs == 0 && this->server->open_exchanges() == 0;
+        if (!is_idle && since < this->settings.stop_grace - end_before_kill) {
+            return;
+        }
+        const auto finished = std::exchange(this->drained, nullptr);
+        if (finished) {
+            finished();
+        }
+    }
+
+    event_loop& loop;
+    gateway_settings settings;
+    gateway_dialect dialect;
+    system_clock time;
+    system_random random;
+    logging_invariant_monitor invariants;
+    metrics_registry metrics;
+    std::unique_ptr<http_client> client;
+    std::unique_ptr<http_client> store_client;
+    std::unique_ptr<object_store> store;
+    lone_view elsewhere;
+    route_directory routes;
+    server_pool pool;
+    place_desk desk;
+    retry_budget retries;
+    configuration_observer configuration;
+    server_observer servers;
+    std::shared_ptr<object_follower> configuration_follower;
+    std::shared_ptr<object_follower> server_follower;
+    health_pages pages;
+    std::unique_ptr<http_server> server;
+    std::unique_ptr<http_server> page_server;
+    std::unique_ptr<loop_timer> review_timer;
+    std::unique_ptr<loop_timer> housekeeping;
+    std::unique_ptr<loop_timer> stop_timer;
+    std::size_t open_runs = 0;
+    time_point last_turn;
+    time_point stopped_at;
+    task drained;
+};
+
+} // namespace
+
+result<std::unique_ptr<service>>
+set_up_gateway(event_loop& loop, const gateway_settings& settings, gateway_dialect dialect)
+{
+    const auto store = parse_address(settings.store);
+    if (!store) {
+        return tl::make_unexpected(store.error());
+    }
+    auto process = std::make_unique<gateway_process>(loop, settings, std::move(dialect), *store);
+    const auto listening = process->listen();
+    if (!listening) {
+        return tl::make_unexpected(listening.error());
+    }
+    return process;
+}
+
+} // namespace tanager
--- /dev/null
+++ b/src/gateway/gateway_setup.h
@@ -0,0 +1,26 @@
+// Wires the gateway: the program that takes callers' requests straight to backend servers.
+#pragma once
+
+#include "gateway/store_codec.h"
+#include "gateway/types/gateway_settings.h"
+#include "gateway/wire_codec.h"
+#include "net/http_client.h"
+#include "program/program_frame.h"
+
+#include <functional>
+#include <memory>
+
+namespace tanager {
+
+// The outside world as one platform speaks it.
+struct gateway_dialect {
+    std::unique_ptr<wire_codec> wire;
+    std::unique_ptr<store_codec> entries;
+    std::function<std::unique_ptr<object_store>(http_client&, const socket_address&)> make_store;
+    std::string readiness_path;
+};
+
+result<std::unique_ptr<service>>
+set_up_gateway(event_loop& loop, const gateway_settings& settings, gateway_dialect dialect);
+
+} // namespace tanager
--- /dev/null
+++ b/src/gateway/internal/configuration_observer.cpp
@@ -0,0 +1,60 @@
+#include "gateway/internal/configuration_observer.h"
+
+#include "logging/event_log.h"
+
+#include <algorithm>
+
+namespace tanager {
+
+configuration_observer::configuration_observer(const store_codec& codec, route_directory& routes)
+    : codec(codec), routes(routes)
+{
+}
+
+std::uint64_t configuration_observer::known_revision() const
+{
+    return this->revision;
+}
+
+follow_step configuration_observer::on_listing(const object_listing& listing)
+{
+    for (const auto& object : listing.objects) {
+        if (object.name == this->codec.configuration_name() && !object.deleted) {
+            this->apply(object);
+        }
+    }
+    this->revision = std::max(this->revision, listing.revision);
+    return follow_step::watch;
+}
+
+void configuration_observer::apply(const stored_object& object)
+{
+    auto table = this->codec.decode_configuration(object);
+    if (!table) {
+        write_event(log_event::configuration_rejected,
+                    {{"revision", std::to_string(object.version)}, {"detail", table.error().detail}});
+        return;
+    }
+    const auto version = table->version;
+    const auto size = table->routes.size();
+    const auto before = this->routes.version();
+    if (!this->routes.apply(std::move(*table))) {
+        if (version < before) {
+            write_event(log_event::configuration_rejected,
+                        {{"version", std::to_string(version)},
+                         {"detail", "older than " + std::to_string(before) + ", which is in force"}});
+        }
+        return;
+    }
+    write_event(log_event::configuration_applied,
+                {{"version", std::to_string(version)},
+                 {"before", std::to_string(before)},
+                 {"revision", std::to_string(object.version)},
+                 {"routes", std::to_string(size)}});
+}
+
+void configuration_observer::on_store_lost(const error& /*cause*/) {}
+
+void configuration_observer::on_store_regained() {}
+
+} // namespace tanager
--- /dev/null
+++ b/src/gateway/internal/configuration_observer.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "gateway/store_codec.h"
+#include "routes/route_directory.h"
+#include "store/object_follower.h"
+
+namespace tanager {
+
+// Brings each newer configuration in the store into force.
+class configuration_observer final : public object_observer {
+public:
+    configuration_observer(const store_codec& codec, route_directory& routes);
+
+    std::uint64_t known_revision() const override;
+    follow_step on_listing(const object_listing& listing) override;
+    void on_store_lost(const error& cause) override;
+    void on_store_regained() override;
+
+private:
+    void apply(const stored_object& object);
+
+    const store_codec& codec;
+    route_directory& routes;
+    std::uint64_t revision = 0;
+};
+
+} // namespace tanager
--- /dev/null
+++ b/src/gateway/internal/forward_run.cpp
@@ -0,0 +1,537 @@
+#include "gateway/internal/forward_run.h"
+
+#include "logging/event_log.h"
+
+#include <algorithm>
+
+namespace tanager {
+
+namespace {
+
+constexpr int status_bad_gateway = 502;
+constexpr int status_unavailable = 503;
+constexpr int status_gateway_timeout = 504;
+constexpr int status_first_failure = 500;
+constexpr int status_first_success = 200;
+constexpr int status_last_success = 299;
+
+// A connection inside a site is made within some milliseconds; a lost opening packet is sent again after a
+// second.
+constexpr std::chrono::milliseconds connect_patience{250};
+constexpr std::uint32_t most_connect_failures = 3;
+// A repeatable request goes elsewhere when its first bytes take this many times the objective.
+constexpr int silent_objectives = 3;
+constexpr std::chrono::milliseconds shortest_silence{300};
+// A resumable stream goes on elsewhere after this pause; callers give a stream up after two seconds.
+constexpr std::chrono::milliseconds stalled_stream{1'000};
+// Waiting may use up this part of the objective; the rest is for the server's own work.
+constexpr double waiting_share = 0.4;
+// A server gets a little less than the caller's time, so that its own answer at the deadline still arrives.
+constexpr std::chrono::milliseconds call_slack{1'000};
+// Bytes for a slow caller above which the server is not read from.
+constexpr std::size_t unsent_bound = std::size_t{128} * 1024;
+// Engine priorities: prompts with long outputs are few and lose most when they are preempted.
+constexpr std::uint32_t engine_priority_base = 3;
+// A server that still answers keeps its connection at least this long (their idle bounds are seconds).
+constexpr std::chrono::milliseconds repeatable_idle{4'000};
+// A request that may run once only prefers a new connection to one that the server may be closing.
+constexpr std::chrono::milliseconds single_run_idle{700};
+
+std::string to_milliseconds(duration span)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
+}
+
+bool is_success(int status)
+{
+    return status >= status_first_success && status <= status_last_success;
+}
+
+} // namespace
+
+// Passes the notices of one attempt on, until the run has turned to another one.
+class forward_run::attempt_handler final : public http_reply_handler {
+public:
+    explicit attempt_handler(std::weak_ptr<forward_run> run) : run(std::move(run)) {}
+
+    void detach()
+    {
+        this->run.reset();
+    }
+
+    void on_head(int status, const http_headers& headers) override
+    {
+        if (const auto alive = this->run.lock()) {
+            alive->on_answer_head(status, headers);
+        }
+    }
+
+    void on_data(std::string_view data) override
+    {
+        if (const auto alive = this->run.lock()) {
+            alive->on_answer_data(data);
+        }
+    }
+
+    void on_end() override
+    {
+        if (const auto alive = this->run.lock()) {
+            alive->on_answer_end();
+        }
+    }
+
+    void on_failure(const http_failure& failure) override
+    {
+        if (const auto alive = this->run.lock()) {
+            alive->on_attempt_failure(failure);
+        }
+    }
+
+private:
+    std::weak_ptr<forward_run> run;
+};
+
+forward_run::forward_run(const forward_context& context, routed_request routed, std::function<void()> done)
+    : context(context), routed(std::move(routed)), done(std::move(done))
+{
+}
+
+duration forward_run::elapsed() const
+{
+    return this->context.time.now() - this->routed.received;
+}
+
+void forward_run::start()
+{
+    this->context.retries.record_request(this->routed.service);
+    const auto self = this->shared_from_this();
+    this->routed.exchange->on_caller_left([weak = this->weak_from_this()] {
+        if (const auto alive = weak.lock()) {
+            alive->on_caller_left();
+        }
+    });
+    this->routed.exchange->on_drained([weak = this->weak_from_this()] {
+        const auto alive = weak.lock();
+        if (alive != nullptr && alive->call != nullptr) {
+            alive->call->resume();
+        }
+    });
+    const auto left = std::max(this->routed.deadline - this->context.time.now(), duration{0});
+    this->deadline_timer = this->context.loop.run_after(left, [self] { self->on_deadline(); });
+    this->seek_place();
+}
+
+void forward_run::seek_place()
+{
+    this->state = this->state == run_state::answering ? run_state::answering : run_state::waiting;
+    this->asked = this->context.time.now();
+    const auto objective = this->routed.chosen_route->latency_objective;
+    const auto patience = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, std::milli>{waiting_share * static_cast<double>(objective.count())});
+    const auto latest_start = std::min(this->routed.received + patience, this->routed.deadline);
+    const place_request wanted{this->routed.service,
+                               this->routed.is_model,
+                               this->routed.request.prompt,
+                               this->routed.chosen_route->priority,
+                               std::max(latest_start, this->asked),
+                               this->tried};
+    this->ticket = this->context.desk.ask(wanted, this->shared_from_this());
+}
+
+void forward_run::on_place(const std::shared_ptr<const backend_server>& chosen)
+{
+    this->server = chosen;
+    this->waited += this->context.time.now() - this->asked;
+    this->send(*chosen);
+}
+
+void forward_run::on_no_place(placement_miss miss)
+{
+    this->waited += this->context.time.now() - this->asked;
+    if (this->runs > 0 || this->state == run_state::answering) {
+        this->settle_broken({result_code::outcome_unknown, "no other server for a second attempt"});
+        return;
+    }
+    const auto code =
+        miss == placement_miss::no_server ? result_code::no_server_available : result_code::no_place_in_time;
+    this->reject({code, std::string{name_of(code)} + " for " + this->routed.service});
+}
+
+void forward_run::send(const backend_server& target)
+{
+    const auto now = this->context.time.now();
+    const auto left = std::chrono::floor<std::chrono::milliseconds>(this->routed.deadline - now);
+    attempt_order order{target.id, std::max(left, std::chrono::milliseconds{1}), {}, {}};
+    order.resume_after = this->events.last_id();
+    if (!order.resume_after) {
+        order.resume_after = this->routed.request.resume_after;
+    }
+    if (this->routed.is_model) {
+        order.engine_priority = engine_priority_base + this->routed.chosen_route->priority;
+    }
+    if (this->state != run_state::answering) {
+        this->state = run_state::sent;
+    }
+    this->head = {};
+    this->collected.clear();
+    this->handler = std::make_shared<attempt_handler>(this->weak_from_this());
+    const bool repeatable = this->routed.chosen_route->is_repeatable();
+    const http_call_options options{
+        left + call_slack, true, true, repeatable ? repeatable_idle : single_run_idle};
+    write_event(log_event::request_placed,
+                {{"request", this->routed.request.id},
+                 {"server", target.id},
+                 {"waited_ms", to_milliseconds(this->waited)}});
+    this->call =
+        this->context.client.start(target.address,
+                                   this->context.codec.encode(this->routed.exchange->request(), order),
+                                   options,
+                                   this->handler);
+    this->watch_connecting();
+    this->watch_silence();
+}
+
+void forward_run::watch_connecting()
+{
+    this->connect_timer = this->context.loop.run_after(connect_patience, [weak = this->weak_from_this()] {
+        const auto alive = weak.lock();
+        if (alive != nullptr && alive->call != nullptr && !alive->call->is_sent()) {
+            alive->handler->detach();
+            alive->call->cancel();
+            alive->on_attempt_failure(
+                {{result_code::connect_failed, "no connection in time"}, call_progress::not_sent});
+        }
+    });
+}
+
+void forward_run::watch_silence()
+{
+    if (!this->routed.chosen_route->is_repeatable()) {
+        return;
+    }
+    const auto objective = this->routed.chosen_route->latency_objective;
+    const auto bound = this->state == run_state::answering
+                           ? stalled_stream
+                           : std::max(objective * silent_objectives, shortest_silence);
+    this->silence_timer = this->context.loop.run_after(bound, [weak = this->weak_from_this()] {
+        if (const auto alive = weak.lock()) {
+            alive->on_silence();
+        }
+    });
+}
+
+void forward_run::on_silence()
+{
+    if (this->call == nullptr || this->state == run_state::finished) {
+        return;
+    }
+    this->context.pool.record(this->server->id, server_sign::silent);
+    if (!this->may_go_on_elsewhere() || !this->context.retries.try_spend(this->routed.service)) {
+        return;
+    }
+    ++this->runs;
+    this->break_attempt(server_sign::refused);
+    write_event(log_event::request_retried,
+                {{"request", this->routed.request.id},
+                 {"server", this->server->id},
+                 {"cause", "silent"},
+                 {"runs", std::to_string(this->runs)}});
+    this->tried.push_back(this->server->id);
+    this->seek_place();
+}
+
+void forward_run::on_answer_head(int status, const http_headers& headers)
+{
+    this->head = this->context.codec.decode_answer(this->routed.request, status, headers);
+    this->connect_timer.reset();
+    if (this->head.not_run) {
+        return;
+    }
+    if (!this->head.is_own || (is_success(status) && !this->head.is_signed)) {
+        ++this->runs;
+        const auto code =
+            this->head.is_own ? result_code::backend_answer_malformed : result_code::backend_answer_foreign;
+        this->break_attempt(server_sign::failed);
+        const error cause{code, std::string{name_of(code)} + " from " + this->server->id};
+        if (!this->try_again(cause, true)) {
+            this->settle_broken(cause);
+        }
+        return;
+    }
+    if (this->state != run_state::answering) {
+        this->answer_headers = this->context.codec.answer_headers(headers);
+    }
+}
+
+void forward_run::on_answer_data(std::string_view data)
+{
+    const bool is_stream = this->routed.chosen_route->kind == route_kind::streaming &&
+                           is_success(this->head.status) && !this->head.not_run;
+    if (!is_stream) {
+        this->collected += data;
+        return;
+    }
+    const auto whole = this->events.feed(data);
+    if (!whole.empty()) {
+        this->forward_events(whole);
+    }
+}
+
+void forward_run::forward_events(const std::string& whole)
+{
+    if (this->state != run_state::answering) {
+        this->state = run_state::answering;
+        this->first_event = this->elapsed();
+        this->context.metrics.observe("tanager_first_event_seconds",
+                                      {this->routed.service, this->routed.chosen_route->name},
+                                      this->first_event);
+        this->routed.exchange->start(this->head.status, this->answer_headers);
+    }
+    this->routed.exchange->write(whole);
+    this->watch_silence();
+    if (this->routed.exchange->unsent_bytes() > unsent_bound && this->call != nullptr) {
+        this->call->pause();
+    }
+}
+
+void forward_run::on_answer_end()
+{
+    if (this->head.not_run) {
+        this->settle_refusal();
+        return;
+    }
+    ++this->runs;
+    if (this->head.status >= status_first_failure && this->state != run_state::answering) {
+        this->settle_server_failure();
+        return;
+    }
+    this->end_attempt(server_sign::answered);
+    if (this->state != run_state::answering) {
+        this->deliver_whole();
+        return;
+    }
+    this->routed.exchange->write(this->events.take_rest());
+    this->routed.exchange->finish();
+    this->finish("complete", this->head.status);
+}
+
+void forward_run::settle_refusal()
+{
+    const bool is_leaving = this->head.other_server;
+    if (is_leaving) {
+        this->context.pool.list().note_leaving(this->server->id);
+    }
+    this->end_attempt(server_sign::refused);
+    const error cause{result_code::backend_refused,
+                      this->server->id + " refused with status " + std::to_string(this->head.status)};
+    if (this->try_again(cause, false)) {
+        return;
+    }
+    if (this->runs > 0 || this->state == run_state::answering) {
+        this->settle_broken(cause);
+        return;
+    }
+    this->reject(cause);
+}
+
+void forward_run::settle_server_failure()
+{
+    const auto status = this->head.status;
+    this->end_attempt(server_sign::failed);
+    const auto kept_headers = this->answer_headers;
+    const auto kept_body = this->collected;
+    const error cause{result_code::backend_failed,
+                      this->server->id + " answered with status " + std::to_string(status)};
+    if (this->try_again(cause, true)) {
+        return;
+    }
+    this->head.status = status;
+    this->answer_headers = kept_headers;
+    this->collected = kept_body;
+    this->deliver_whole();
+}
+
+void forward_run::on_attempt_failure(const http_failure& failure)
+{
+    const bool was_sent = failure.progress == call_progress::maybe_sent;
+    if (was_sent) {
+        ++this->runs;
+    } else {
+        ++this->connect_failures;
+    }
+    const bool is_malformed = failure.cause.code == result_code::reply_malformed;
+    this->end_attempt(is_malformed ? server_sign::failed : server_sign::silent);
+    if (this->try_again(failure.cause, was_sent)) {
+        return;
+    }
+    if (was_sent || this->runs > 0 || this->state == run_state::answering) {
+        this->settle_broken(failure.cause);
+        return;
+    }
+    this->reject(failure.cause);
+}
+
+bool forward_run::may_go_on_elsewhere() const
+{
+    const auto& chosen_route = *this->routed.chosen_route;
+    if (!chosen_route.is_repeatable() || this->runs >= chosen_route.servers_per_request) {
+        return false;
+    }
+    // What was delivered can only be continued behind an event that has a number.
+    return this->state != run_state::answering || this->events.last_id().has_value();
+}
+
+bool forward_run::try_again(const error& cause, bool may_have_run)
+{
+    const bool is_connect_failure = cause.code == result_code::connect_failed && !may_have_run;
+    const bool may_run_again = may_have_run || this->runs > 0 || this->state == run_state::answering
+                                   ? this->may_go_on_elsewhere()
+                                   : true;
+    if (!may_run_again || this->connect_failures >= most_connect_failures ||
+        this->context.time.now() >= this->routed.deadline) {
+        return false;
+    }
+    if (!is_connect_failure && !this->context.retries.try_spend(this->routed.service)) {
+        return false;
+    }
+    write_event(log_event::request_retried,
+                {{"request", this->routed.request.id},
+                 {"server", this->server->id},
+                 {"cause", cause.detail},
+                 {"runs", std::to_string(this->runs)}});
+    this->context.metrics.count("tanager_requests_retried_total");
+    this->tried.push_back(this->server->id);
+    static_cast<void>(this->events.take_rest());
+    this->seek_place();
+    return true;
+}
+
+void forward_run::settle_broken(const error& cause)
+{
+    if (this->state == run_state::answering) {
+        this->routed.exchange->abort();
+        write_event(log_event::request_broken,
+                    {{"request", this->routed.request.id}, {"cause", cause.detail}, {"outcome", "cut"}});
+        this->finish("cut", 0);
+        return;
+    }
+    this->fail_run(cause);
+}
+
+void forward_run::fail_run(const error& cause)
+{
+    const int status = cause.code == result_code::timed_out ? status_gateway_timeout : status_bad_gateway;
+    write_event(log_event::request_broken,
+                {{"request", this->routed.request.id},
+                 {"cause", cause.detail},
+                 {"server", this->server == nullptr ? "-" : this->server->id},
+                 {"outcome", "unknown"}});
+    this->routed.exchange->reply(this->context.codec.encode_failure(
+        this->routed.request, status, cause, std::chrono::milliseconds{0}));
+    this->finish("unknown", status);
+}
+
+void forward_run::reject(const error& cause)
+{
+    const auto retry_after = this->context.desk.suggest_return(this->routed.service);
+    write_event(log_event::request_rejected,
+                {{"request", this->routed.request.id},
+                 {"cause", cause.detail},
+                 {"retry_after_ms", std::to_string(retry_after.count())}});
+    this->context.metrics.count("tanager_requests_rejected_total",
+                                "code=\"" + std::to_string(static_cast<int>(cause.code)) + "\"");
+    this->routed.exchange->reply(
+        this->context.codec.encode_failure(this->routed.request, status_unavailable, cause, retry_after));
+    this->finish("not-run", status_unavailable);
+}
+
+void forward_run::deliver_whole()
+{
+    this->routed.exchange->reply({this->head.status, this->answer_headers, this->collected});
+    this->finish("complete", this->head.status);
+}
+
+void forward_run::end_attempt(server_sign sign)
+{
+    this->connect_timer.reset();
+    this->silence_timer.reset();
+    this->call.reset();
+    this->context.pool.record(this->server->id, sign);
+    this->context.desk.release(this->routed.service, this->server->id);
+}
+
+void forward_run::break_attempt(server_sign sign)
+{
+    this->handler->detach();
+    this->call->cancel();
+    this->end_attempt(sign);
+}
+
+void forward_run::on_deadline()
+{
+    if (this->state == run_state::finished) {
+        return;
+    }
+    const auto keep_alive = this->shared_from_this();
+    const bool was_waiting = this->call == nullptr;
+    if (was_waiting) {
+        this->context.desk.withdraw(this->ticket);
+    } else {
+        ++this->runs;
+        this->break_attempt(server_sign::refused);
+    }
+    const error cause{result_code::timed_out, "deadline of the request"};
+    if (was_waiting && this->runs == 0 && this->state != run_state::answering) {
+        this->reject(cause);
+        return;
+    }
+    this->settle_broken(cause);
+}
+
+void forward_run::on_caller_left()
+{
+    if (this->state == run_state::finished) {
+        return;
+    }
+    const auto keep_alive = this->shared_from_this();
+    if (this->call == nullptr) {
+        this->context.desk.withdraw(this->ticket);
+    } else {
+        this->break_attempt(server_sign::refused);
+    }
+    write_event(log_event::request_abandoned,
+                {{"request", this->routed.request.id}, {"elapsed_ms", to_milliseconds(this->elapsed())}});
+    this->routed.exchange->abort();
+    this->finish("abandoned", 0);
+}
+
+void forward_run::finish(std::string_view outcome, int status)
+{
+    if (this->state == run_state::finished) {
+        return;
+    }
+    this->state = run_state::finished;
+    this->deadline_timer.reset();
+    this->context.metrics.observe(
+        "tanager_request_seconds", {this->routed.service, this->routed.chosen_route->name}, this->elapsed());
+    this->log_end(outcome, status);
+    const auto finished = std::exchange(this->done, nullptr);
+    finished();
+}
+
+void forward_run::log_end(std::string_view outcome, int status)
+{
+    write_event(log_event::request_finished,
+                {{"request", this->routed.request.id},
+                 {"route", this->routed.chosen_route->name},
+                 {"configuration", std::to_string(this->routed.configuration_version)},
+                 {"server", this->server == nullptr ? "-" : this->server->id},
+                 {"outcome", std::string{outcome}},
+                 {"status", std::to_string(status)},
+                 {"runs", std::to_string(this->runs)},
+                 {"waited_ms", to_milliseconds(this->waited)},
+                 {"first_ms", to_milliseconds(this->first_event)},
+                 {"total_ms", to_milliseconds(this->elapsed())}});
+}
+
+} // namespace tanager
--- /dev/null
+++ b/src/gateway/internal/forward_run.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "answers/event_splitter.h"
+#include "gateway/place_desk.h"
+#include "gateway/types/caller_request.h"
+#include "gateway/wire_codec.h"
+#include "limits/retry_budget.h"
+#include "metrics/metrics_registry.h"
+#include "net/http_client.h"
+#include "net/http_exchange.h"
+#include "routes/types/route_table.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace tanager {
+
+// What all runs share.
+struct forward_context {
+    event_loop& loop;
+    const clock& time;
+    metrics_registry& metrics;
+    const wire_codec& codec;
+    http_client& client;
+    server_pool& pool;
+    place_desk& desk;
+    retry_budget& retries;
+};
+
+// A request that has a route.
+struct routed_request {
+    std::shared_ptr<http_exchange> exchange;
+    caller_request request;
+    std::shared_ptr<const route> chosen_route;
+    std::string service;
+    bool is_model = false;
+    std::uint64_t configuration_version = 0;
+    time_point received;
+    time_point deadline; // the caller's or the route's, whichever comes first
+};
+
+// Carries one request from its route to its answer.
+class forward_run final : public place_listener, public std::enable_shared_from_this<forward_run> {
+public:
+    forward_run(const forward_context& context, routed_request routed, std::function<void()> done);
+
+    void start();
+
+    void on_place(const std::shared_ptr<const backend_server>& server) override;
+    void on_no_place(placement_miss miss) override;
+
+private:
+    class attempt_handler;
+
+    enum class run_state {
+        waiting,   // for a place
+        sent,      // at a server, nothing has reached the caller
+        answering, // a part of the answer has reached the caller
+        finished
+    };
+
+    void seek_place();
+    void send(const backend_server& server);
+    void watch_connecting();
+    void watch_silence();
+
+    void on_answer_head(int status, const http_headers& headers);
+    void on_answer_data(std::string_view data);
+    void on_answer_end();
+    void on_attempt_failure(const http_failure& failure);
+    void on_silence();
+    void on_deadline();
+    void on_caller_left();
+
+    void forward_events(const std::string& events);
+    void end_attempt(server_sign sign);
+    void break_attempt(server_sign sign);
+    bool try_again(const error& cause, bool may_have_run);
+    bool may_go_on_elsewhere() const;
+    void settle_refusal();
+    void settle_server_failure();
+    void settle_broken(const error& cause);
+    void deliver_whole();
+    void reject(const error& cause);
+    void fail_run(const error& cause);
+    void finish(std::string_view outcome, int status);
+    void log_end(std::string_view outcome, int status);
+    duration elapsed() const;
+
+    forward_context context;
+    routed_request routed;
+    std::function<void()> done;
+    run_state state = run_state::waiting;
+    std::uint64_t ticket = 0;
+    std::shared_ptr<http_call> call;
+    std::shared_ptr<attempt_handler> handler;
+    std::shared_ptr<const backend_server> server;
+    std::vector<std::string> tried;
+    std::uint32_t runs = 0;  // attempts that a server may have run
+    std::uint32_t sends = 0; // attempts that left this process
+    std::uint32_t connect_failures = 0;
+    answer_head head;
+    http_headers answer_headers;
+    std::string collected;
+    event_splitter events;
+    duration waited{0};
+    duration first_event{0};
+    time_point asked;
+    std::unique_ptr<loop_timer> deadline_timer;
+    std::unique_ptr<loop_timer> connect_timer;
+    std::unique_ptr<loop_timer> silence_timer;
+};
+
+} // namespace tanager
--- /dev/null
+++ b/src/gateway/internal/gateway_settings.cpp
@@ -0,0 +1,56 @@
+#include "gateway/types/gateway_settings.h"
+
+namespace tanager {
+
+namespace {
+
+constexpr integer_range descriptor_range{16, 1'000'000};
+constexpr integer_range header_range{1'024, 1'048'576};
+constexpr integer_range body_range{1'024, 64LL * 1024 * 1024};
+constexpr integer_range idle_range{1, 3'600};
+constexpr integer_range grace_range{0, 600'000};
+constexpr integer_range request_range{1, 1'000'000};
+constexpr integer_range percent_range{0, 100};
+constexpr std::int64_t default_retry_percent = 20;
+constexpr double percent = 100.0;
+
+void load_http(settings_reader& reader, http_server_limits& http)
+{
+    const http_server_limits defaults;
+    http.descriptors = static_cast<int>(
+        reader.read_integer({"http", "descriptors"}, defaults.descriptors, descriptor_range));
+    http.header_bytes = static_cast<std::size_t>(reader.read_integer(
+        {"http", "header_bytes"}, static_cast<std::int64_t>(defaults.header_bytes), header_range));
+    http.body_bytes = static_cast<std::size_t>(reader.read_integer(
+        {"http", "body_bytes"}, static_cast<std::int64_t>(defaults.body_bytes), body_range));
+    http.idle_timeout = std::chrono::seconds{
+        reader.read_integer({"http", "idle_seconds"}, defaults.idle_timeout.count(), idle_range)};
+}
+
+} // namespace
+
+gateway_settings load_gateway_settings(settings_reader& reader)
+{
+    const gateway_settings defaults;
+    gateway_settings settings;
+    settings.host = reader.read_required_text({"gateway", "host"});
+    settings.data_centre = reader.read_required_text({"gateway", "data_centre"});
+    settings.region = reader.read_required_text({"gateway", "region"});
+    settings.listen = reader.read_address({"http", "listen"}, "");
+    settings.pages = reader.read_address({"pages", "listen"}, "");
+    settings.peers = reader.read_address({"peers", "listen"}, "");
+    settings.store = reader.read_address({"store", "address"}, "");
+    load_http(reader, settings.http);
+    settings.stop_grace =
+        reader.read_milliseconds({"gateway", "stop_grace_ms"}, defaults.stop_grace, grace_range);
+    settings.return_grace =
+        reader.read_milliseconds({"store", "return_grace_ms"}, defaults.return_grace, grace_range);
+    settings.open_requests = static_cast<std::size_t>(reader.read_integer(
+        {"limits", "open_requests"}, static_cast<std::int64_t>(defaults.open_requests), request_range));
+    settings.retry_share = static_cast<double>(reader.read_integer(
+                               {"retries", "percent"}, default_retry_percent, percent_range)) /
+                           percent;
+    return settings;
+}
+
+} // namespace tanager
--- /dev/null
+++ b/src/gateway/internal/server_observer.cpp
@@ -0,0 +1,108 @@
+#include "gateway/internal/server_observer.h"
+
+#include "logging/event_log.h"
+
+#include <algorithm>
+
+namespace tanager {
+
+namespace {
+
+std::string name_of_role(engine_role role)
+{
+    switch (role) {
+    case engine_role::none:
+        return "none";
+    case engine_role::prefill:
+        return "prefill";
+    case engine_role::decode:
+        return "decode";
+    }
+    return "unlisted";
+}
+
+} // namespace
+
+server_observer::server_observer(const store_codec& codec, server_list& servers)
+    : codec(codec), servers(servers)
+{
+}
+
+bool server_observer::is_known() const
+{
+    return this->known;
+}
+
+std::uint64_t server_observer::known_revision() const
+{
+    return this->revision;
+}
+
+follow_step server_observer::on_listing(const object_listing& listing)
+{
+    if (listing.whole) {
+        this->apply_all(listing);
+        this->known = true;
+    } else {
+        for (const auto& object : listing.objects) {
+            this->apply(object);
+        }
+    }
+    this->revision = std::max(this->revision, listing.revision);
+    return follow_step::watch;
+}
+
+std::optional<backend_server> server_observer::decode(const stored_object& object) const
+{
+    const auto server = this->codec.decode_server(object);
+    if (!server) {
+        write_event(log_event::server_entry_invalid,
+                    {{"server", object.name}, {"detail", server.error().detail}});
+        return std::nullopt;
+    }
+    return *server;
+}
+
+void server_observer::apply_all(const object_listing& listing)
+{
+    std::vector<backend_server> listed;
+    for (const auto& object : listing.objects) {
+        if (const auto server = this->decode(object)) {
+            listed.push_back(*server);
+        }
+    }
+    this->servers.apply_all(listed);
+    write_event(log_event::server_listed,
+                {{"server", "all"},
+                 {"revision", std::to_string(listing.revision)},
+                 {"usable", std::to_string(listed.size())},
+                 {"entries", std::to_string(listing.objects.size())}});
+}
+
+void server_observer::apply(const stored_object& object)
+{
+    const auto id = object.name.substr(this->codec.server_prefix().size());
+    const auto server = object.deleted ? std::nullopt : this->decode(object);
+    const bool took_work = this->servers.takes_work(id);
+    this->servers.apply({id, server});
+    const bool takes_work = this->servers.takes_work(id);
+    if (took_work == takes_work) {
+        return;
+    }
+    const auto event = server ? log_event::server_listed : log_event::server_unlisted;
+    write_event(event,
+                {{"server", id},
+                 {"revision", std::to_string(object.version)},
+                 {"takes_work", takes_work ? "yes" : "no"},
+                 {"draining", server && server->is_draining ? "yes" : "no"},
+                 {"role", server ? name_of_role(server->role) : "-"}});
+}
+
+void server_observer::on_store_lost(const error& /*cause*/) {}
+
+void server_observer::on_store_regained()
+{
+    this->servers.note_store_returned();
+}
+
+} // namespace tanager
--- /dev/null
+++ b/src/gateway/internal/server_observer.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "fleet/server_list.h"
+#include "gateway/store_codec.h"
+#include "store/object_follower.h"
+
+namespace tanager {
+
+// Brings the store's list of backend servers into the server list.
+class server_observer final : public object_observer {
+public:
+    server_observer(const store_codec& codec, server_list& servers);
+
+    // Returns whether the whole list has been read once.
+    bool is_known() const;
+
+    std::uint64_t known_revision() const override;
+    follow_step on_listing(const object_listing& listing) override;
+    void on_store_lost(const error& cause) override;
+    void on_store_regained() override;
+
+private:
+    void apply_all(const object_listing& listing);
+    void apply(const stored_object& object);
+    std::optional<backend_server> decode(const stored_object& object) const;
+
+    const store_codec& codec;
+    server_list& servers;
+    std::uint64_t revision = 0;
+    bool known = false;
+};
+
+} // namespace tanager
--- /dev/null
+++ b/src/gateway/store_codec.h
@@ -0,0 +1,34 @@
+// Reads the configuration and the server list as the platform's store holds them.
+#pragma once
+
+#include "base/types/result.h"
+#include "fleet/types/backend_server.h"
+#include "routes/types/route_table.h"
+#include "store/object_store.h"
+
+#include <string>
+
+namespace tanager {
+
+class store_codec {
+public:
+    store_codec() = default;
+    store_codec(const store_codec&) = delete;
+    store_codec& operator=(const store_codec&) = delete;
+    store_codec(store_codec&&) = delete;
+    store_codec& operator=(store_codec&&) = delete;
+    virtual ~store_codec() = default;
+
+    // The prefixes to follow, and the one object under the first that is the configuration in force.
+    virtual std::string configuration_prefix() const = 0;
+    virtual std::string configuration_name() const = 0;
+    virtual std::string server_prefix() const = 0;
+
+    // Fails with configuration_invalid.
+    virtual result<route_table> decode_configuration(const stored_object& object) const = 0;
+
+    // Fails with object_unknown when the entry names no server that could be used.
+    virtual result<backend_server> decode_server(const stored_object& object) const = 0;
+};
+
+} // namespace tanager
--- /dev/null
+++ b/src/gateway/types/caller_request.h
@@ -0,0 +1,47 @@
+// A caller's request as the gateway's decisions see it.
+#pragma once
+
+#include "placement/types/placement_candidate.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace tanager {
+
+// What the codec reads from a request; the bytes that are passed on stay with the exchange.
+struct caller_request {
+    std::string id;                                    // the caller's own, different in each of its attempts
+    std::string host;                                  // as the caller named it
+    std::string path;                                  // with the query
+    std::optional<std::chrono::milliseconds> patience; // how long the caller waits for the whole answer
+    std::optional<std::uint64_t> resume_after;         // the last event that the caller has
+    prompt_shape prompt;
+
+    friend bool operator==(const caller_request&, const caller_request&) = default;
+};
+
+// What the system adds to a request for one attempt.
+struct attempt_order {
+    std::string server_id; // any other server must refuse the attempt
+    std::chrono::milliseconds time_left{0};
+    std::optional<std::uint64_t> resume_after;
+    std::optional<std::uint32_t> engine_priority; // 0 is admitted first; model engines only
+
+    friend bool operator==(const attempt_order&, const attempt_order&) = default;
+};
+
+// What the head of a server's answer says.
+struct answer_head {
+    int status = 0;
+    bool is_own = false;       // names this very request
+    bool is_signed = false;    // carries the server's digest
+    bool not_run = false;      // the server states that it did not run the request
+    bool other_server = false; // the address belongs to another server by now
+    bool is_event_stream = false;
+
+    friend bool operator==(const answer_head&, const answer_head&) = default;
+};
+
+} // namespace tanager
--- a/src/logging/event_log.h
+++ b/src/logging/event_log.h
@@ -15,7 +15,9 @@
     std::string value;
 };
 
-// Sends events of this process to standard error, from the given level upwards. `program` names the source.
+// Sends events of this process to standard output, from the given level upwards. The rate of each event is
+// bounded, and a line that the output would not take at once is counted instead of waited for. `program`
+// names the source.
 void open_event_log(const std::string& program, log_level lowest);
 
 // Writes one line: time, level, number, name and fields.
--- a/src/logging/types/log_event.h
+++ b/src/logging/types/log_event.h
@@ -15,6 +15,8 @@
     program_stopped = 1004,
     program_failed = 1005,
     invariant_violated = 1006,
+    log_lines_dropped = 1007,
+    settings_reloaded = 1008,
 
     // 2000: catalogue and platform
     catalogue_applied = 2001,
@@ -23,6 +25,12 @@
     store_recovered = 2004,
     host_list_changed = 2005,
     catalogue_pulled = 2006,
+    store_history_lost = 2007,
+    configuration_applied = 2008,
+    configuration_rejected = 2009,
+    server_listed = 2010,
+    server_unlisted = 2011,
+    server_entry_invalid = 2012,
 
     // 3000: entry
     request_refused = 3001,
@@ -36,6 +44,17 @@
     agent_leaving = 3009,
     attempt_settled = 3010,
     claim_recorded = 3011,
+    request_placed = 3020,
+    request_finished = 3021,
+    request_rejected = 3022,
+    request_broken = 3023,
+    request_abandoned = 3024,
+    request_retried = 3025,
+    server_suspected = 3026,
+    server_trusted = 3027,
+    peer_heard = 3028,
+    peer_silent = 3029,
+    loop_gap = 3030,
 
     // 4000: agent
     attempt_refused = 4001,
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -53,6 +53,9 @@
     // Breaks the call off; the handler hears nothing more.
     virtual void cancel() = 0;
 
+    // Returns whether any byte of the request has left for the peer.
+    virtual bool is_sent() const = 0;
+
     // Stops and restarts reading from the peer, which makes the peer wait.
     virtual void pause() = 0;
     virtual void resume() = 0;
@@ -61,6 +64,10 @@
 struct http_call_options {
     std::chrono::milliseconds timeout{30'000};
     bool reuse_connection = true;
+    // Accepts a reply that ends with its connection; a reset is still told from an orderly end.
+    bool accept_unframed = false;
+    // Only connections that were idle for less than this are used again.
+    std::chrono::milliseconds longest_idle{30'000};
 
     friend bool operator==(const http_call_options&, const http_call_options&) = default;
 };
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -39,6 +39,9 @@
     // Returns the address with the port that was taken.
     virtual std::string address() const = 0;
 
+    // Closes each kept-alive connection after its next reply; new ones are still accepted.
+    virtual void close_after_replies() = 0;
+
     // Refuses new connections and closes each kept-alive one after its next reply.
     virtual void stop_accepting() = 0;
 
--- a/src/net/internal/evhttp_exchange.h
+++ b/src/net/internal/evhttp_exchange.h
@@ -14,7 +14,10 @@
 // An exchange over evhttp.
 class evhttp_exchange final : public http_exchange, public std::enable_shared_from_this<evhttp_exchange> {
 public:
-    evhttp_exchange(event_loop& loop, evhttp_request* native, bool close_after, notice on_finished);
+    using condition = std::function<bool()>;
+
+    // `close_after` is asked when the reply begins.
+    evhttp_exchange(event_loop& loop, evhttp_request* native, condition close_after, notice on_finished);
     ~evhttp_exchange() override;
     evhttp_exchange(const evhttp_exchange&) = delete;
     evhttp_exchange& operator=(const evhttp_exchange&) = delete;
@@ -50,7 +53,7 @@
     evhttp_request* native;
     evhttp_connection* connection;
     http_request received;
-    bool close_after;
+    condition close_after;
     bool started = false;
     bool finished = false;
     bool completed = false;
--- a/src/net/internal/http_client.cpp
+++ b/src/net/internal/http_client.cpp
@@ -1,6 +1,7 @@
 #include "net/http_client.h"
 
 #include "net/internal/http_connection_pool.h"
+#include "net/internal/socket_options.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -27,6 +28,12 @@
     if (method == "DELETE") {
         return EVHTTP_REQ_DELETE;
     }
+    if (method == "PATCH") {
+        return EVHTTP_REQ_PATCH;
+    }
+    if (method == "HEAD") {
+        return EVHTTP_REQ_HEAD;
+    }
     return EVHTTP_REQ_GET;
 }
 
@@ -53,7 +60,9 @@
     void begin(const http_request& request, const http_call_options& options)
     {
         this->self_reference = this->shared_from_this();
-        this->connection = this->pool.take(this->peer, options.reuse_connection);
+        this->connection = this->pool.take(
+            this->peer, options.reuse_connection ? options.longest_idle : std::chrono::milliseconds{0});
+        this->accept_unframed = options.accept_unframed;
         this->keeps_connection = options.reuse_connection;
         this->set_timeout(options.timeout);
         evhttp_connection_set_max_body_size(this->connection, longest_reply_bytes);
@@ -69,7 +78,14 @@
         if (made != 0 && !this->done) {
             this->native = nullptr;
             this->loop.post([self = this->shared_from_this()] { self->end_with_failure(); });
+            return;
         }
+        set_connection_options(bufferevent_getfd(evhttp_connection_get_bufferevent(this->connection)));
+    }
+
+    bool is_sent() const override
+    {
+        return this->sent;
     }
 
     void cancel() override
@@ -115,7 +131,9 @@
     void fill(const http_request& request)
     {
         evkeyvalq* const headers = evhttp_request_get_output_headers(this->native);
-        evhttp_add_header(headers, "Host", to_text(this->peer).c_str());
+        if (find_header(request.headers, "Host").empty()) {
+            evhttp_add_header(headers, "Host", to_text(this->peer).c_str());
+        }
         for (const auto& header : request.headers) {
             evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
         }
@@ -146,8 +164,7 @@
                                   !find_header(headers, "Transfer-Encoding").empty() ||
                                   status == status_no_content || status == status_not_modified;
         call.head_seen = true;
-        if (!is_delimited) {
-            // Without a length, a cut connection could not be told from the end of the reply.
+        if (!is_delimited && !call.accept_unframed) {
             call.failure_code = result_code::reply_malformed;
             return -1;
         }
@@ -200,8 +217,12 @@
         this->done = true;
         auto* const reusable = this->connection;
         const auto receiver = this->handler;
+        // Bytes behind a whole reply belong to no request, so the connection is not used again.
+        const bool has_excess =
+            evbuffer_get_length(bufferevent_get_input(evhttp_connection_get_bufferevent(this->connection))) >
+            0;
         this->release();
-        if (this->keeps_connection) {
+        if (this->keeps_connection && !has_excess) {
             this->pool.give_back(this->peer, reusable);
         } else {
             this->pool.discard(reusable);
@@ -246,6 +267,7 @@
     evhttp_request* native = nullptr;
     evbuffer_cb_entry* output_watch = nullptr;
     bool keeps_connection = true;
+    bool accept_unframed = false;
     bool head_seen = false;
     bool sent = false;
     bool done = false;
--- a/src/net/internal/http_connection_pool.cpp
+++ b/src/net/internal/http_connection_pool.cpp
@@ -15,17 +15,18 @@
 http_connection_pool::~http_connection_pool()
 {
     for (const auto& [peer, connections] : this->idle) {
-        for (auto* const connection : connections) {
-            evhttp_connection_free(connection);
+        for (const auto& connection : connections) {
+            evhttp_connection_free(connection.native);
         }
     }
 }
 
-evhttp_connection* http_connection_pool::take(const socket_address& peer, bool reuse)
+evhttp_connection* http_connection_pool::take(const socket_address& peer, duration longest_idle)
 {
     auto& connections = this->idle[peer];
-    if (reuse && !connections.empty()) {
-        auto* const connection = connections.back();
+    const auto oldest = this->time.now() - longest_idle;
+    if (!connections.empty() && connections.back().since > oldest) {
+        auto* const connection = connections.back().native;
         connections.pop_back();
         return connection;
     }
@@ -42,7 +43,7 @@
         this->discard(connection);
         return;
     }
-    connections.push_back(connection);
+    connections.push_back({connection, this->time.now()});
 }
 
 void http_connection_pool::discard(evhttp_connection* connection)
--- a/src/net/internal/http_connection_pool.h
+++ b/src/net/internal/http_connection_pool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/system_clock.h"
 #include "net/event_loop.h"
 #include "net/types/http_types.h"
 
@@ -20,8 +21,9 @@
     http_connection_pool(http_connection_pool&&) = delete;
     http_connection_pool& operator=(http_connection_pool&&) = delete;
 
-    // Returns an idle connection, or a new one that connects on its first request.
-    evhttp_connection* take(const socket_address& peer, bool reuse);
+    // Returns the connection that was idle for the shortest time, if that is less than `longest_idle`, or a
+    // new one that connects on its first request.
+    evhttp_connection* take(const socket_address& peer, duration longest_idle);
 
     // Keeps a connection whose last reply was read in full.
     void give_back(const socket_address& peer, evhttp_connection* connection);
@@ -30,8 +32,14 @@
     void discard(evhttp_connection* connection);
 
 private:
+    struct idle_connection {
+        evhttp_connection* native = nullptr;
+        time_point since;
+    };
+
     event_loop& loop;
-    std::map<socket_address, std::vector<evhttp_connection*>> idle;
+    system_clock time;
+    std::map<socket_address, std::vector<idle_connection>> idle;
 };
 
 } // namespace tanager
--- a/src/net/internal/http_exchange.cpp
+++ b/src/net/internal/http_exchange.cpp
@@ -1,5 +1,7 @@
 #include "net/internal/evhttp_exchange.h"
 
+#include "net/internal/socket_options.h"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -36,13 +38,13 @@
 
 evhttp_exchange::evhttp_exchange(event_loop& loop,
                                  evhttp_request* native,
-                                 bool close_after,
+                                 condition close_after,
                                  notice on_finished)
     : loop(loop),
       native(native),
       connection(evhttp_request_get_connection(native)),
       received(read_request(native)),
-      close_after(close_after),
+      close_after(std::move(close_after)),
       finished_callback(std::move(on_finished))
 {
 }
@@ -72,6 +74,7 @@
     this->self_reference = this->shared_from_this();
     evhttp_connection_set_closecb(this->connection, &evhttp_exchange::on_connection_closed, this);
     bufferevent* const stream = evhttp_connection_get_bufferevent(this->connection);
+    set_connection_options(bufferevent_getfd(stream));
     // evhttp stops reading while a reply is owed, so the caller's leaving is seen on the socket itself.
     this->shutdown_watch = event_new(
         this->loop.native(), bufferevent_getfd(stream), EV_CLOSED, &evhttp_exchange::on_peer_shutdown, this);
@@ -170,7 +173,7 @@
     for (const auto& header : headers) {
         evhttp_add_header(output, header.name.c_str(), header.value.c_str());
     }
-    if (this->close_after) {
+    if (this->close_after()) {
         evhttp_add_header(output, "Connection", "close");
     }
 }
--- a/src/net/internal/http_server.cpp
+++ b/src/net/internal/http_server.cpp
@@ -61,8 +61,14 @@
         return to_text(this->taken);
     }
 
+    void close_after_replies() override
+    {
+        this->is_closing = true;
+    }
+
     void stop_accepting() override
     {
+        this->is_closing = true;
         if (this->socket == nullptr) {
             return;
         }
@@ -81,9 +87,8 @@
     {
         auto* const server = static_cast<evhttp_server*>(self);
         ++server->open;
-        const bool is_stopping = server->socket == nullptr;
         const auto exchange = std::make_shared<evhttp_exchange>(
-            server->loop, request, is_stopping, [server] { --server->open; });
+            server->loop, request, [server] { return server->is_closing; }, [server] { --server->open; });
         exchange->attach();
         server->serve(exchange);
     }
@@ -104,6 +109,7 @@
     socket_address taken;
     std::unique_ptr<descriptor_gate> gate;
     std::size_t open = 0;
+    bool is_closing = false;
 };
 
 } // namespace
--- /dev/null
+++ b/src/routes/route_directory.h
@@ -0,0 +1,39 @@
+// Finds the route of a request in the newest configuration.
+#pragma once
+
+#include "base/types/result.h"
+#include "routes/types/route_table.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace tanager {
+
+class route_directory {
+public:
+    // Takes a configuration over if it is newer than the one in force; returns whether it was.
+    bool apply(route_table table);
+
+    bool is_known() const;
+    std::uint64_t version() const;
+
+    // Returns the route of that host with the longest prefix of the path, or null.
+    std::shared_ptr<const route> find(std::string_view host, std::string_view path) const;
+
+    const service_entry* find_service(const std::string& name) const;
+
+private:
+    using prefix_map = std::map<std::string, std::shared_ptr<const route>, std::less<>>;
+
+    std::uint64_t current_version = 0;
+    bool known = false;
+    std::map<std::string, prefix_map, std::less<>> by_host;
+    std::map<std::string, service_entry> services;
+};
+
+// Picks one of a route's services by weight; `draw` is a uniformly distributed hash of the request.
+const std::string& choose_service(const route& chosen, std::uint64_t draw);
+
+} // namespace tanager
--- /dev/null
+++ b/src/routes/tests/routes_tests.cpp
@@ -0,0 +1,85 @@
+#include "routes/route_directory.h"
+#include "testing/story.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace tanager {
+
+namespace {
+
+using testing::section;
+
+route make_route(const std::string& name, const std::string& prefix)
+{
+    route made;
+    made.name = name;
+    made.host = "shop.example";
+    made.path_prefix = prefix;
+    made.services = {{"desk", 1}};
+    return made;
+}
+
+class routes_tests : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(routes_tests);
+    CPPUNIT_TEST(finds_the_longest_prefix);
+    CPPUNIT_TEST(never_goes_back);
+    CPPUNIT_TEST(splits_by_weight);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void finds_the_longest_prefix()
+    {
+        section("a host with a route inside another", [] {
+            route_directory directory;
+            directory.apply({1, {make_route("outer", "/a/"), make_route("inner", "/a/b/")}, {}});
+            const auto name_at = [&](std::string_view host, std::string_view path) {
+                const auto found = directory.find(host, path);
+                return found == nullptr ? std::string{} : found->name;
+            };
+            section("takes the longest prefix that begins the path", [&] {
+                CPPUNIT_ASSERT_EQUAL(std::string{"inner"}, name_at("shop.example", "/a/b/c?x=/a/"));
+                CPPUNIT_ASSERT_EQUAL(std::string{"outer"}, name_at("shop.example", "/a/bc"));
+                CPPUNIT_ASSERT_EQUAL(std::string{"outer"}, name_at("shop.example", "/a/"));
+            });
+            section("ignores case and port of the host",
+                    [&] { CPPUNIT_ASSERT_EQUAL(std::string{"outer"}, name_at("SHOP.example:80", "/a/x")); });
+            section("finds nothing elsewhere", [&] {
+                CPPUNIT_ASSERT_EQUAL(std::string{}, name_at("shop.example", "/a"));
+                CPPUNIT_ASSERT_EQUAL(std::string{}, name_at("shop.example", "/b/?/a/b/"));
+                CPPUNIT_ASSERT_EQUAL(std::string{}, name_at("other.example", "/a/x"));
+            });
+        });
+    }
+
+    void never_goes_back()
+    {
+        section("a configuration is in force", [] {
+            route_directory directory;
+            CPPUNIT_ASSERT(directory.apply({7, {make_route("new", "/a/")}, {}}));
+            section("an older one that arrives later changes nothing", [&] {
+                CPPUNIT_ASSERT(!directory.apply({5, {make_route("old", "/a/")}, {}}));
+                CPPUNIT_ASSERT_EQUAL(std::string{"new"}, directory.find("shop.example", "/a/")->name);
+                CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, directory.version());
+            });
+        });
+    }
+
+    void splits_by_weight()
+    {
+        section("a route with two services, nine to one", [] {
+            route split = make_route("split", "/a/");
+            split.services = {{"left", 9}, {"right", 1}};
+            unsigned right = 0;
+            for (std::uint64_t draw = 0; draw < 1'000; ++draw) {
+                right += choose_service(split, draw) == "right" ? 1 : 0;
+            }
+            CPPUNIT_ASSERT_EQUAL(100U, right);
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(routes_tests);
+
+} // namespace
+
+} // namespace tanager
--- a/src/platform/catalogue_follower.h
+++ b/src/store/catalogue_follower.h
@@ -4,7 +4,7 @@
 #include "base/random_source.h"
 #include "catalogue/catalogue.h"
 #include "net/event_loop.h"
-#include "platform/object_store.h"
+#include "store/object_store.h"
 
 #include <memory>
 
--- a/src/platform/host_list_follower.h
+++ b/src/store/host_list_follower.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "net/event_loop.h"
-#include "platform/object_store.h"
+#include "store/object_store.h"
 
 #include <memory>
 
@@ -14,7 +14,7 @@
 
     // `changed` is called with each list that differs from the last one read.
     static std::shared_ptr<host_list_follower>
-    create(event_loop& loop, object_store& store, duration interval, change_callback changed);
+    create(event_loop& loop, host_list_source& store, duration interval, change_callback changed);
 
     host_list_follower() = default;
     host_list_follower(const host_list_follower&) = delete;
--- a/src/platform/http_object_store.h
+++ b/src/store/http_object_store.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "net/http_client.h"
-#include "platform/object_store.h"
+#include "store/object_store.h"
 
 #include <memory>
 
@@ -16,7 +16,7 @@
 };
 
 // Speaks the platform's HTTP protocol.
-class http_object_store final : public object_store {
+class http_object_store final : public object_store, public host_list_source {
 public:
     static std::unique_ptr<http_object_store>
     create(http_client& client, const socket_address& platform, const object_store_limits& limits);
--- a/src/platform/internal/host_list_follower.cpp
+++ b/src/store/internal/host_list_follower.cpp
@@ -1,4 +1,4 @@
-#include "platform/host_list_follower.h"
+#include "store/host_list_follower.h"
 
 #include "logging/event_log.h"
 
@@ -9,7 +9,7 @@
 class polling_follower final : public host_list_follower,
                                public std::enable_shared_from_this<polling_follower> {
 public:
-    polling_follower(event_loop& loop, object_store& store, duration interval, change_callback changed)
+    polling_follower(event_loop& loop, host_list_source& store, duration interval, change_callback changed)
         : loop(loop), store(store), interval(interval), changed(std::move(changed))
     {
     }
@@ -56,7 +56,7 @@
     }
 
     event_loop& loop;
-    object_store& store;
+    host_list_source& store;
     duration interval;
     change_callback changed;
     bool is_waiting = false;
@@ -66,8 +66,10 @@
 
 } // namespace
 
-std::shared_ptr<host_list_follower>
-host_list_follower::create(event_loop& loop, object_store& store, duration interval, change_callback changed)
+std::shared_ptr<host_list_follower> host_list_follower::create(event_loop& loop,
+                                                               host_list_source& store,
+                                                               duration interval,
+                                                               change_callback changed)
 {
     return std::make_shared<polling_follower>(loop, store, interval, std::move(changed));
 }
--- a/src/platform/internal/http_object_store.cpp
+++ b/src/store/internal/http_object_store.cpp
@@ -1,4 +1,4 @@
-#include "platform/http_object_store.h"
+#include "store/http_object_store.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/platform/mocks/faulty_store.h
+++ b/src/store/mocks/faulty_store.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/object_store.h"
+#include "store/object_store.h"
 
 #include <cstdint>
 #include <deque>
@@ -72,11 +72,6 @@
         callback(fail(result_code::store_unavailable, "not part of this fake"));
     }
 
-    void list_hosts(hosts_callback callback) override
-    {
-        callback(fail(result_code::store_unavailable, "not part of this fake"));
-    }
-
     // Delivers one waiting answer, drawn at random; returns false when none waits.
     bool deliver_one()
     {
--- a/src/platform/object_store.h
+++ b/src/store/object_store.h
@@ -2,13 +2,14 @@
 #pragma once
 
 #include "base/types/result.h"
-#include "platform/types/stored_object.h"
+#include "store/types/stored_object.h"
 
 #include <functional>
 
 namespace tanager {
 
-// All calls answer later, on the loop. Failures are store_unavailable, version_conflict or object_unknown.
+// All calls answer later, on the loop. Failures are store_unavailable, version_conflict, object_unknown or,
+// from `watch`, history_lost.
 // After store_unavailable a write may nevertheless have taken effect.
 class object_store {
 public:
@@ -22,7 +23,6 @@
     using listing_callback = std::function<void(const result<object_listing>&)>;
     using object_callback = std::function<void(const result<stored_object>&)>;
     using version_callback = std::function<void(const result<std::uint64_t>&)>;
-    using hosts_callback = std::function<void(const result<std::vector<listed_host>>&)>;
 
     // Lists the objects under a prefix.
     virtual void list(const std::string& prefix, listing_callback callback) = 0;
@@ -40,8 +40,21 @@
 
     // Removes an object if its version still is `expected`.
     virtual void remove(const std::string& name, std::uint64_t expected, version_callback callback) = 0;
+};
+
+// The platform's list of hosts, where there is one.
+class host_list_source {
+public:
+    host_list_source() = default;
+    host_list_source(const host_list_source&) = delete;
+    host_list_source& operator=(const host_list_source&) = delete;
+    host_list_source(host_list_source&&) = delete;
+    host_list_source& operator=(host_list_source&&) = delete;
+    virtual ~host_list_source() = default;
+
+    using hosts_callback = std::function<void(const result<std::vector<listed_host>>&)>;
 
-    // Answers the platform's list of hosts, which lags.
+    // Answers the list, which lags.
     virtual void list_hosts(hosts_callback callback) = 0;
 };
 
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -44,6 +44,7 @@
     argv.push_back(nullptr);
     posix_spawn_file_actions_t actions{};
     posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_adddup2(&actions, pipe_ends[1], STDOUT_FILENO);
     posix_spawn_file_actions_adddup2(&actions, pipe_ends[1], STDERR_FILENO);
     posix_spawn_file_actions_addclose(&actions, pipe_ends[0]);
     posix_spawn_file_actions_addclose(&actions, pipe_ends[1]);
