--- a/src/net/internal/http_client.cpp
+++ b/src/net/internal/http_client.cpp
@@ -94,13 +94,9 @@
             return;
         }
         this->done = true;
-        if (this->native != nullptr) {
-            evhttp_cancel_request(this->native);
-            this->native = nullptr;
-        }
-        auto* const broken = this->connection;
-        this->release();
-        this->pool.discard(broken);
+        this->handler.reset();
+        // evhttp may be in the middle of a callback for this request, so it is taken down in the next turn.
+        this->loop.post([self = this->shared_from_this()] { self->take_down(); });
     }
 
     void pause() override
@@ -118,6 +114,16 @@
     }
 
 private:
+    void take_down()
+    {
+        if (this->native != nullptr) {
+            evhttp_cancel_request(std::exchange(this->native, nullptr));
+        }
+        auto* const broken = this->connection;
+        this->release();
+        this->pool.discard(broken);
+    }
+
     void set_timeout(std::chrono::milliseconds timeout)
     {
         constexpr std::int64_t milliseconds_per_second = 1000;
@@ -158,6 +164,9 @@
     {
         auto& call = *static_cast<evhttp_call*>(self);
         const auto keep_alive = call.shared_from_this();
+        if (call.done) {
+            return -1;
+        }
         const int status = evhttp_request_get_response_code(request);
         const auto headers = read_headers(request);
         const bool is_delimited = !find_header(headers, "Content-Length").empty() ||
@@ -198,10 +207,11 @@
     static void on_complete(evhttp_request* request, void* self)
     {
         auto& call = *static_cast<evhttp_call*>(self);
+        // evhttp frees the request after this notice.
+        call.native = nullptr;
         if (call.done) {
             return;
         }
-        call.native = nullptr;
         const bool is_whole = request != nullptr && evhttp_request_get_response_code(request) != 0 &&
                               call.head_seen && call.failure_code == result_code::connection_lost;
         if (!is_whole) {
