Tell the other gateways what runs on each server

Change: load reports by datagram, peers found through one object each in the store; streams that cannot be resumed are admitted by engines before those that can.

--- a/src/gateway/gateway_setup.cpp
+++ b/src/gateway/gateway_setup.cpp
@@ -9,6 +9,7 @@
 #include "logging/event_log.h"
 #include "logging/logging_invariant_monitor.h"
 #include "net/http_server.h"
+#include "peers/peer_exchange.h"
 #include "program/health_pages.h"
 
 #include <algorithm>
@@ -36,12 +37,21 @@
 // What a request without a deadline of its own may take beyond its route's time-out.
 constexpr std::chrono::milliseconds default_patience{15'000};
 
-class lone_view final : public elsewhere_view {
+// What the other gateways have running, once the exchange with them has been set up.
+class exchanged_view final : public elsewhere_view {
 public:
-    std::uint32_t running_elsewhere(const std::string& /*server_id*/) const override
+    void use(const peer_exchange& wanted)
     {
-        return 0;
+        this->exchange = &wanted;
     }
+
+    std::uint32_t running_elsewhere(const std::string& server_id) const override
+    {
+        return this->exchange == nullptr ? 0 : this->exchange->known().running_on(server_id);
+    }
+
+private:
+    const peer_exchange* exchange = nullptr;
 };
 
 class gateway_process final : public service {
@@ -101,6 +111,20 @@
             return tl::make_unexpected(operators.error());
         }
         this->page_server = std::move(*operators);
+        auto exchange = peer_exchange::create(
+            this->loop,
+            this->time,
+            *this->store,
+            this->random,
+            {this->settings.host, this->settings.peers},
+            [this] { return this->own_load(); },
+            [this] { this->desk.review(); });
+        if (!exchange) {
+            return tl::make_unexpected(exchange.error());
+        }
+        this->peers = std::move(*exchange);
+        this->elsewhere.use(*this->peers);
+        this->pool.on_change([this] { this->peers->note_change(); });
         write_event(log_event::program_listening,
                     {{"http", this->server->address()},
                      {"pages", this->page_server->address()},
@@ -113,6 +137,7 @@
         this->drained = std::move(finished);
         this->stopped_at = this->time.now();
         this->server->close_after_replies();
+        this->peers->leave();
         this->stop_timer = this->loop.run_every(drain_check_interval, [this] { this->check_drained(); });
     }
 
@@ -186,6 +211,15 @@
         started->start();
     }
 
+    std::vector<server_load> own_load() const
+    {
+        std::vector<server_load> loads;
+        for (const auto& [id, running] : this->pool.running()) {
+            loads.push_back({server_key(id), running});
+        }
+        return loads;
+    }
+
     forward_context context()
     {
         return {this->loop,
@@ -248,6 +282,7 @@
     {
         this->metrics.set_gauge("tanager_requests_open", static_cast<double>(this->open_runs));
         this->metrics.set_gauge("tanager_requests_waiting", static_cast<double>(this->desk.waiting()));
+        this->metrics.set_gauge("tanager_peers_heard", static_cast<double>(this->peers->known().heard()));
         this->metrics.set_gauge("tanager_configuration_version", static_cast<double>(this->routes.version()));
         this->metrics.set_gauge("tanager_servers_taking_work",
                                 static_cast<double>(this->pool.list().serving().size()));
@@ -280,7 +315,7 @@
     std::unique_ptr<http_client> client;
     std::unique_ptr<http_client> store_client;
     std::unique_ptr<object_store> store;
-    lone_view elsewhere;
+    exchanged_view elsewhere;
     route_directory routes;
     server_pool pool;
     place_desk desk;
@@ -292,6 +327,7 @@
     health_pages pages;
     std::unique_ptr<http_server> server;
     std::unique_ptr<http_server> page_server;
+    std::unique_ptr<peer_exchange> peers;
     std::unique_ptr<loop_timer> review_timer;
     std::unique_ptr<loop_timer> housekeeping;
     std::unique_ptr<loop_timer> stop_timer;
--- a/src/gateway/internal/forward_run.cpp
+++ b/src/gateway/internal/forward_run.cpp
@@ -30,8 +30,9 @@
 constexpr std::chrono::milliseconds call_slack{1'000};
 // Bytes for a slow caller above which the server is not read from.
 constexpr std::size_t unsent_bound = std::size_t{128} * 1024;
-// Engine priorities: prompts with long outputs are few and lose most when they are preempted.
-constexpr std::uint32_t engine_priority_base = 3;
+// An engine preempts what is less urgent. Streams that cannot be resumed have the most to lose from that.
+constexpr std::uint32_t single_run_engine_priority = 3;
+constexpr std::uint32_t repeatable_engine_priority = 5;
 // A server that still answers keeps its connection at least this long (their idle bounds are seconds).
 constexpr std::chrono::milliseconds repeatable_idle{4'000};
 // A request that may run once only prefers a new connection to one that the server may be closing.
@@ -167,7 +168,8 @@
         order.resume_after = this->routed.request.resume_after;
     }
     if (this->routed.is_model) {
-        order.engine_priority = engine_priority_base + this->routed.chosen_route->priority;
+        order.engine_priority = this->routed.chosen_route->is_repeatable() ? repeatable_engine_priority
+                                                                           : single_run_engine_priority;
     }
     if (this->state != run_state::answering) {
         this->state = run_state::sent;
--- a/src/gateway/internal/server_pool.cpp
+++ b/src/gateway/internal/server_pool.cpp
@@ -56,6 +56,7 @@
 void server_pool::begin(const std::string& server_id)
 {
     ++this->running_here[server_id];
+    this->changed();
 }
 
 void server_pool::end(const std::string& server_id)
@@ -64,6 +65,7 @@
     if (found != this->running_here.end() && --found->second == 0) {
         this->running_here.erase(found);
     }
+    this->changed();
 }
 
 void server_pool::record(const std::string& server_id, server_sign sign)
@@ -76,6 +78,11 @@
     write_event(event, {{"server", server_id}, {"sign", std::string{name_of_sign(sign)}}});
 }
 
+void server_pool::on_change(std::function<void()> callback)
+{
+    this->changed = std::move(callback);
+}
+
 const std::map<std::string, std::uint32_t>& server_pool::running() const
 {
     return this->running_here;
--- a/src/gateway/server_pool.h
+++ b/src/gateway/server_pool.h
@@ -42,11 +42,15 @@
 
     const std::map<std::string, std::uint32_t>& running() const;
 
+    // Called after each change of what is running.
+    void on_change(std::function<void()> callback);
+
 private:
     server_list known;
     server_trust trust;
     const elsewhere_view& elsewhere;
     std::map<std::string, std::uint32_t> running_here;
+    std::function<void()> changed = [] {};
 };
 
 } // namespace tanager
--- /dev/null
+++ b/src/peers/internal/load_codec.cpp
@@ -0,0 +1,58 @@
+#include "peers/load_codec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace tanager {
+
+namespace {
+
+using nlohmann::json;
+
+// The parts of a datagram, a MessagePack array.
+enum report_field : std::size_t { version_field, sender_field, incarnation_field, sequence_field, loads_field };
+
+constexpr std::size_t field_count = loads_field + 1;
+constexpr int codec_version = 1;
+
+load_report read_report(const json& fields)
+{
+    load_report report{
+        fields[incarnation_field].get<std::uint64_t>(), fields[sequence_field].get<std::uint64_t>(), {}};
+    const auto& loads = fields[loads_field];
+    // Servers and counts take turns.
+    for (std::size_t index = 0; index + 1 < loads.size(); index += 2) {
+        report.loads.push_back({loads[index].get<std::uint32_t>(), loads[index + 1].get<std::uint32_t>()});
+    }
+    return report;
+}
+
+} // namespace
+
+std::string encode_report(const named_report& named)
+{
+    json loads = json::array();
+    for (const auto& load : named.report.loads) {
+        loads.push_back(load.server);
+        loads.push_back(load.running);
+    }
+    const json fields{
+        codec_version, named.sender, named.report.incarnation, named.report.sequence, std::move(loads)};
+    std::string datagram;
+    json::to_msgpack(fields, datagram);
+    return datagram;
+}
+
+result<named_report> decode_report(std::string_view datagram)
+{
+    const auto fields = json::from_msgpack(datagram, true, false);
+    if (!fields.is_array() || fields.size() != field_count || fields[version_field] != codec_version) {
+        return fail(result_code::request_malformed, "not a load report");
+    }
+    try {
+        return named_report{fields[sender_field].get<std::string>(), read_report(fields)};
+    } catch (const json::exception& failure) {
+        return fail(result_code::request_malformed, failure.what());
+    }
+}
+
+} // namespace tanager
--- /dev/null
+++ b/src/peers/peer_exchange.h
@@ -0,0 +1,55 @@
+// Finds the other gateways through the store and tells them this one's load.
+#pragma once
+
+#include "base/random_source.h"
+#include "net/datagram_socket.h"
+#include "net/event_loop.h"
+#include "peers/peer_loads.h"
+#include "store/object_store.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace tanager {
+
+struct peer_settings {
+    std::string host;   // this gateway's name, unique in the store
+    std::string listen; // ip:port for datagrams
+
+    friend bool operator==(const peer_settings&, const peer_settings&) = default;
+};
+
+// Each gateway keeps one object in the store with its address; the revision of its last write is the incarnation in
+// its reports. Nothing is sent before that write has succeeded. Without the store, known peers are told on.
+class peer_exchange {
+public:
+    using load_source = std::function<std::vector<server_load>()>;
+
+    // `heard` is called after each report that changed what is known. Fails when the address cannot be listened on.
+    static result<std::unique_ptr<peer_exchange>> create(event_loop& loop,
+                                                         const clock& time,
+                                                         object_store& store,
+                                                         random_source& random,
+                                                         const peer_settings& settings,
+                                                         load_source loads,
+                                                         std::function<void()> heard);
+
+    peer_exchange() = default;
+    peer_exchange(const peer_exchange&) = delete;
+    peer_exchange& operator=(const peer_exchange&) = delete;
+    peer_exchange(peer_exchange&&) = delete;
+    peer_exchange& operator=(peer_exchange&&) = delete;
+    virtual ~peer_exchange() = default;
+
+    virtual const peer_loads& known() const = 0;
+
+    // Marks the load as changed; a report follows within the report interval.
+    virtual void note_change() = 0;
+
+    // Takes this gateway's object out of the store and reports an empty load.
+    virtual void leave() = 0;
+};
+
+} // namespace tanager
--- /dev/null
+++ b/src/peers/peer_loads.h
@@ -0,0 +1,59 @@
+// What the other gateways have running, from their reports.
+#pragma once
+
+#include "base/clock.h"
+#include "peers/types/load_report.h"
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace tanager {
+
+// A change in who is heard.
+struct peer_notice {
+    std::string peer;
+    bool is_heard = false;
+
+    friend bool operator==(const peer_notice&, const peer_notice&) = default;
+};
+
+// Load pattern: several gateways fill the same few servers within milliseconds of each other. Reports may be lost,
+// doubled or late: only the newest report of a peer's newest process counts. A peer that is silent counts with its
+// last report until it is taken as gone, when nothing of its requests is known any more.
+class peer_loads {
+public:
+    // `silence_allowed` is how long a peer may be unheard before it no longer counts.
+    peer_loads(const clock& time, duration silence_allowed);
+
+    // Returns whether the report is newer than what is known.
+    bool apply(const std::string& peer, const load_report& report);
+
+    std::uint32_t running_on(const std::string& server_id) const;
+
+    // Returns the peers that were heard within the silence allowed.
+    std::size_t heard() const;
+
+    // Drops silent peers; returns who was newly heard or dropped since the last call.
+    std::vector<peer_notice> review();
+
+private:
+    struct peer_row {
+        std::uint64_t incarnation = 0;
+        std::uint64_t sequence = 0;
+        time_point heard_at;
+        std::map<std::uint32_t, std::uint32_t> running;
+    };
+
+    void add(const peer_row& row);
+    void subtract(const peer_row& row);
+
+    const clock& time;
+    duration silence_allowed;
+    std::map<std::string, peer_row> peers;
+    std::map<std::uint32_t, std::uint32_t> totals;
+    std::vector<peer_notice> notices;
+};
+
+} // namespace tanager
--- /dev/null
+++ b/src/peers/types/load_report.h
@@ -0,0 +1,30 @@
+// What one gateway tells the others.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace tanager {
+
+// The requests that a gateway has running on one backend server, named by a hash of the server's id.
+struct server_load {
+    std::uint32_t server = 0;
+    std::uint32_t running = 0;
+
+    friend bool operator==(const server_load&, const server_load&) = default;
+};
+
+// A gateway's whole load, so that a lost report is made good by the next one.
+struct load_report {
+    std::uint64_t incarnation = 0; // of the sending process
+    std::uint64_t sequence = 0;    // rises with each report of that process
+    std::vector<server_load> loads;
+
+    friend bool operator==(const load_report&, const load_report&) = default;
+};
+
+// Returns the short name of a server in load reports.
+std::uint32_t server_key(const std::string& server_id);
+
+} // namespace tanager
