Read long prompts on prefill engines, and place by unread tokens

Cause: decode engines read prompts at half speed between other requests' tokens, so checks held their slots for twice as long, and two of nine (four of eleven) engines did nothing; where prompt reading binds rather than places, bounds on places let a queue of late work build up. Change: a reader and a generator are chosen together; a learned reading rate and the unread tokens of all gateways say which engine gives the first event in time; unused KV caches are freed.

--- /dev/null
+++ b/src/fleet/prompt_memory.h
@@ -0,0 +1,30 @@
+// Remembers which shared prompt parts each engine was given.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+
+namespace tanager {
+
+// A bounded memory of the newest parts by engine; what an engine has dropped since is not known here.
+class prompt_memory {
+public:
+    void remember(const std::string& server_id, std::uint64_t shared_key);
+
+    bool holds(const std::string& server_id, std::uint64_t shared_key) const;
+
+    void forget(const std::string& server_id);
+
+private:
+    struct engine_memory {
+        std::set<std::uint64_t> held;
+        std::deque<std::uint64_t> order; // oldest first
+    };
+
+    std::map<std::string, engine_memory> engines;
+};
+
+} // namespace tanager
--- a/src/gateway/gateway_setup.cpp
+++ b/src/gateway/gateway_setup.cpp
@@ -45,9 +45,13 @@
         this->exchange = &wanted;
     }
 
-    std::uint32_t running_elsewhere(const std::string& server_id) const override
+    own_load on_server(const std::string& server_id) const override
     {
-        return this->exchange == nullptr ? 0 : this->exchange->known().running_on(server_id);
+        if (this->exchange == nullptr) {
+            return {};
+        }
+        const auto total = this->exchange->known().on_server(server_id);
+        return {total.running, total.unread_tokens};
     }
 
 private:
@@ -117,7 +121,7 @@
             *this->store,
             this->random,
             {this->settings.host, this->settings.peers},
-            [this] { return this->own_load(); },
+            [this] { return this->report_load(); },
             [this] { this->desk.review(); });
         if (!exchange) {
             return tl::make_unexpected(exchange.error());
@@ -211,11 +215,11 @@
         started->start();
     }
 
-    std::vector<server_load> own_load() const
+    std::vector<server_load> report_load() const
     {
         std::vector<server_load> loads;
-        for (const auto& [id, running] : this->pool.running()) {
-            loads.push_back({server_key(id), running});
+        for (const auto& [id, own] : this->pool.loads()) {
+            loads.push_back({server_key(id), own.running, own.unread_tokens});
         }
         return loads;
     }
--- a/src/gateway/internal/forward_run.cpp
+++ b/src/gateway/internal/forward_run.cpp
@@ -30,9 +30,12 @@
 constexpr std::chrono::milliseconds call_slack{1'000};
 // Bytes for a slow caller above which the server is not read from.
 constexpr std::size_t unsent_bound = std::size_t{128} * 1024;
-// An engine preempts what is less urgent. Streams that cannot be resumed have the most to lose from that.
-constexpr std::uint32_t single_run_engine_priority = 3;
-constexpr std::uint32_t repeatable_engine_priority = 5;
+// An engine preempts what is less urgent. A long output has the most to lose from that, and takes little
+// reading.
+constexpr std::uint32_t long_output_priority = 3;
+constexpr std::uint32_t long_prompt_priority = 5;
+// The first event is planned for this part of the objective; the rest covers errors of the plan.
+constexpr double due_share = 0.85;
 // A server that still answers keeps its connection at least this long (their idle bounds are seconds).
 constexpr std::chrono::milliseconds repeatable_idle{4'000};
 // A request that may run once only prefers a new connection to one that the server may be closing.
@@ -130,20 +133,147 @@
     const auto patience = std::chrono::duration_cast<duration>(
         std::chrono::duration<double, std::milli>{waiting_share * static_cast<double>(objective.count())});
     const auto latest_start = std::min(this->routed.received + patience, this->routed.deadline);
+    const auto due = this->routed.received +
+                     std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>{
+                         due_share * static_cast<double>(objective.count())});
     const place_request wanted{this->routed.service,
                                this->routed.is_model,
                                this->routed.request.prompt,
                                this->routed.chosen_route->priority,
                                std::max(latest_start, this->asked),
+                               due,
                                this->tried};
     this->ticket = this->context.desk.ask(wanted, this->shared_from_this());
 }
 
-void forward_run::on_place(const std::shared_ptr<const backend_server>& chosen)
+void forward_run::on_place(const granted_place& granted)
 {
-    this->server = chosen;
-    this->waited += this->context.time.now() - this->asked;
-    this->send(*chosen);
+    this->place = granted;
+    this->server = granted.server;
+    this->reading_since = this->context.time.now();
+    this->waited += this->reading_since - this->asked;
+    if (granted.reader != nullptr) {
+        this->read_prompt();
+        return;
+    }
+    this->send({});
+}
+
+attempt_order forward_run::make_order(const backend_server& target) const
+{
+    const auto left = this->routed.deadline - this->context.time.now();
+    attempt_order order;
+    order.server_id = target.id;
+    order.time_left =
+        std::max(std::chrono::floor<std::chrono::milliseconds>(left), std::chrono::milliseconds{1});
+    order.resume_after = this->events.last_id();
+    if (!order.resume_after) {
+        order.resume_after = this->routed.request.resume_after;
+    }
+    if (this->routed.is_model) {
+        const auto& prompt = this->routed.request.prompt;
+        order.engine_priority =
+            prompt.output_tokens > prompt.own_tokens ? long_output_priority : long_prompt_priority;
+    }
+    return order;
+}
+
+// The prompt is read by another engine than the one that generates. Whatever goes wrong here, the request has
+// not run, and the generating engine can still read the prompt itself.
+void forward_run::read_prompt()
+{
+    if (this->state != run_state::answering) {
+        this->state = run_state::reading;
+    }
+    auto order = this->make_order(*this->place.reader);
+    order.only_read = true;
+    http_call_options options{order.time_left + call_slack, true, true, repeatable_idle};
+    write_event(log_event::request_placed,
+                {{"request", this->routed.request.id},
+                 {"reader", this->place.reader->id},
+                 {"server", this->server->id},
+                 {"tokens_before", std::to_string(this->place.tokens_before)},
+                 {"waited_ms", to_milliseconds(this->waited)}});
+    this->reading_call = this->context.client.fetch(
+        this->place.reader->address,
+        this->context.codec.encode(this->routed.exchange->request(), order),
+        options,
+        [weak = this->weak_from_this()](const tl::expected<http_reply, http_failure>& reply) {
+            if (const auto alive = weak.lock()) {
+                alive->on_prompt_read(reply);
+            }
+        });
+    this->watch_silence();
+}
+
+void forward_run::on_prompt_read(const tl::expected<http_reply, http_failure>& reply)
+{
+    const auto reader = this->place.reader;
+    this->reading_call.reset();
+    this->silence_timer.reset();
+    const bool is_read = reply.has_value() && is_success(reply->status);
+    this->end_reading(is_read);
+    if (!is_read) {
+        const bool is_refusal = reply.has_value();
+        this->context.pool.record(reader->id, is_refusal ? server_sign::refused : server_sign::silent);
+        if (is_refusal &&
+            this->context.codec.decode_answer(this->routed.request, reply->status, reply->headers)
+                .other_server) {
+            this->context.pool.list().note_leaving(reader->id);
+        }
+        this->context.metrics.count("tanager_prompts_not_read_total");
+        this->send({});
+        return;
+    }
+    this->context.pool.record(reader->id, server_sign::answered);
+    const auto cache = this->context.codec.decode_cache(reader->address, reply->body);
+    if (!cache) {
+        write_event(log_event::request_retried,
+                    {{"request", this->routed.request.id}, {"cause", cache.error().detail}});
+        this->send({});
+        return;
+    }
+    this->untaken_cache = *cache;
+    this->send(*cache);
+}
+
+// Takes the prompt off the engine that was to read it; `is_measured` when it has just done so.
+void forward_run::end_reading(bool is_measured)
+{
+    const auto reader = this->place.reader == nullptr ? this->place.server : this->place.reader;
+    if (is_measured) {
+        this->context.pool.record_reading(
+            *reader, this->place.tokens_before, this->context.time.now() - this->reading_since);
+    }
+    const auto tokens = std::exchange(this->place.unread_tokens, 0);
+    this->place.tokens_before = 0;
+    this->place.reader.reset();
+    if (tokens > 0) {
+        this->context.desk.release_reading(this->routed.service, reader->id, tokens);
+    }
+}
+
+void forward_run::break_reading()
+{
+    this->reading_call->cancel();
+    this->reading_call.reset();
+    this->silence_timer.reset();
+    this->end_reading(false);
+}
+
+// Frees a KV cache that its engine would otherwise keep for seconds.
+void forward_run::release_cache()
+{
+    if (!this->untaken_cache) {
+        return;
+    }
+    this->context.client.fetch(this->untaken_cache->holder,
+                               this->context.codec.encode_cache_release(*this->untaken_cache),
+                               {},
+                               [](const tl::expected<http_reply, http_failure>& /*reply*/) {
+                                   // Its engine drops it after its own time when this was lost.
+                               });
+    this->untaken_cache.reset();
 }
 
 void forward_run::on_no_place(placement_miss miss)
@@ -158,19 +288,11 @@
     this->reject({code, std::string{name_of(code)} + " for " + this->routed.service});
 }
 
-void forward_run::send(const backend_server& target)
+void forward_run::send(const std::optional<cache_handle>& cache)
 {
-    const auto now = this->context.time.now();
-    const auto left = std::chrono::floor<std::chrono::milliseconds>(this->routed.deadline - now);
-    attempt_order order{target.id, std::max(left, std::chrono::milliseconds{1}), {}, {}};
-    order.resume_after = this->events.last_id();
-    if (!order.resume_after) {
-        order.resume_after = this->routed.request.resume_after;
-    }
-    if (this->routed.is_model) {
-        order.engine_priority = this->routed.chosen_route->is_repeatable() ? repeatable_engine_priority
-                                                                           : single_run_engine_priority;
-    }
+    const auto& target = *this->server;
+    auto order = this->make_order(target);
+    order.cache = cache;
     if (this->state != run_state::answering) {
         this->state = run_state::sent;
     }
@@ -179,10 +301,12 @@
     this->handler = std::make_shared<attempt_handler>(this->weak_from_this());
     const bool repeatable = this->routed.chosen_route->is_repeatable();
     const http_call_options options{
-        left + call_slack, true, true, repeatable ? repeatable_idle : single_run_idle};
+        order.time_left + call_slack, true, true, repeatable ? repeatable_idle : single_run_idle};
     write_event(log_event::request_placed,
                 {{"request", this->routed.request.id},
                  {"server", target.id},
+                 {"with_cache", cache ? "yes" : "no"},
+                 {"tokens_before", std::to_string(this->place.tokens_before)},
                  {"waited_ms", to_milliseconds(this->waited)}});
     this->call =
         this->context.client.start(target.address,
@@ -224,7 +348,13 @@
 
 void forward_run::on_silence()
 {
-    if (this->call == nullptr || this->state == run_state::finished) {
+    if (this->state == run_state::finished || !this->is_under_way()) {
+        return;
+    }
+    if (this->reading_call != nullptr) {
+        this->context.pool.record(this->place.reader->id, server_sign::silent);
+        this->break_reading();
+        this->send({});
         return;
     }
     this->context.pool.record(this->server->id, server_sign::silent);
@@ -246,6 +376,9 @@
 {
     this->head = this->context.codec.decode_answer(this->routed.request, status, headers);
     this->connect_timer.reset();
+    if (!this->head.not_run) {
+        this->untaken_cache.reset();
+    }
     if (this->head.not_run) {
         return;
     }
@@ -284,6 +417,9 @@
     if (this->state != run_state::answering) {
         this->state = run_state::answering;
         this->first_event = this->elapsed();
+        if (this->place.unread_tokens > 0) {
+            this->end_reading(true);
+        }
         this->context.metrics.observe("tanager_first_event_seconds",
                                       {this->routed.service, this->routed.chosen_route->name},
                                       this->first_event);
@@ -453,9 +589,28 @@
     this->finish("complete", this->head.status);
 }
 
+bool forward_run::is_under_way() const
+{
+    return this->call != nullptr || this->reading_call != nullptr;
+}
+
+// Breaks off whatever is under way, for reasons that say nothing of the server.
+void forward_run::break_off()
+{
+    if (this->reading_call != nullptr) {
+        this->break_reading();
+        this->context.desk.release(this->routed.service, this->server->id);
+        return;
+    }
+    this->break_attempt(server_sign::refused);
+}
+
 void forward_run::end_attempt(server_sign sign)
 {
     this->connect_timer.reset();
+    if (this->place.unread_tokens > 0) {
+        this->end_reading(false);
+    }
     this->silence_timer.reset();
     this->call.reset();
     this->context.pool.record(this->server->id, sign);
@@ -475,15 +630,15 @@
         return;
     }
     const auto keep_alive = this->shared_from_this();
-    const bool was_waiting = this->call == nullptr;
-    if (was_waiting) {
-        this->context.desk.withdraw(this->ticket);
+    const bool was_sent = this->call != nullptr;
+    if (this->is_under_way()) {
+        this->runs += was_sent ? 1 : 0;
+        this->break_off();
     } else {
-        ++this->runs;
-        this->break_attempt(server_sign::refused);
+        this->context.desk.withdraw(this->ticket);
     }
     const error cause{result_code::timed_out, "deadline of the request"};
-    if (was_waiting && this->runs == 0 && this->state != run_state::answering) {
+    if (!was_sent && this->runs == 0 && this->state != run_state::answering) {
         this->reject(cause);
         return;
     }
@@ -496,10 +651,10 @@
         return;
     }
     const auto keep_alive = this->shared_from_this();
-    if (this->call == nullptr) {
-        this->context.desk.withdraw(this->ticket);
+    if (this->is_under_way()) {
+        this->break_off();
     } else {
-        this->break_attempt(server_sign::refused);
+        this->context.desk.withdraw(this->ticket);
     }
     write_event(log_event::request_abandoned,
                 {{"request", this->routed.request.id}, {"elapsed_ms", to_milliseconds(this->elapsed())}});
@@ -514,6 +669,7 @@
     }
     this->state = run_state::finished;
     this->deadline_timer.reset();
+    this->release_cache();
     this->context.metrics.observe(
         "tanager_request_seconds", {this->routed.service, this->routed.chosen_route->name}, this->elapsed());
     this->log_end(outcome, status);
--- a/src/gateway/internal/forward_run.h
+++ b/src/gateway/internal/forward_run.h
@@ -48,7 +48,7 @@
 
     void start();
 
-    void on_place(const std::shared_ptr<const backend_server>& server) override;
+    void on_place(const granted_place& granted) override;
     void on_no_place(placement_miss miss) override;
 
 private:
@@ -56,13 +56,20 @@
 
     enum class run_state {
         waiting,   // for a place
+        reading,   // an engine reads the prompt for another one
         sent,      // at a server, nothing has reached the caller
         answering, // a part of the answer has reached the caller
         finished
     };
 
     void seek_place();
-    void send(const backend_server& server);
+    attempt_order make_order(const backend_server& target) const;
+    void read_prompt();
+    void on_prompt_read(const tl::expected<http_reply, http_failure>& reply);
+    void end_reading(bool is_measured);
+    void break_reading();
+    void release_cache();
+    void send(const std::optional<cache_handle>& cache);
     void watch_connecting();
     void watch_silence();
 
@@ -74,6 +81,8 @@
     void on_deadline();
     void on_caller_left();
 
+    bool is_under_way() const;
+    void break_off();
     void forward_events(const std::string& events);
     void end_attempt(server_sign sign);
     void break_attempt(server_sign sign);
@@ -96,10 +105,13 @@
     std::uint64_t ticket = 0;
     std::shared_ptr<http_call> call;
     std::shared_ptr<attempt_handler> handler;
+    std::shared_ptr<http_call> reading_call;
     std::shared_ptr<const backend_server> server;
+    granted_place place;
+    time_point reading_since;
+    std::optional<cache_handle> untaken_cache;
     std::vector<std::string> tried;
-    std::uint32_t runs = 0;  // attempts that a server may have run
-    std::uint32_t sends = 0; // attempts that left this process
+    std::uint32_t runs = 0; // attempts that a server may have run
     std::uint32_t connect_failures = 0;
     answer_head head;
     http_headers answer_headers;
--- a/src/gateway/internal/place_desk.cpp
+++ b/src/gateway/internal/place_desk.cpp
@@ -26,15 +26,30 @@
 
 placement_result place_desk::choose(const place_request& wanted, std::vector<placement_candidate>& candidates)
 {
-    candidates = this->pool.candidates(wanted.service, wanted.tried);
-    return wanted.is_model ? choose_engine(wanted.prompt, candidates, this->random)
-                           : choose_plain_server(candidates, this->random);
+    candidates = this->pool.candidates(wanted.service, wanted.prompt.shared_key, wanted.tried);
+    if (!wanted.is_model) {
+        return choose_plain_server(candidates, this->random);
+    }
+    const auto left = std::chrono::floor<std::chrono::milliseconds>(wanted.due - this->time.now());
+    return choose_engines(wanted.prompt, left, candidates, this->random);
 }
 
-void place_desk::grant(const std::shared_ptr<const backend_server>& server, place_listener& listener)
+void place_desk::grant(const place_request& wanted,
+                       const placement& chosen,
+                       const std::vector<placement_candidate>& candidates,
+                       place_listener& listener)
 {
-    this->pool.begin(server->id);
-    listener.on_place(server);
+    granted_place place{candidates[chosen.server].server, nullptr, chosen.unread_tokens, 0};
+    if (chosen.reader) {
+        place.reader = candidates[*chosen.reader].server;
+    }
+    this->pool.begin(place.server->id);
+    if (place.unread_tokens > 0) {
+        const auto& reading = place.reader == nullptr ? place.server : place.reader;
+        place.tokens_before =
+            this->pool.begin_reading(reading->id, wanted.prompt.shared_key, place.unread_tokens);
+    }
+    listener.on_place(place);
 }
 
 std::uint64_t place_desk::ask(const place_request& wanted, const std::shared_ptr<place_listener>& listener)
@@ -50,7 +65,7 @@
         return ticket;
     }
     if (chosen && goes_first) {
-        this->grant(candidates[*chosen].server, *listener);
+        this->grant(wanted, *chosen, candidates, *listener);
         return ticket;
     }
     if (!line.join({ticket, wanted.priority, wanted.latest_start})) {
@@ -79,6 +94,14 @@
     this->serve_line(line);
 }
 
+void place_desk::release_reading(const std::string& service,
+                                 const std::string& server_id,
+                                 std::uint32_t tokens)
+{
+    this->pool.end_reading(server_id, tokens);
+    this->serve_line(this->line_of(service));
+}
+
 void place_desk::serve_line(waiting_line& line)
 {
     for (const auto& late : line.expire()) {
@@ -104,7 +127,7 @@
             row.mapped().listener->on_no_place(chosen.error());
             continue;
         }
-        this->grant(candidates[*chosen].server, *row.mapped().listener);
+        this->grant(row.mapped().wanted, *chosen, candidates, *row.mapped().listener);
     }
 }
 
--- a/src/gateway/internal/server_pool.cpp
+++ b/src/gateway/internal/server_pool.cpp
@@ -36,14 +36,21 @@
 }
 
 std::vector<placement_candidate> server_pool::candidates(const std::string& service,
+                                                         std::uint64_t shared_key,
                                                          const std::vector<std::string>& tried) const
 {
     std::vector<placement_candidate> found;
     for (auto& server : this->known.serving(service)) {
         placement_candidate row;
-        const auto here = this->running_here.find(server->id);
-        row.running_here = here == this->running_here.end() ? 0 : here->second;
-        row.running_elsewhere = this->elsewhere.running_elsewhere(server->id);
+        const auto here = this->own_loads.find(server->id);
+        const auto own = here == this->own_loads.end() ? own_load{} : here->second;
+        const auto others = this->elsewhere.on_server(server->id);
+        row.running_here = own.running;
+        row.running_elsewhere = others.running;
+        row.unread_tokens = std::uint64_t{own.unread_tokens} + others.unread_tokens;
+        row.fixed_milliseconds = this->rates.fixed_milliseconds(*server);
+        row.token_milliseconds = this->rates.token_milliseconds(*server);
+        row.is_warm = this->memory.holds(server->id, shared_key);
         row.is_aside = this->trust.is_aside(server->id);
         row.is_on_trial = this->trust.is_on_trial(server->id);
         row.was_tried = std::ranges::find(tried, server->id) != tried.end();
@@ -55,19 +62,46 @@
 
 void server_pool::begin(const std::string& server_id)
 {
-    ++this->running_here[server_id];
+    ++this->own_loads[server_id].running;
     this->changed();
 }
 
 void server_pool::end(const std::string& server_id)
 {
-    const auto found = this->running_here.find(server_id);
-    if (found != this->running_here.end() && --found->second == 0) {
-        this->running_here.erase(found);
-    }
+    --this->own_loads[server_id].running;
+    this->drop_if_idle(server_id);
+    this->changed();
+}
+
+std::uint64_t
+server_pool::begin_reading(const std::string& server_id, std::uint64_t shared_key, std::uint32_t tokens)
+{
+    auto& own = this->own_loads[server_id];
+    own.unread_tokens += tokens;
+    this->memory.remember(server_id, shared_key);
+    this->changed();
+    return std::uint64_t{own.unread_tokens} + this->elsewhere.on_server(server_id).unread_tokens;
+}
+
+void server_pool::end_reading(const std::string& server_id, std::uint32_t tokens)
+{
+    this->own_loads[server_id].unread_tokens -= tokens;
+    this->drop_if_idle(server_id);
     this->changed();
 }
 
+void server_pool::drop_if_idle(const std::string& server_id)
+{
+    if (this->own_loads[server_id] == own_load{}) {
+        this->own_loads.erase(server_id);
+    }
+}
+
+void server_pool::record_reading(const backend_server& server, std::uint64_t tokens, duration elapsed)
+{
+    this->rates.record(server, tokens, elapsed);
+}
+
 void server_pool::record(const std::string& server_id, server_sign sign)
 {
     if (!this->trust.record(server_id, sign)) {
@@ -83,9 +117,9 @@
     this->changed = std::move(callback);
 }
 
-const std::map<std::string, std::uint32_t>& server_pool::running() const
+const std::map<std::string, own_load>& server_pool::loads() const
 {
-    return this->running_here;
+    return this->own_loads;
 }
 
 } // namespace tanager
--- a/src/gateway/place_desk.h
+++ b/src/gateway/place_desk.h
@@ -22,9 +22,18 @@
     prompt_shape prompt;
     std::uint32_t priority = 0;
     time_point latest_start; // a later start misses the objective
+    time_point due;          // when the first event, or the answer, is to be there
     std::vector<std::string> tried;
 };
 
+// What a request was given.
+struct granted_place {
+    std::shared_ptr<const backend_server> server;
+    std::shared_ptr<const backend_server> reader; // null when the server reads the prompt itself
+    std::uint32_t unread_tokens = 0;              // counted on the reader, or else on the server
+    std::uint64_t tokens_before = 0;              // to be read there by all gateways, these included
+};
+
 // Hears once what became of a place request.
 class place_listener {
 public:
@@ -35,8 +44,9 @@
     place_listener& operator=(place_listener&&) = delete;
     virtual ~place_listener() = default;
 
-    // The request is counted on the server from here until `place_desk::release`.
-    virtual void on_place(const std::shared_ptr<const backend_server>& server) = 0;
+    // The request is counted on the server from here until `place_desk::release`, and its prompt until
+    // `place_desk::release_reading`.
+    virtual void on_place(const granted_place& place) = 0;
     virtual void on_no_place(placement_miss miss) = 0;
 };
 
@@ -50,8 +60,9 @@
 
     void withdraw(std::uint64_t ticket);
 
-    // Gives a place back and hands it on.
+    // Gives a place, or the room for reading a prompt, back and hands it on.
     void release(const std::string& service, const std::string& server_id);
+    void release_reading(const std::string& service, const std::string& server_id, std::uint32_t tokens);
 
     // Hands out places that came free elsewhere, and rejects what has waited too long.
     void review();
@@ -68,7 +79,10 @@
     };
 
     placement_result choose(const place_request& wanted, std::vector<placement_candidate>& candidates);
-    void grant(const std::shared_ptr<const backend_server>& server, place_listener& listener);
+    void grant(const place_request& wanted,
+               const placement& chosen,
+               const std::vector<placement_candidate>& candidates,
+               place_listener& listener);
     void serve_line(waiting_line& line);
     waiting_line& line_of(const std::string& service);
 
--- a/src/gateway/server_pool.h
+++ b/src/gateway/server_pool.h
@@ -1,6 +1,8 @@
 // Everything this process believes of the backend servers, and what it has running on each.
 #pragma once
 
+#include "fleet/prompt_memory.h"
+#include "fleet/reading_rate.h"
 #include "fleet/server_list.h"
 #include "fleet/server_trust.h"
 #include "placement/types/placement_candidate.h"
@@ -12,7 +14,15 @@
 
 namespace tanager {
 
-// The requests that other entries have running, by server id.
+// What this process has on one server.
+struct own_load {
+    std::uint32_t running = 0;       // requests
+    std::uint32_t unread_tokens = 0; // prompt tokens that the server has still to read
+
+    friend bool operator==(const own_load&, const own_load&) = default;
+};
+
+// What the other gateways have on each server.
 class elsewhere_view {
 public:
     elsewhere_view() = default;
@@ -22,7 +32,7 @@
     elsewhere_view& operator=(elsewhere_view&&) = delete;
     virtual ~elsewhere_view() = default;
 
-    virtual std::uint32_t running_elsewhere(const std::string& server_id) const = 0;
+    virtual own_load on_server(const std::string& server_id) const = 0;
 };
 
 class server_pool {
@@ -31,26 +41,43 @@
 
     server_list& list();
 
-    // Returns the servers of a service that take work; those in `tried` are marked.
+    // Returns the servers of a service that take work, as a prompt with that shared part sees them; those in
+    // `tried` are marked.
     std::vector<placement_candidate> candidates(const std::string& service,
+                                                std::uint64_t shared_key,
                                                 const std::vector<std::string>& tried) const;
 
-    // Counts a request on a server, and takes it off with what it said of the server.
+    // Counts a request on a server, and takes it off.
     void begin(const std::string& server_id);
     void end(const std::string& server_id);
+
+    // Counts prompt tokens that a server is to read, and takes them off. `begin_reading` returns the tokens
+    // that all gateways have given it to read by then.
+    std::uint64_t begin_reading(const std::string& server_id, std::uint64_t shared_key, std::uint32_t tokens);
+    void end_reading(const std::string& server_id, std::uint32_t tokens);
+
+    // Learns from the time to a server's first answer, with the tokens that were to be read before it.
+    void record_reading(const backend_server& server, std::uint64_t tokens, duration elapsed);
+
+    // Learns from what one request says of its server.
     void record(const std::string& server_id, server_sign sign);
 
-    const std::map<std::string, std::uint32_t>& running() const;
+    const std::map<std::string, own_load>& loads() const;
 
-    // Called after each change of what is running.
+    // Called after each change of the loads.
     void on_change(std::function<void()> callback);
 
 private:
+    void drop_if_idle(const std::string& server_id);
+
     server_list known;
     server_trust trust;
+    reading_rate rates;
+    prompt_memory memory;
     const elsewhere_view& elsewhere;
-    std::map<std::string, std::uint32_t> running_here;
-    std::function<void()> changed = [] {};
+    std::map<std::string, own_load> own_loads;
+    std::function<void()> changed = [] {
+    };
 };
 
 } // namespace tanager
--- a/src/gateway/types/caller_request.h
+++ b/src/gateway/types/caller_request.h
@@ -1,6 +1,7 @@
 // A caller's request as the gateway's decisions see it.
 #pragma once
 
+#include "net/types/http_types.h"
 #include "placement/types/placement_candidate.h"
 
 #include <chrono>
@@ -22,12 +23,22 @@
     friend bool operator==(const caller_request&, const caller_request&) = default;
 };
 
+// A KV cache that a server keeps for whoever takes it.
+struct cache_handle {
+    socket_address holder;
+    std::string name;
+
+    friend bool operator==(const cache_handle&, const cache_handle&) = default;
+};
+
 // What the system adds to a request for one attempt.
 struct attempt_order {
     std::string server_id; // any other server must refuse the attempt
     std::chrono::milliseconds time_left{0};
     std::optional<std::uint64_t> resume_after;
     std::optional<std::uint32_t> engine_priority; // 0 is admitted first; model engines only
+    bool only_read = false;                       // the server reads the prompt and keeps its KV cache
+    std::optional<cache_handle> cache;            // the KV cache to go on from
 
     friend bool operator==(const attempt_order&, const attempt_order&) = default;
 };
--- a/src/gateway/wire_codec.h
+++ b/src/gateway/wire_codec.h
@@ -26,6 +26,13 @@
     virtual answer_head
     decode_answer(const caller_request& request, int status, const http_headers& headers) const = 0;
 
+    // Returns the KV cache that a server has read a prompt into; fails with backend_answer_malformed.
+    virtual result<cache_handle> decode_cache(const socket_address& holder,
+                                              const std::string& body) const = 0;
+
+    // Returns the request that frees a KV cache nobody will take.
+    virtual http_request encode_cache_release(const cache_handle& cache) const = 0;
+
     // Returns the headers of a server's answer that go on to the caller.
     virtual http_headers answer_headers(const http_headers& headers) const = 0;
 
--- a/src/net/internal/datagram_socket.cpp
+++ b/src/net/internal/datagram_socket.cpp
@@ -80,7 +80,8 @@
     void read_some()
     {
         for (int count = 0; count < datagrams_per_turn; ++count) {
-            const auto length = recv(this->descriptor, this->buffer.data(), this->buffer.size(), MSG_DONTWAIT);
+            const auto length =
+                recv(this->descriptor, this->buffer.data(), this->buffer.size(), MSG_DONTWAIT);
             if (length < 0) {
                 return;
             }
--- a/src/peers/internal/load_codec.cpp
+++ b/src/peers/internal/load_codec.cpp
@@ -9,19 +9,28 @@
 using nlohmann::json;
 
 // The parts of a datagram, a MessagePack array.
-enum report_field : std::size_t { version_field, sender_field, incarnation_field, sequence_field, loads_field };
+enum report_field : std::size_t {
+    version_field,
+    sender_field,
+    incarnation_field,
+    sequence_field,
+    loads_field
+};
 
 constexpr std::size_t field_count = loads_field + 1;
 constexpr int codec_version = 1;
+// Each load is its server, its requests and its unread tokens, one after the other.
+constexpr std::size_t numbers_per_load = 3;
 
 load_report read_report(const json& fields)
 {
     load_report report{
         fields[incarnation_field].get<std::uint64_t>(), fields[sequence_field].get<std::uint64_t>(), {}};
     const auto& loads = fields[loads_field];
-    // Servers and counts take turns.
-    for (std::size_t index = 0; index + 1 < loads.size(); index += 2) {
-        report.loads.push_back({loads[index].get<std::uint32_t>(), loads[index + 1].get<std::uint32_t>()});
+    for (std::size_t index = 0; index + numbers_per_load <= loads.size(); index += numbers_per_load) {
+        report.loads.push_back({loads[index].get<std::uint32_t>(),
+                                loads[index + 1].get<std::uint32_t>(),
+                                loads[index + 2].get<std::uint32_t>()});
     }
     return report;
 }
@@ -34,6 +43,7 @@
     for (const auto& load : named.report.loads) {
         loads.push_back(load.server);
         loads.push_back(load.running);
+        loads.push_back(load.unread_tokens);
     }
     const json fields{
         codec_version, named.sender, named.report.incarnation, named.report.sequence, std::move(loads)};
--- a/src/peers/internal/peer_exchange.cpp
+++ b/src/peers/internal/peer_exchange.cpp
@@ -13,7 +13,8 @@
 namespace {
 
 constexpr const char* gateway_prefix = "gateways/";
-// The shortest time between two reports; a place is filled for tens of milliseconds, so a report is worth a tenth.
+// The shortest time between two reports; a place is filled for tens of milliseconds, so a report is worth a
+// tenth.
 constexpr std::chrono::milliseconds report_interval{5};
 // Above this many peers reports become rarer in proportion, so that their cost stays flat.
 constexpr std::size_t peers_at_full_rate = 6;
@@ -45,8 +46,10 @@
 
     result<void> listen()
     {
-        auto created = datagram_socket::create(
-            this->loop, this->settings.listen, [this](std::string_view datagram) { this->on_datagram(datagram); });
+        auto created =
+            datagram_socket::create(this->loop, this->settings.listen, [this](std::string_view datagram) {
+                this->on_datagram(datagram);
+            });
         if (!created) {
             return tl::make_unexpected(created.error());
         }
--- a/src/peers/internal/peer_loads.cpp
+++ b/src/peers/internal/peer_loads.cpp
@@ -33,36 +33,37 @@
     row.incarnation = report.incarnation;
     row.sequence = report.sequence;
     row.heard_at = this->time.now();
-    row.running.clear();
-    for (const auto& load : report.loads) {
-        row.running[load.server] += load.running;
-    }
+    row.loads = report.loads;
     this->add(row);
     return true;
 }
 
 void peer_loads::add(const peer_row& row)
 {
-    for (const auto& [server, running] : row.running) {
-        this->totals[server] += running;
+    for (const auto& load : row.loads) {
+        auto& total = this->totals.try_emplace(load.server, server_load{load.server, 0, 0}).first->second;
+        total.running += load.running;
+        total.unread_tokens += load.unread_tokens;
     }
 }
 
 void peer_loads::subtract(const peer_row& row)
 {
-    for (const auto& [server, running] : row.running) {
-        const auto found = this->totals.find(server);
-        found->second -= running;
-        if (found->second == 0) {
+    for (const auto& load : row.loads) {
+        const auto found = this->totals.find(load.server);
+        found->second.running -= load.running;
+        found->second.unread_tokens -= load.unread_tokens;
+        if (found->second == server_load{load.server, 0, 0}) {
             this->totals.erase(found);
         }
     }
 }
 
-std::uint32_t peer_loads::running_on(const std::string& server_id) const
+server_load peer_loads::on_server(const std::string& server_id) const
 {
-    const auto found = this->totals.find(server_key(server_id));
-    return found == this->totals.end() ? 0 : found->second;
+    const auto key = server_key(server_id);
+    const auto found = this->totals.find(key);
+    return found == this->totals.end() ? server_load{key, 0, 0} : found->second;
 }
 
 std::size_t peer_loads::heard() const
--- a/src/peers/peer_exchange.h
+++ b/src/peers/peer_exchange.h
@@ -21,13 +21,15 @@
     friend bool operator==(const peer_settings&, const peer_settings&) = default;
 };
 
-// Each gateway keeps one object in the store with its address; the revision of its last write is the incarnation in
-// its reports. Nothing is sent before that write has succeeded. Without the store, known peers are told on.
+// Each gateway keeps one object in the store with its address; the revision of its last write is the
+// incarnation in its reports. Nothing is sent before that write has succeeded. Without the store, known peers
+// are told on.
 class peer_exchange {
 public:
     using load_source = std::function<std::vector<server_load>()>;
 
-    // `heard` is called after each report that changed what is known. Fails when the address cannot be listened on.
+    // `heard` is called after each report that changed what is known. Fails when the address cannot be
+    // listened on.
     static result<std::unique_ptr<peer_exchange>> create(event_loop& loop,
                                                          const clock& time,
                                                          object_store& store,
--- a/src/peers/peer_loads.h
+++ b/src/peers/peer_loads.h
@@ -19,9 +19,9 @@
     friend bool operator==(const peer_notice&, const peer_notice&) = default;
 };
 
-// Load pattern: several gateways fill the same few servers within milliseconds of each other. Reports may be lost,
-// doubled or late: only the newest report of a peer's newest process counts. A peer that is silent counts with its
-// last report until it is taken as gone, when nothing of its requests is known any more.
+// Load pattern: several gateways fill the same few servers within milliseconds of each other. Reports may be
+// lost, doubled or late: only the newest report of a peer's newest process counts. A peer that is silent
+// counts with its last report until it is taken as gone, when nothing of its requests is known any more.
 class peer_loads {
 public:
     // `silence_allowed` is how long a peer may be unheard before it no longer counts.
@@ -30,7 +30,8 @@
     // Returns whether the report is newer than what is known.
     bool apply(const std::string& peer, const load_report& report);
 
-    std::uint32_t running_on(const std::string& server_id) const;
+    // Returns the sum over all peers.
+    server_load on_server(const std::string& server_id) const;
 
     // Returns the peers that were heard within the silence allowed.
     std::size_t heard() const;
@@ -43,7 +44,7 @@
         std::uint64_t incarnation = 0;
         std::uint64_t sequence = 0;
         time_point heard_at;
-        std::map<std::uint32_t, std::uint32_t> running;
+        std::vector<server_load> loads;
     };
 
     void add(const peer_row& row);
@@ -52,7 +53,7 @@
     const clock& time;
     duration silence_allowed;
     std::map<std::string, peer_row> peers;
-    std::map<std::uint32_t, std::uint32_t> totals;
+    std::map<std::uint32_t, server_load> totals;
     std::vector<peer_notice> notices;
 };
 
--- a/src/peers/types/load_report.h
+++ b/src/peers/types/load_report.h
@@ -7,10 +7,11 @@
 
 namespace tanager {
 
-// The requests that a gateway has running on one backend server, named by a hash of the server's id.
+// What a gateway has on one backend server, named by a hash of the server's id.
 struct server_load {
     std::uint32_t server = 0;
-    std::uint32_t running = 0;
+    std::uint32_t running = 0;       // requests
+    std::uint32_t unread_tokens = 0; // prompt tokens that the server has still to read
 
     friend bool operator==(const server_load&, const server_load&) = default;
 };
--- a/src/placement/internal/server_choice.cpp
+++ b/src/placement/internal/server_choice.cpp
@@ -3,14 +3,19 @@
 #include "base/digest.h"
 
 #include <algorithm>
+#include <functional>
 #include <limits>
 
 namespace tanager {
 
 namespace {
 
-// Shared parts below this are read again faster than a place at their home is worth waiting for.
-constexpr std::uint32_t shortest_homed_part = 512;
+// Prompts below this are read within a millisecond or two wherever they go.
+constexpr std::uint32_t shortest_homed_prompt = 600;
+// What reading beside the tokens of others costs these, as a factor on the time that it takes.
+constexpr double own_reading_cost = 1.5;
+// Prompt tokens before a prompt that is too long for its objective anyway.
+constexpr std::uint64_t unread_before_oversized = 3'000;
 // Requests queued at a plain server for each of its slots: as many again start within one service time.
 constexpr std::uint32_t queued_per_slot = 1;
 
@@ -71,6 +76,55 @@
     return chosen;
 }
 
+std::vector<std::size_t> with_role(const std::vector<placement_candidate>& candidates,
+                                   const std::vector<std::size_t>& indexes,
+                                   engine_role role)
+{
+    std::vector<std::size_t> found;
+    for (const auto index : indexes) {
+        if (candidates[index].server->role == role) {
+            found.push_back(index);
+        }
+    }
+    return found;
+}
+
+// An engine that can read a prompt in time.
+struct reading_place {
+    std::size_t index = 0;
+    std::uint32_t tokens = 0;
+    double milliseconds = 0;
+};
+
+double expected_milliseconds(const placement_candidate& candidate, std::uint64_t tokens)
+{
+    return candidate.fixed_milliseconds + static_cast<double>(tokens) * candidate.token_milliseconds;
+}
+
+// Returns the first engine, in the order of homes of the shared part, that can read the prompt in time.
+std::optional<reading_place> first_fit(const prompt_shape& prompt,
+                                       double budget,
+                                       const std::vector<placement_candidate>& candidates,
+                                       std::vector<std::size_t> indexes)
+{
+    const auto rank = [&](std::size_t index) {
+        return hash64(candidates[index].server->id, prompt.shared_key);
+    };
+    std::ranges::sort(indexes, std::greater<>{}, rank);
+    for (std::size_t place = 0; place < indexes.size(); ++place) {
+        const auto& candidate = candidates[indexes[place]];
+        // The first home is taken to hold the shared part, since every gateway sends it there.
+        const bool is_read_again = place > 0 && !candidate.is_warm;
+        const auto tokens = prompt.own_tokens + (is_read_again ? prompt.shared_tokens : 0);
+        const double expected = expected_milliseconds(candidate, candidate.unread_tokens + tokens);
+        const bool is_oversized = expected_milliseconds(candidate, tokens) > budget;
+        if (expected <= budget || (is_oversized && candidate.unread_tokens <= unread_before_oversized)) {
+            return reading_place{indexes[place], tokens, expected};
+        }
+    }
+    return std::nullopt;
+}
+
 } // namespace
 
 placement_result choose_plain_server(const std::vector<placement_candidate>& candidates,
@@ -86,31 +140,42 @@
     if (usable.empty()) {
         return tl::make_unexpected(placement_miss::no_place);
     }
-    return least_used(candidates, usable, random);
+    return placement{least_used(candidates, usable, random), std::nullopt, 0};
 }
 
-placement_result choose_engine(const prompt_shape& prompt,
-                               const std::vector<placement_candidate>& candidates,
-                               random_source& random)
+placement_result choose_engines(const prompt_shape& prompt,
+                                std::chrono::milliseconds time_left,
+                                const std::vector<placement_candidate>& candidates,
+                                random_source& random)
 {
-    auto usable = usable_indexes(candidates);
-    std::erase_if(usable,
-                  [&](std::size_t index) { return candidates[index].server->role == engine_role::prefill; });
-    if (usable.empty()) {
+    const auto usable = usable_indexes(candidates);
+    auto decoders = with_role(candidates, usable, engine_role::decode);
+    if (decoders.empty()) {
         return tl::make_unexpected(placement_miss::no_server);
     }
-    std::erase_if(usable, [&](std::size_t index) {
+    std::erase_if(decoders, [&](std::size_t index) {
         return running(candidates[index]) >= candidates[index].server->slots;
     });
-    if (usable.empty()) {
+    if (decoders.empty()) {
         return tl::make_unexpected(placement_miss::no_place);
     }
-    if (prompt.shared_tokens < shortest_homed_part) {
-        return least_used(candidates, usable, random);
+    if (prompt.shared_tokens + prompt.own_tokens < shortest_homed_prompt) {
+        return placement{least_used(candidates, decoders, random), std::nullopt, prompt.own_tokens};
     }
-    return *std::ranges::max_element(usable, {}, [&](std::size_t index) {
-        return hash64(candidates[index].server->id, prompt.shared_key);
-    });
+    const auto emptiest = least_used(candidates, decoders, random);
+    const double first_events = candidates[emptiest].fixed_milliseconds;
+    const auto budget = static_cast<double>(time_left.count());
+    const auto reader = first_fit(
+        prompt, budget - first_events, candidates, with_role(candidates, usable, engine_role::prefill));
+    const auto alone = first_fit(prompt, budget, candidates, decoders);
+    // Reading beside the tokens of others slows those down, so a reader is taken unless it takes much longer.
+    if (reader && (!alone || reader->milliseconds + first_events <= alone->milliseconds * own_reading_cost)) {
+        return placement{emptiest, reader->index, reader->tokens};
+    }
+    if (alone) {
+        return placement{alone->index, std::nullopt, alone->tokens};
+    }
+    return tl::make_unexpected(placement_miss::no_place);
 }
 
 } // namespace tanager
--- a/src/placement/server_choice.h
+++ b/src/placement/server_choice.h
@@ -1,9 +1,10 @@
-// Chooses the backend server for one attempt.
+// Chooses the backend servers for one attempt.
 #pragma once
 
 #include "base/random_source.h"
 #include "placement/types/placement_candidate.h"
 
+#include <chrono>
 #include <tl/expected.hpp>
 #include <vector>
 
@@ -15,7 +16,7 @@
     no_place   // those that take work are full
 };
 
-using placement_result = tl::expected<std::size_t, placement_miss>;
+using placement_result = tl::expected<placement, placement_miss>;
 
 // Chooses a server of a plain service: the one with the smallest share of its slots in use, drawn by lot
 // among equals. Load pattern: many short requests, each costing about the same, on a few servers of which
@@ -23,12 +24,17 @@
 placement_result choose_plain_server(const std::vector<placement_candidate>& candidates,
                                      random_source& random);
 
-// Chooses an engine that reads the prompt and generates. Load pattern: bursts of long prompts that share most
-// of their tokens with a few hundred others, between few prompts with long outputs. A prompt with a long
-// shared part goes to its home by rendezvous hash, so that the part is read once, or to the next home while
-// that one is full; the others go to the engine with most room.
-placement_result choose_engine(const prompt_shape& prompt,
-                               const std::vector<placement_candidate>& candidates,
-                               random_source& random);
+// Chooses the engine that generates, and one that reads the prompt for it where that is better. Load pattern:
+// bursts of long prompts that share most of their tokens with a few hundred others, between few prompts with
+// long outputs.
+//
+// Short prompts go to the decode engine with most room. A long one goes to a reader, or to a decode engine
+// that reads it itself, in the order of a rendezvous hash on its shared part, so that the part is read once;
+// engines that could not give the first event within `time_left` are passed over. A prompt that no idle
+// engine could read in that time is placed where little is to be read before it.
+placement_result choose_engines(const prompt_shape& prompt,
+                                std::chrono::milliseconds time_left,
+                                const std::vector<placement_candidate>& candidates,
+                                random_source& random);
 
 } // namespace tanager
--- a/src/placement/types/placement_candidate.h
+++ b/src/placement/types/placement_candidate.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 
 namespace tanager {
 
@@ -22,10 +23,23 @@
 struct placement_candidate {
     std::shared_ptr<const backend_server> server;
     std::uint32_t running_here = 0;      // requests of this process
-    std::uint32_t running_elsewhere = 0; // requests of the other entries, as they last said
+    std::uint32_t running_elsewhere = 0; // requests of the other gateways, as they last said
+    std::uint64_t unread_tokens = 0;     // prompt tokens that it has still to read, of all gateways
+    double fixed_milliseconds = 0;       // to the first answer, whatever the prompt's length
+    double token_milliseconds = 0;       // to read one prompt token
+    bool is_warm = false;                // is known to hold the prompt's shared part
     bool is_aside = false;               // passed over after failures
     bool is_on_trial = false;            // was put aside and has not answered since
     bool was_tried = false;              // has had this request already
 };
 
+// Where a request goes.
+struct placement {
+    std::size_t server = 0;            // index of the candidate that generates, or answers a plain request
+    std::optional<std::size_t> reader; // index of the candidate that reads the prompt for it
+    std::uint32_t unread_tokens = 0;   // what the reader, or else the server, has to read for it
+
+    friend bool operator==(const placement&, const placement&) = default;
+};
+
 } // namespace tanager
