--- a/src/admission/tests/admission_tests.cpp
+++ b/src/admission/tests/admission_tests.cpp
@@ -1,1 +1,106 @@
+#include "admission/waiting_line.h"
+#include "base/mocks/manual_clock.h"
 #include "testing/story.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace tanager {
+
+namespace {
+
+using namespace std::chrono_literals;
+using testing::section;
+
+class admission_tests : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(admission_tests);
+    CPPUNIT_TEST(rejects_at_once_what_cannot_start_in_time);
+    CPPUNIT_TEST(serves_the_urgent_first);
+    CPPUNIT_TEST(leaves_no_dead_work_after_a_burst);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void rejects_at_once_what_cannot_start_in_time()
+    {
+        section("a service that frees 100 places a second", [] {
+            manual_clock time;
+            waiting_line line(time);
+            release_for(line, time, 50, 10ms);
+            section("takes those into the line that start within 40 ms, and no more", [&] {
+                std::size_t joined = 0;
+                for (std::uint64_t ticket = 1; ticket <= 20; ++ticket) {
+                    joined += line.join({ticket, 0, time.now() + 45ms}) ? 1 : 0;
+                }
+                CPPUNIT_ASSERT_EQUAL(std::size_t{4}, joined);
+            });
+        });
+        section("a service of which nothing has been heard lets nobody wait", [] {
+            const manual_clock time;
+            waiting_line line(time);
+            CPPUNIT_ASSERT(!line.join({1, 0, time.now() + 1s}));
+        });
+    }
+
+    void serves_the_urgent_first()
+    {
+        section("requests of two priorities wait", [] {
+            manual_clock time;
+            waiting_line line(time);
+            release_for(line, time, 50, 10ms);
+            CPPUNIT_ASSERT(line.join({1, 1, time.now() + 1s}));
+            CPPUNIT_ASSERT(line.join({2, 0, time.now() + 1s}));
+            CPPUNIT_ASSERT(line.join({3, 0, time.now() + 1s}));
+            for (const std::uint64_t expected : {2U, 3U, 1U}) {
+                CPPUNIT_ASSERT_EQUAL(expected, line.next()->ticket);
+                line.leave(expected);
+            }
+            CPPUNIT_ASSERT(!line.next());
+        });
+    }
+
+    // The pattern of the worst seconds: four times what the service holds, for three seconds, then nothing.
+    void leaves_no_dead_work_after_a_burst()
+    {
+        section("400 requests a second come to a service that starts 100", [] {
+            manual_clock time;
+            waiting_line line(time);
+            release_for(line, time, 50, 10ms);
+            std::uint64_t ticket = 0;
+            std::size_t started = 0;
+            std::size_t late = 0;
+            for (int step = 0; step < 1'200; ++step) {
+                line.join({++ticket, 0, time.now() + 48ms});
+                time.advance(2'500us);
+                late += line.expire().size();
+                if (step % 4 == 3) {
+                    line.record_release();
+                    if (const auto next = line.next()) {
+                        line.leave(next->ticket);
+                        ++started;
+                    }
+                }
+            }
+            section("each place that came free was used", [&] { CPPUNIT_ASSERT(started >= 299); });
+            section("hardly anybody waited in vain", [&] { CPPUNIT_ASSERT(late <= 30); });
+            section("the line is empty 50 ms after the burst", [&] {
+                time.advance(50ms);
+                line.expire();
+                CPPUNIT_ASSERT_EQUAL(std::size_t{0}, line.size());
+            });
+        });
+    }
+
+private:
+    static void release_for(waiting_line& line, manual_clock& time, int times, duration pause)
+    {
+        for (int count = 0; count < times; ++count) {
+            time.advance(pause);
+            line.record_release();
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(admission_tests);
+
+} // namespace
+
+} // namespace tanager
--- a/src/agent/agent_setup.cpp
+++ b/src/agent/agent_setup.cpp
@@ -113,6 +113,13 @@
         return {};
     }
 
+    // Everything in the settings waits for a restart.
+    std::vector<std::string> reload(settings_reader& reader) override
+    {
+        return load_agent_settings(reader) == this->settings ? std::vector<std::string>{}
+                                                             : std::vector<std::string>{"all"};
+    }
+
     void stop(task drained) override
     {
         this->status.set_leaving();
--- a/src/fleet/tests/fleet_tests.cpp
+++ b/src/fleet/tests/fleet_tests.cpp
@@ -1,1 +1,207 @@
+#include "base/mocks/manual_clock.h"
+#include "fleet/prompt_memory.h"
+#include "fleet/reading_rate.h"
+#include "fleet/server_list.h"
+#include "fleet/server_trust.h"
 #include "testing/story.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace tanager {
+
+namespace {
+
+using namespace std::chrono_literals;
+using testing::section;
+
+constexpr auto grace = 2s;
+
+backend_server make_server(const std::string& id, bool is_draining = false, std::int64_t incarnation = 1)
+{
+    backend_server server;
+    server.id = id;
+    server.service = "helper";
+    server.address = {"10.0.0.1", 8080};
+    server.is_draining = is_draining;
+    server.incarnation = incarnation;
+    server.role = engine_role::prefill;
+    return server;
+}
+
+class fleet_tests : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(fleet_tests);
+    CPPUNIT_TEST(drains_at_once_and_for_good);
+    CPPUNIT_TEST(keeps_lapsed_entries_for_a_while);
+    CPPUNIT_TEST(believes_a_server_that_says_it_is_another_one);
+    CPPUNIT_TEST(passes_over_silent_servers);
+    CPPUNIT_TEST(passes_over_servers_that_fail_often);
+    CPPUNIT_TEST(learns_how_fast_an_engine_reads);
+    CPPUNIT_TEST(remembers_a_bounded_number_of_parts);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void drains_at_once_and_for_good()
+    {
+        section("a server takes work", [] {
+            const manual_clock time;
+            server_list servers(time, grace);
+            servers.apply({"a", make_server("a")});
+            CPPUNIT_ASSERT(servers.takes_work("a"));
+            section("its entry says draining", [&] {
+                servers.apply({"a", make_server("a", true)});
+                CPPUNIT_ASSERT(!servers.takes_work("a"));
+                section("a stale entry does not bring it back", [&] {
+                    servers.apply({"a", make_server("a")});
+                    CPPUNIT_ASSERT(!servers.takes_work("a"));
+                });
+                section("its next life does", [&] {
+                    servers.apply({"a", make_server("a", false, 2)});
+                    CPPUNIT_ASSERT(servers.takes_work("a"));
+                });
+            });
+        });
+    }
+
+    void keeps_lapsed_entries_for_a_while()
+    {
+        section("two servers, and a store that was away and has just returned", [] {
+            manual_clock time;
+            server_list servers(time, grace);
+            servers.apply_all({make_server("a"), make_server("b")});
+            time.advance(1min);
+            servers.note_store_returned();
+            servers.apply_all({});
+            section("entries that are missing still take work",
+                    [&] { CPPUNIT_ASSERT_EQUAL(std::size_t{2}, servers.serving("helper").size()); });
+            section("one that comes back in time stays, the other one goes", [&] {
+                time.advance(1s);
+                servers.apply({"a", make_server("a")});
+                time.advance(1s);
+                CPPUNIT_ASSERT(servers.expire() == std::vector<std::string>{"b"});
+                CPPUNIT_ASSERT(servers.takes_work("a"));
+                CPPUNIT_ASSERT(!servers.takes_work("b"));
+            });
+            section("later, a removal counts at once", [&] {
+                servers.apply({"a", std::nullopt});
+                CPPUNIT_ASSERT(!servers.takes_work("a"));
+            });
+        });
+        section("a draining server that lapses is not kept", [] {
+            const manual_clock time;
+            server_list servers(time, grace);
+            servers.apply({"a", make_server("a", true)});
+            servers.note_store_returned();
+            servers.apply_all({});
+            CPPUNIT_ASSERT(servers.serving("helper").empty());
+        });
+    }
+
+    void believes_a_server_that_says_it_is_another_one()
+    {
+        section("an address that belongs to another server by now", [] {
+            const manual_clock time;
+            server_list servers(time, grace);
+            servers.apply({"a", make_server("a")});
+            servers.note_leaving("a");
+            CPPUNIT_ASSERT(!servers.takes_work("a"));
+            servers.apply({"a", make_server("a", false, 2)});
+            CPPUNIT_ASSERT(servers.takes_work("a"));
+        });
+    }
+
+    void passes_over_silent_servers()
+    {
+        section("a server that answers", [] {
+            manual_clock time;
+            server_trust trust(time);
+            trust.record("a", server_sign::answered);
+            section("one silence is not held against it", [&] {
+                CPPUNIT_ASSERT(!trust.record("a", server_sign::silent));
+                CPPUNIT_ASSERT(!trust.is_aside("a"));
+            });
+            section("a second one in a row puts it aside", [&] {
+                CPPUNIT_ASSERT(trust.record("a", server_sign::silent));
+                CPPUNIT_ASSERT(trust.is_aside("a"));
+            });
+            section("after a while it is tried, and put aside for longer if it is still silent", [&] {
+                time.advance(500ms);
+                CPPUNIT_ASSERT(!trust.is_aside("a"));
+                CPPUNIT_ASSERT(trust.is_on_trial("a"));
+                trust.record("a", server_sign::silent);
+                time.advance(999ms);
+                CPPUNIT_ASSERT(trust.is_aside("a"));
+                time.advance(1ms);
+                CPPUNIT_ASSERT(!trust.is_aside("a"));
+            });
+            section("one answer ends the trial", [&] {
+                CPPUNIT_ASSERT(trust.record("a", server_sign::answered));
+                CPPUNIT_ASSERT(!trust.is_on_trial("a"));
+            });
+        });
+    }
+
+    void passes_over_servers_that_fail_often()
+    {
+        section("a server that fails every second request, and one that fails one in eight", [] {
+            const manual_clock time;
+            server_trust trust(time);
+            for (int count = 0; count < 40; ++count) {
+                trust.record("grey", count % 2 == 0 ? server_sign::failed : server_sign::answered);
+                trust.record("well", count % 8 == 0 ? server_sign::failed : server_sign::answered);
+            }
+            CPPUNIT_ASSERT(trust.is_aside("grey"));
+            CPPUNIT_ASSERT(!trust.is_aside("well"));
+        });
+        section("a server that is full is not failing", [] {
+            const manual_clock time;
+            server_trust trust(time);
+            for (int count = 0; count < 40; ++count) {
+                trust.record("full", server_sign::refused);
+            }
+            CPPUNIT_ASSERT(!trust.is_aside("full"));
+        });
+    }
+
+    void learns_how_fast_an_engine_reads()
+    {
+        section("an engine that reads 500 tokens a millisecond after 20 ms", [] {
+            reading_rate rates;
+            const auto fast = make_server("fast");
+            for (int count = 0; count < 200; ++count) {
+                rates.record(fast, 200, 20ms);
+                rates.record(fast, 5'000, 30ms);
+            }
+            CPPUNIT_ASSERT_DOUBLES_EQUAL(20, rates.fixed_milliseconds(fast), 0.1);
+            CPPUNIT_ASSERT_DOUBLES_EQUAL(0.002, rates.token_milliseconds(fast), 0.0004);
+            section("lets an unknown one of its kind begin with nearly that speed", [&] {
+                CPPUNIT_ASSERT_DOUBLES_EQUAL(0.002, rates.token_milliseconds(make_server("unknown")), 0.0006);
+            });
+            section("is followed when it turns slow", [&] {
+                for (int count = 0; count < 100; ++count) {
+                    rates.record(fast, 5'000, 70ms);
+                }
+                CPPUNIT_ASSERT_DOUBLES_EQUAL(0.01, rates.token_milliseconds(fast), 0.002);
+            });
+        });
+    }
+
+    void remembers_a_bounded_number_of_parts()
+    {
+        section("an engine that is given many shared parts", [] {
+            constexpr std::uint64_t many = 1'000;
+            prompt_memory memory;
+            for (std::uint64_t key = 1; key <= many; ++key) {
+                memory.remember("a", key);
+            }
+            CPPUNIT_ASSERT(memory.holds("a", many));
+            CPPUNIT_ASSERT(!memory.holds("a", 1));
+            CPPUNIT_ASSERT(!memory.holds("b", many));
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(fleet_tests);
+
+} // namespace
+
+} // namespace tanager
--- a/src/gateway/gateway_setup.cpp
+++ b/src/gateway/gateway_setup.cpp
@@ -34,9 +34,17 @@
 // Retries that a quiet service may spend at once; small, since each gateway has as many.
 constexpr double retry_reserve = 3;
 constexpr std::chrono::milliseconds unready_retry_after{500};
+// Another gateway can take the request at once.
+constexpr std::chrono::milliseconds return_elsewhere{1};
 // What a request without a deadline of its own may take beyond its route's time-out.
 constexpr std::chrono::milliseconds default_patience{15'000};
 
+std::chrono::milliseconds patience_of(const route& wanted, const caller_request& request)
+{
+    return std::min(request.patience.value_or(default_patience),
+                    wanted.timeout.count() > 0 ? wanted.timeout : default_patience);
+}
+
 // What the other gateways have running, once the exchange with them has been set up.
 class exchanged_view final : public elsewhere_view {
 public:
@@ -136,6 +144,21 @@
         return {};
     }
 
+    std::vector<std::string> reload(settings_reader& reader) override
+    {
+        const auto wanted = load_gateway_settings(reader);
+        if (!reader.problems().empty()) {
+            return {};
+        }
+        auto in_force = wanted;
+        in_force.stop_grace = this->settings.stop_grace;
+        in_force.open_requests = this->settings.open_requests;
+        this->settings.stop_grace = wanted.stop_grace;
+        this->settings.open_requests = wanted.open_requests;
+        return in_force == this->settings ? std::vector<std::string>{}
+                                          : std::vector<std::string>{"addresses, limits of http, retries"};
+    }
+
     void stop(task finished) override
     {
         this->drained = std::move(finished);
@@ -184,6 +207,13 @@
                 std::chrono::milliseconds{0});
             return;
         }
+        if (!this->may_finish(*route, *request)) {
+            this->answer_failure(*exchange,
+                                 *request,
+                                 {result_code::not_ready, "this gateway is about to end"},
+                                 return_elsewhere);
+            return;
+        }
         if (this->open_runs >= this->settings.open_requests) {
             this->answer_failure(
                 *exchange, *request, {result_code::not_ready, "too many open requests"}, unready_retry_after);
@@ -199,8 +229,7 @@
     {
         const auto& service = choose_service(*route, hash64(request.id));
         const auto* const entry = this->routes.find_service(service);
-        const auto patience = std::min(request.patience.value_or(default_patience),
-                                       route->timeout.count() > 0 ? route->timeout : default_patience);
+        const auto patience = patience_of(*route, request);
         ++this->open_runs;
         const auto started = std::make_shared<forward_run>(this->context(),
                                                            routed_request{exchange,
@@ -252,6 +281,19 @@
             this->dialect.wire->encode_failure(request, http_status_of(cause.code), cause, retry_after));
     }
 
+    // Returns whether a request that comes now can be answered before this process is killed.
+    bool may_finish(const route& wanted, const caller_request& request) const
+    {
+        if (!this->drained) {
+            return true;
+        }
+        const auto since = this->time.now() - this->stopped_at;
+        if (since < accept_after_stop) {
+            return true;
+        }
+        return since + patience_of(wanted, request) < this->settings.stop_grace - end_before_kill;
+    }
+
     bool is_informed() const
     {
         return this->routes.is_known() && this->servers.is_known();
--- /dev/null
+++ b/src/gateway/mocks/fake_client.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "net/http_client.h"
+
+#include <memory>
+#include <vector>
+
+namespace tanager {
+
+// A client whose calls are answered by the test.
+class fake_client final : public http_client {
+public:
+    class fake_call final : public http_call {
+    public:
+        void cancel() override
+        {
+            this->is_cancelled = true;
+            this->handler.reset();
+        }
+
+        bool is_sent() const override
+        {
+            return this->sent;
+        }
+
+        void pause() override {}
+        void resume() override {}
+
+        // Answers in full with these headers and body.
+        void answer(int status, const http_headers& headers, const std::string& body)
+        {
+            const auto receiver = this->handler;
+            receiver->on_head(status, headers);
+            if (this->handler != nullptr && !body.empty()) {
+                receiver->on_data(body);
+            }
+            if (this->handler != nullptr) {
+                receiver->on_end();
+            }
+        }
+
+        void fail(call_progress progress)
+        {
+            const auto receiver = this->handler;
+            const auto code = progress == call_progress::not_sent ? result_code::connect_failed
+                                                                  : result_code::connection_lost;
+            receiver->on_failure({{code, "test"}, progress});
+        }
+
+        socket_address peer;
+        http_request request;
+        http_call_options options;
+        std::shared_ptr<http_reply_handler> handler;
+        bool sent = true;
+        bool is_cancelled = false;
+    };
+
+    std::shared_ptr<http_call> start(const socket_address& peer,
+                                     const http_request& request,
+                                     const http_call_options& options,
+                                     std::shared_ptr<http_reply_handler> handler) override
+    {
+        auto call = std::make_shared<fake_call>();
+        call->peer = peer;
+        call->request = request;
+        call->options = options;
+        call->handler = std::move(handler);
+        this->calls.push_back(call);
+        return call;
+    }
+
+    std::vector<std::shared_ptr<fake_call>> calls;
+};
+
+} // namespace tanager
--- a/src/gateway/tests/gateway_tests.cpp
+++ b/src/gateway/tests/gateway_tests.cpp
@@ -1,1 +1,458 @@
+#include "base/digest.h"
+#include "base/mocks/manual_clock.h"
+#include "gateway/internal/forward_run.h"
+#include "gateway/mocks/fake_client.h"
+#include "gateway/mocks/plain_codec.h"
+#include "net/mocks/fake_exchange.h"
 #include "testing/story.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <random>
+
+namespace tanager {
+
+namespace {
+
+using namespace std::chrono_literals;
+using testing::section;
+
+constexpr double every_request = 1.0;
+constexpr double reserve = 3;
+
+class seeded_random final : public random_source {
+public:
+    std::uint64_t next() override
+    {
+        return this->engine();
+    }
+
+private:
+    std::mt19937_64 engine{7};
+};
+
+class nobody_else final : public elsewhere_view {
+public:
+    own_load on_server(const std::string& /*server_id*/) const override
+    {
+        return {};
+    }
+};
+
+// A gateway's middle: everything between a routed request and the calls to backend servers.
+class middle {
+public:
+    middle() : loop(std::move(*event_loop::create()))
+    {
+        this->route_in_force.name = "orders";
+        this->route_in_force.services = {{"desk", 1}};
+        this->route_in_force.latency_objective = 300ms;
+        this->route_in_force.servers_per_request = 2;
+        this->add_server("a", engine_role::none);
+        this->add_server("b", engine_role::none);
+    }
+
+    void add_server(const std::string& id, engine_role role)
+    {
+        backend_server server;
+        server.id = id;
+        server.service = "desk";
+        server.address = {"10.0.0." + std::to_string(id.front()), 80};
+        server.slots = 2;
+        server.role = role;
+        this->pool.list().apply({id, server});
+    }
+
+    std::shared_ptr<fake_exchange> send(duration time_left = 10s)
+    {
+        auto exchange = std::make_shared<fake_exchange>(http_request{"POST", "/x", {{"id", "r1"}}, "body"});
+        caller_request request;
+        request.id = "r1";
+        request.prompt = this->prompt;
+        const auto now = this->time.now();
+        const auto run =
+            std::make_shared<forward_run>(forward_context{this->loop_ref(),
+                                                          this->time,
+                                                          this->metrics,
+                                                          this->codec,
+                                                          this->client,
+                                                          this->pool,
+                                                          this->desk,
+                                                          this->retries},
+                                          routed_request{exchange,
+                                                         request,
+                                                         std::make_shared<const route>(this->route_in_force),
+                                                         "desk",
+                                                         this->is_model,
+                                                         1,
+                                                         now,
+                                                         now + time_left},
+                                          [this] { ++this->finished; });
+        run->start();
+        return exchange;
+    }
+
+    event_loop& loop_ref()
+    {
+        return *this->loop;
+    }
+
+    fake_client::fake_call& call(std::size_t index)
+    {
+        CPPUNIT_ASSERT(index < this->client.calls.size());
+        return *this->client.calls[index];
+    }
+
+    static std::string server_of(const fake_client::fake_call& call)
+    {
+        return find_header(call.request.headers, "server");
+    }
+
+    std::unique_ptr<event_loop> loop;
+    manual_clock time;
+    seeded_random random;
+    metrics_registry metrics;
+    plain_codec codec;
+    fake_client client;
+    nobody_else elsewhere;
+    server_pool pool{time, 2s, elsewhere};
+    place_desk desk{time, random, pool};
+    retry_budget retries{every_request, reserve};
+    route route_in_force;
+    prompt_shape prompt;
+    bool is_model = false;
+    int finished = 0;
+};
+
+const http_headers own_answer{{"id", "r1"}, {"signed", "1"}};
+
+class gateway_tests : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(gateway_tests);
+    CPPUNIT_TEST(passes_an_answer_on);
+    CPPUNIT_TEST(runs_a_non_idempotent_request_once);
+    CPPUNIT_TEST(repeats_an_idempotent_request);
+    CPPUNIT_TEST(keeps_within_the_retry_budget);
+    CPPUNIT_TEST(never_passes_on_what_belongs_to_another);
+    CPPUNIT_TEST(rejects_at_once_without_servers);
+    CPPUNIT_TEST(ends_at_the_deadline);
+    CPPUNIT_TEST(cancels_for_a_caller_that_left);
+    CPPUNIT_TEST(resumes_a_stream);
+    CPPUNIT_TEST(cuts_a_stream_that_may_not_be_resumed);
+    CPPUNIT_TEST(reads_a_prompt_apart);
+    CPPUNIT_TEST(gives_every_place_back);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void passes_an_answer_on()
+    {
+        section("a server answers, with an error of its own or not", [] {
+            for (const int status : {200, 404, 500}) {
+                middle gateway;
+                const auto exchange = gateway.send();
+                gateway.call(0).answer(status, own_answer, "text");
+                CPPUNIT_ASSERT(exchange->is_finished);
+                CPPUNIT_ASSERT_EQUAL(status, exchange->sent.status);
+                CPPUNIT_ASSERT_EQUAL(std::string{"text"}, exchange->sent.body);
+                CPPUNIT_ASSERT_EQUAL(1, gateway.finished);
+            }
+        });
+    }
+
+    void runs_a_non_idempotent_request_once()
+    {
+        section("the connection breaks after the request may have left", [] {
+            middle gateway;
+            const auto exchange = gateway.send();
+            gateway.call(0).fail(call_progress::maybe_sent);
+            section("it is not sent again, and nobody claims that it did not run", [&] {
+                CPPUNIT_ASSERT_EQUAL(std::size_t{1}, gateway.client.calls.size());
+                CPPUNIT_ASSERT_EQUAL(502, exchange->sent.status);
+            });
+        });
+        section("the server says that it did not run it", [] {
+            middle gateway;
+            const auto exchange = gateway.send();
+            gateway.call(0).answer(503, {{"id", "r1"}, {"not-run", "1"}}, "");
+            section("another server gets it", [&] {
+                CPPUNIT_ASSERT(gateway.server_of(gateway.call(0)) != gateway.server_of(gateway.call(1)));
+                gateway.call(1).answer(200, own_answer, "text");
+                CPPUNIT_ASSERT_EQUAL(200, exchange->sent.status);
+            });
+        });
+        section("no connection was made", [] {
+            middle gateway;
+            const auto exchange = gateway.send();
+            gateway.call(0).fail(call_progress::not_sent);
+            gateway.call(1).fail(call_progress::not_sent);
+            section("with no server left, it is rejected as not run",
+                    [&] { CPPUNIT_ASSERT_EQUAL(503, exchange->sent.status); });
+        });
+        section("one attempt was lost after a refusal", [] {
+            middle gateway;
+            const auto exchange = gateway.send();
+            gateway.call(0).answer(421, {}, "");
+            gateway.call(1).fail(call_progress::maybe_sent);
+            CPPUNIT_ASSERT_EQUAL(502, exchange->sent.status);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{2}, gateway.client.calls.size());
+        });
+    }
+
+    void repeats_an_idempotent_request()
+    {
+        section("an idempotent request meets a broken connection, or a server's failure", [] {
+            for (const bool is_broken : {true, false}) {
+                middle gateway;
+                gateway.route_in_force.kind = route_kind::idempotent;
+                const auto exchange = gateway.send();
+                if (is_broken) {
+                    gateway.call(0).fail(call_progress::maybe_sent);
+                } else {
+                    gateway.call(0).answer(500, own_answer, "failed");
+                }
+                gateway.call(1).answer(200, own_answer, "text");
+                CPPUNIT_ASSERT_EQUAL(std::string{"text"}, exchange->sent.body);
+            }
+        });
+        section("a failure that repeats is passed on", [] {
+            middle gateway;
+            gateway.route_in_force.kind = route_kind::idempotent;
+            const auto exchange = gateway.send();
+            gateway.call(0).answer(500, own_answer, "failed");
+            gateway.call(1).answer(500, own_answer, "failed");
+            CPPUNIT_ASSERT_EQUAL(500, exchange->sent.status);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{2}, gateway.client.calls.size());
+        });
+    }
+
+    void keeps_within_the_retry_budget()
+    {
+        section("a service whose servers all fail gets no flood of repeats", [] {
+            middle gateway;
+            gateway.retries = retry_budget{0.0, reserve};
+            gateway.route_in_force.kind = route_kind::idempotent;
+            for (int count = 0; count < 10; ++count) {
+                gateway.send();
+                while (gateway.client.calls.back()->handler != nullptr &&
+                       !gateway.client.calls.back()->is_cancelled) {
+                    const auto last = gateway.client.calls.back();
+                    last->answer(500, own_answer, "failed");
+                    last->is_cancelled = true;
+                }
+            }
+            CPPUNIT_ASSERT_EQUAL(std::size_t{13}, gateway.client.calls.size());
+        });
+    }
+
+    void never_passes_on_what_belongs_to_another()
+    {
+        section("an answer names another request, or is not signed", [] {
+            for (const http_headers& headers :
+                 {http_headers{{"id", "r0"}, {"signed", "1"}}, http_headers{{"id", "r1"}}, http_headers{}}) {
+                middle gateway;
+                const auto exchange = gateway.send();
+                gateway.call(0).answer(200, headers, "alien");
+                CPPUNIT_ASSERT_EQUAL(502, exchange->sent.status);
+                CPPUNIT_ASSERT(exchange->sent.body.find("alien") == std::string::npos);
+                CPPUNIT_ASSERT(gateway.call(0).is_cancelled);
+            }
+        });
+    }
+
+    void rejects_at_once_without_servers()
+    {
+        section("no server of the service takes work", [] {
+            middle gateway;
+            gateway.pool.list().apply({"a", std::nullopt});
+            gateway.pool.list().apply({"b", std::nullopt});
+            const auto exchange = gateway.send();
+            CPPUNIT_ASSERT(exchange->is_finished);
+            CPPUNIT_ASSERT_EQUAL(503, exchange->sent.status);
+            CPPUNIT_ASSERT(find_header(exchange->sent.headers, "retry-after") != "0");
+        });
+        section("all places are taken and none comes free", [] {
+            middle gateway;
+            for (int count = 0; count < 8; ++count) {
+                gateway.send();
+            }
+            const auto exchange = gateway.send();
+            CPPUNIT_ASSERT(exchange->is_finished);
+            CPPUNIT_ASSERT_EQUAL(503, exchange->sent.status);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{8}, gateway.client.calls.size());
+        });
+    }
+
+    void ends_at_the_deadline()
+    {
+        section("a server does not answer until the deadline", [] {
+            middle gateway;
+            const auto exchange = gateway.send(5ms);
+            while (gateway.finished == 0) {
+                gateway.loop->run_once();
+            }
+            CPPUNIT_ASSERT_EQUAL(504, exchange->sent.status);
+            CPPUNIT_ASSERT(gateway.call(0).is_cancelled);
+        });
+    }
+
+    void cancels_for_a_caller_that_left()
+    {
+        section("a caller leaves while its request runs", [] {
+            middle gateway;
+            const auto exchange = gateway.send();
+            exchange->left();
+            CPPUNIT_ASSERT(gateway.call(0).is_cancelled);
+            CPPUNIT_ASSERT(exchange->is_aborted);
+            CPPUNIT_ASSERT_EQUAL(1, gateway.finished);
+        });
+    }
+
+    void resumes_a_stream()
+    {
+        section("a resumable stream breaks in the middle of its third event", [] {
+            middle gateway;
+            gateway.route_in_force.kind = route_kind::streaming;
+            gateway.route_in_force.is_resumable = true;
+            const auto exchange = gateway.send();
+            auto& first = gateway.call(0);
+            first.handler->on_head(200, own_answer);
+            first.handler->on_data("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
+            first.fail(call_progress::maybe_sent);
+            section("another server goes on behind the second one", [&] {
+                CPPUNIT_ASSERT_EQUAL(std::string{"2"},
+                                     find_header(gateway.call(1).request.headers, "resume"));
+                gateway.call(1).answer(200, own_answer, "id: 3\ndata: c\n\n");
+                CPPUNIT_ASSERT(exchange->is_finished);
+                CPPUNIT_ASSERT_EQUAL(std::string{"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"},
+                                     exchange->sent.body);
+            });
+        });
+    }
+
+    void cuts_a_stream_that_may_not_be_resumed()
+    {
+        section("a stream that may run once breaks after its first event", [] {
+            middle gateway;
+            gateway.route_in_force.kind = route_kind::streaming;
+            const auto exchange = gateway.send();
+            gateway.call(0).handler->on_head(200, own_answer);
+            gateway.call(0).handler->on_data("id: 1\ndata: a\n\n");
+            gateway.call(0).fail(call_progress::maybe_sent);
+            CPPUNIT_ASSERT(exchange->is_aborted);
+            CPPUNIT_ASSERT(!exchange->is_finished);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, gateway.client.calls.size());
+        });
+    }
+
+    void reads_a_prompt_apart()
+    {
+        const auto make_fleet = [](middle& gateway) {
+            gateway.pool.list().apply_all({});
+            gateway.add_server("d", engine_role::decode);
+            gateway.add_server("p", engine_role::prefill);
+            gateway.route_in_force.kind = route_kind::streaming;
+            gateway.prompt = {5, 6'000, 2'000, 10};
+            gateway.is_model = true;
+        };
+        section("a long prompt goes to the reader, then with its cache to the generator", [&] {
+            middle gateway;
+            make_fleet(gateway);
+            const auto exchange = gateway.send();
+            CPPUNIT_ASSERT_EQUAL(std::string{"1"}, find_header(gateway.call(0).request.headers, "only-read"));
+            CPPUNIT_ASSERT_EQUAL(std::string{"p"}, gateway.server_of(gateway.call(0)));
+            gateway.call(0).answer(200, {}, "h7");
+            CPPUNIT_ASSERT_EQUAL(std::string{"h7"}, find_header(gateway.call(1).request.headers, "cache"));
+            gateway.call(1).answer(200, own_answer, "id: 1\ndata: a\n\n");
+            CPPUNIT_ASSERT(exchange->is_finished);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{2}, gateway.client.calls.size());
+        });
+        section("a reader that refuses or breaks off costs only its help", [&] {
+            for (const bool is_broken : {true, false}) {
+                middle gateway;
+                make_fleet(gateway);
+                gateway.send();
+                if (is_broken) {
+                    gateway.call(0).fail(call_progress::maybe_sent);
+                } else {
+                    gateway.call(0).answer(503, {{"not-run", "1"}}, "");
+                }
+                CPPUNIT_ASSERT_EQUAL(std::string{"d"}, gateway.server_of(gateway.call(1)));
+                CPPUNIT_ASSERT_EQUAL(std::string{}, find_header(gateway.call(1).request.headers, "cache"));
+            }
+        });
+        section("a cache that nobody takes is freed", [&] {
+            middle gateway;
+            make_fleet(gateway);
+            const auto exchange = gateway.send();
+            gateway.call(0).answer(200, {}, "h7");
+            exchange->left();
+            CPPUNIT_ASSERT_EQUAL(std::string{"DELETE"}, gateway.client.calls.back()->request.method);
+        });
+    }
+
+    void gives_every_place_back()
+    {
+        section("a thousand requests of all kinds end in all ways", [] {
+            middle gateway;
+            gateway.add_server("d", engine_role::decode);
+            gateway.add_server("p", engine_role::prefill);
+            gateway.prompt = {5, 6'000, 2'000, 10};
+            std::mt19937 dice{99};
+            for (int count = 0; count < 1'000; ++count) {
+                gateway.time.advance(50ms);
+                gateway.is_model = dice() % 2 == 0;
+                gateway.route_in_force.kind = static_cast<route_kind>(dice() % 3);
+                gateway.route_in_force.is_resumable = dice() % 2 == 0;
+                const auto before = gateway.finished;
+                gateway.client.calls.clear();
+                const auto exchange = gateway.send();
+                for (int step = 0; step < 20 && gateway.finished == before; ++step) {
+                    do_something(gateway, *exchange, dice());
+                }
+                if (gateway.finished == before) {
+                    exchange->left();
+                }
+                CPPUNIT_ASSERT_EQUAL(before + 1, gateway.finished);
+                CPPUNIT_ASSERT(gateway.pool.loads().empty());
+            }
+        });
+    }
+
+private:
+    static void do_something(middle& gateway, const fake_exchange& exchange, unsigned draw)
+    {
+        if (gateway.client.calls.empty()) {
+            return;
+        }
+        const auto call = gateway.client.calls.back();
+        if (call->handler == nullptr) {
+            exchange.left();
+            return;
+        }
+        switch (draw % 6) {
+        case 0:
+            call->answer(200, own_answer, "id: 1\ndata: a\n\n");
+            break;
+        case 1:
+            call->answer(500, own_answer, "failed");
+            break;
+        case 2:
+            call->answer(503, {{"not-run", "1"}}, "");
+            break;
+        case 3:
+            call->fail(call_progress::not_sent);
+            break;
+        case 4:
+            call->fail(call_progress::maybe_sent);
+            break;
+        default:
+            exchange.left();
+            break;
+        }
+        call->handler.reset();
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(gateway_tests);
+
+} // namespace
+
+} // namespace tanager
--- a/src/peers/tests/peers_tests.cpp
+++ b/src/peers/tests/peers_tests.cpp
@@ -1,1 +1,96 @@
+#include "base/mocks/manual_clock.h"
+#include "peers/load_codec.h"
+#include "peers/peer_loads.h"
 #include "testing/story.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace tanager {
+
+namespace {
+
+using namespace std::chrono_literals;
+using testing::section;
+
+load_report make_report(std::uint64_t incarnation, std::uint64_t sequence, std::uint32_t running)
+{
+    return {incarnation, sequence, {{server_key("engine"), running, running * 100}}};
+}
+
+class peers_tests : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(peers_tests);
+    CPPUNIT_TEST(counts_the_newest_report_of_each_peer);
+    CPPUNIT_TEST(drops_peers_that_fall_silent);
+    CPPUNIT_TEST(survives_any_datagram);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void counts_the_newest_report_of_each_peer()
+    {
+        section("two peers report what they have on one engine", [] {
+            const manual_clock time;
+            peer_loads loads(time, 1s);
+            loads.apply("first", make_report(5, 1, 2));
+            loads.apply("second", make_report(7, 1, 3));
+            CPPUNIT_ASSERT_EQUAL(5U, loads.on_server("engine").running);
+            CPPUNIT_ASSERT_EQUAL(500U, loads.on_server("engine").unread_tokens);
+            section("a newer report replaces the older one", [&] {
+                CPPUNIT_ASSERT(loads.apply("first", make_report(5, 3, 1)));
+                CPPUNIT_ASSERT_EQUAL(4U, loads.on_server("engine").running);
+            });
+            section("one that was overtaken, or comes twice, changes nothing", [&] {
+                CPPUNIT_ASSERT(!loads.apply("first", make_report(5, 2, 6)));
+                CPPUNIT_ASSERT(!loads.apply("first", make_report(5, 3, 1)));
+                CPPUNIT_ASSERT_EQUAL(4U, loads.on_server("engine").running);
+            });
+            section("a restarted process begins anew, and its predecessor's reports are void", [&] {
+                CPPUNIT_ASSERT(loads.apply("first", make_report(9, 1, 0)));
+                CPPUNIT_ASSERT(!loads.apply("first", make_report(5, 4, 6)));
+                CPPUNIT_ASSERT_EQUAL(3U, loads.on_server("engine").running);
+            });
+        });
+    }
+
+    void drops_peers_that_fall_silent()
+    {
+        section("a peer is killed with requests under way", [] {
+            manual_clock time;
+            peer_loads loads(time, 1s);
+            loads.apply("killed", make_report(5, 1, 6));
+            CPPUNIT_ASSERT(loads.review() == (std::vector<peer_notice>{{"killed", true}}));
+            time.advance(1s + 1ms);
+            CPPUNIT_ASSERT(loads.review() == (std::vector<peer_notice>{{"killed", false}}));
+            CPPUNIT_ASSERT_EQUAL(0U, loads.on_server("engine").running);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, loads.heard());
+        });
+    }
+
+    void survives_any_datagram()
+    {
+        section("a report comes out as it went in", [] {
+            const named_report sent{"first", make_report(5, 1, 2)};
+            CPPUNIT_ASSERT(decode_report(encode_report(sent)) == sent);
+            section("any part of it is refused", [&] {
+                const auto datagram = encode_report(sent);
+                for (std::size_t length = 0; length < datagram.size(); ++length) {
+                    CPPUNIT_ASSERT(!decode_report(datagram.substr(0, length)));
+                }
+            });
+            section("any changed byte is refused or read as some report", [&] {
+                for (std::size_t place = 0; place < encode_report(sent).size(); ++place) {
+                    for (int value = 0; value < 256; ++value) { // NOLINT(*-magic-numbers)
+                        auto datagram = encode_report(sent);
+                        datagram[place] = static_cast<char>(value);
+                        static_cast<void>(decode_report(datagram));
+                    }
+                }
+            });
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(peers_tests);
+
+} // namespace
+
+} // namespace tanager
--- a/src/placement/tests/placement_tests.cpp
+++ b/src/placement/tests/placement_tests.cpp
@@ -1,1 +1,249 @@
+#include "placement/server_choice.h"
 #include "testing/story.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <map>
+#include <random>
+
+namespace tanager {
+
+namespace {
+
+using namespace std::chrono_literals;
+using testing::section;
+
+class seeded_random final : public random_source {
+public:
+    std::uint64_t next() override
+    {
+        return this->engine();
+    }
+
+private:
+    std::mt19937_64 engine{20261204};
+};
+
+placement_candidate make_candidate(const std::string& id, engine_role role, double token_milliseconds)
+{
+    auto server = std::make_shared<backend_server>();
+    server->id = id;
+    server->slots = 6;
+    server->role = role;
+    placement_candidate candidate;
+    candidate.server = server;
+    candidate.token_milliseconds = token_milliseconds;
+    return candidate;
+}
+
+// Seven engines that generate and two that read, as fast as the smaller site's.
+std::vector<placement_candidate> make_fleet()
+{
+    std::vector<placement_candidate> fleet;
+    for (int index = 0; index < 7; ++index) {
+        fleet.push_back(make_candidate("d" + std::to_string(index), engine_role::decode, 1.0 / 375));
+        fleet.back().fixed_milliseconds = 30;
+    }
+    for (int index = 0; index < 2; ++index) {
+        fleet.push_back(make_candidate("p" + std::to_string(index), engine_role::prefill, 1.0 / 750));
+    }
+    return fleet;
+}
+
+constexpr prompt_shape check{77, 6'300, 2'900, 100};
+constexpr prompt_shape draft{0, 80, 140, 6'000};
+
+class placement_tests : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(placement_tests);
+    CPPUNIT_TEST(spreads_plain_requests);
+    CPPUNIT_TEST(passes_over_what_cannot_serve);
+    CPPUNIT_TEST(reads_long_prompts_apart);
+    CPPUNIT_TEST(keeps_a_shared_part_at_its_home);
+    CPPUNIT_TEST(moves_few_homes_when_an_engine_goes);
+    CPPUNIT_TEST(says_no_place_rather_than_late);
+    CPPUNIT_TEST(finds_a_place_for_oversized_prompts);
+    CPPUNIT_TEST(sends_short_prompts_where_most_room_is);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void spreads_plain_requests()
+    {
+        section("three plain servers, one of them with less to do", [] {
+            seeded_random random;
+            std::vector<placement_candidate> servers;
+            for (const auto* const id : {"a", "b", "c"}) {
+                servers.push_back(make_candidate(id, engine_role::none, 0));
+                servers.back().running_here = 2;
+            }
+            servers[1].running_here = 0;
+            servers[1].running_elsewhere = 1;
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, choose_plain_server(servers, random)->server);
+            section("draws among equals", [&] {
+                servers[1].running_here = 1;
+                std::map<std::size_t, int> counts;
+                for (int count = 0; count < 300; ++count) {
+                    ++counts[choose_plain_server(servers, random)->server];
+                }
+                CPPUNIT_ASSERT_EQUAL(std::size_t{3}, counts.size());
+                CPPUNIT_ASSERT(counts[0] > 60);
+            });
+            section("finds no place where each has as many waiting as running", [&] {
+                for (auto& server : servers) {
+                    server.running_here = 12;
+                }
+                CPPUNIT_ASSERT(choose_plain_server(servers, random).error() == placement_miss::no_place);
+            });
+        });
+    }
+
+    void passes_over_what_cannot_serve()
+    {
+        section("two servers, of which one is aside", [] {
+            seeded_random random;
+            std::vector servers{make_candidate("a", engine_role::none, 0),
+                                make_candidate("b", engine_role::none, 0)};
+            servers[0].is_aside = true;
+            servers[1].running_here = 5;
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, choose_plain_server(servers, random)->server);
+            section("a server on trial gets one request at a time", [&] {
+                servers[0].is_aside = false;
+                servers[0].is_on_trial = true;
+                CPPUNIT_ASSERT_EQUAL(std::size_t{0}, choose_plain_server(servers, random)->server);
+                servers[0].running_here = 1;
+                CPPUNIT_ASSERT_EQUAL(std::size_t{1}, choose_plain_server(servers, random)->server);
+            });
+            section("where all are aside, one is used all the same", [&] {
+                servers[0].is_aside = true;
+                servers[1].is_aside = true;
+                CPPUNIT_ASSERT(choose_plain_server(servers, random).has_value());
+            });
+            section("where all were tried, none is", [&] {
+                servers[0].was_tried = true;
+                servers[1].was_tried = true;
+                CPPUNIT_ASSERT(choose_plain_server(servers, random).error() == placement_miss::no_server);
+            });
+        });
+    }
+
+    void reads_long_prompts_apart()
+    {
+        section("an idle fleet gets a long prompt", [] {
+            seeded_random random;
+            auto fleet = make_fleet();
+            const auto chosen = choose_engines(check, 100ms, fleet, random);
+            CPPUNIT_ASSERT(chosen->reader.has_value());
+            CPPUNIT_ASSERT(fleet[*chosen->reader].server->role == engine_role::prefill);
+            CPPUNIT_ASSERT(fleet[chosen->server].server->role == engine_role::decode);
+            section("the engine that generates reads it itself when the readers are busy", [&] {
+                fleet[7].unread_tokens = 60'000;
+                fleet[8].unread_tokens = 60'000;
+                const auto alone = choose_engines(check, 100ms, fleet, random);
+                CPPUNIT_ASSERT(!alone->reader.has_value());
+            });
+        });
+    }
+
+    // Checks come in bursts in which hundreds of subjects repeat; reading a subject again costs more than a
+    // check.
+    void keeps_a_shared_part_at_its_home()
+    {
+        section("one subject is asked for again and again, from any gateway", [] {
+            seeded_random random;
+            const auto fleet = make_fleet();
+            const auto first = choose_engines(check, 100ms, fleet, random);
+            for (int count = 0; count < 50; ++count) {
+                const auto again = choose_engines(check, 100ms, fleet, random);
+                CPPUNIT_ASSERT(again->reader == first->reader);
+                CPPUNIT_ASSERT_EQUAL(check.own_tokens, again->unread_tokens);
+            }
+        });
+    }
+
+    void moves_few_homes_when_an_engine_goes()
+    {
+        section("a thousand subjects, and readers of which one goes", [] {
+            seeded_random random;
+            std::vector<placement_candidate> before = make_fleet();
+            for (int index = 2; index < 5; ++index) {
+                before.push_back(
+                    make_candidate("p" + std::to_string(index), engine_role::prefill, 1.0 / 750));
+            }
+            auto after = before;
+            after.pop_back();
+            int moved = 0;
+            for (std::uint64_t key = 1; key <= 1'000; ++key) {
+                auto prompt = check;
+                prompt.shared_key = key;
+                const auto old_home = *choose_engines(prompt, 100ms, before, random)->reader;
+                const auto new_home = *choose_engines(prompt, 100ms, after, random)->reader;
+                moved += old_home == new_home ? 0 : 1;
+            }
+            CPPUNIT_ASSERT(moved > 150);
+            CPPUNIT_ASSERT(moved < 250);
+        });
+    }
+
+    void says_no_place_rather_than_late()
+    {
+        section("each engine has more to read than fits the time left", [] {
+            seeded_random random;
+            auto fleet = make_fleet();
+            for (auto& candidate : fleet) {
+                candidate.unread_tokens = 100'000;
+            }
+            CPPUNIT_ASSERT(choose_engines(check, 100ms, fleet, random).error() == placement_miss::no_place);
+        });
+        section("each slot is taken", [] {
+            seeded_random random;
+            auto fleet = make_fleet();
+            for (auto& candidate : fleet) {
+                candidate.running_elsewhere = 6;
+            }
+            CPPUNIT_ASSERT(choose_engines(draft, 100ms, fleet, random).error() == placement_miss::no_place);
+        });
+        section("only readers are left", [] {
+            seeded_random random;
+            auto fleet = make_fleet();
+            fleet.erase(fleet.begin(), fleet.begin() + 7);
+            CPPUNIT_ASSERT(choose_engines(draft, 100ms, fleet, random).error() == placement_miss::no_server);
+        });
+    }
+
+    void finds_a_place_for_oversized_prompts()
+    {
+        section("a prompt that no engine could read within its objective", [] {
+            seeded_random random;
+            auto fleet = make_fleet();
+            auto prompt = check;
+            prompt.own_tokens = 90'000;
+            CPPUNIT_ASSERT(choose_engines(prompt, 100ms, fleet, random).has_value());
+            section("waits until little is to be read before it", [&] {
+                for (auto& candidate : fleet) {
+                    candidate.unread_tokens = 10'000;
+                }
+                CPPUNIT_ASSERT(!choose_engines(prompt, 100ms, fleet, random).has_value());
+            });
+        });
+    }
+
+    void sends_short_prompts_where_most_room_is()
+    {
+        section("a draft comes while all engines but one are nearly full", [] {
+            seeded_random random;
+            auto fleet = make_fleet();
+            for (auto& candidate : fleet) {
+                candidate.running_elsewhere = 5;
+                candidate.unread_tokens = 100'000;
+            }
+            fleet[4].running_elsewhere = 2;
+            const auto chosen = choose_engines(draft, 100ms, fleet, random);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{4}, chosen->server);
+            CPPUNIT_ASSERT(!chosen->reader.has_value());
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(placement_tests);
+
+} // namespace
+
+} // namespace tanager
--- a/src/program/internal/program_frame.cpp
+++ b/src/program/internal/program_frame.cpp
@@ -5,12 +5,17 @@
 #include <CLI/CLI.hpp>
 #include <csignal>
 #include <cstdlib>
+#include <fstream>
 #include <iostream>
+#include <iterator>
 
 namespace tanager {
 
 namespace {
 
+// How long a changed settings file may go unnoticed when no signal tells of it.
+constexpr std::chrono::seconds settings_check_interval{2};
+
 constexpr const char* product_version = "0.1.0";
 
 log_level parse_level(const std::string& name)
@@ -24,6 +29,52 @@
     return name == "error" ? log_level::error : log_level::info;
 }
 
+// Reads the settings file again when there is reason to.
+class settings_watch {
+public:
+    settings_watch(service& running, std::string path)
+        : running(running), path(std::move(path)), seen(this->read_text())
+    {
+    }
+
+    void reload_if_changed()
+    {
+        if (this->read_text() != this->seen) {
+            this->reload("change");
+        }
+    }
+
+    void reload(const std::string& cause)
+    {
+        this->seen = this->read_text();
+        auto reader = settings_reader::parse(this->path, this->seen);
+        // The log's own settings wait for a restart.
+        static_cast<void>(reader.read_text({"log", "level"}, {}));
+        static_cast<void>(reader.read_text({"log", "name"}, {}));
+        const auto waiting = this->running.reload(reader);
+        std::string keys;
+        for (const auto& key : waiting) {
+            keys += (keys.empty() ? "" : ",") + key;
+        }
+        const auto problems = reader.problems();
+        write_event(log_event::settings_reloaded,
+                    {{"cause", cause},
+                     {"outcome", problems.empty() ? "read" : to_text(problems.front())},
+                     {"wait_for_restart", keys}});
+    }
+
+private:
+    std::string read_text() const
+    {
+        std::ifstream file(this->path);
+        return {std::istreambuf_iterator<char>(file), {}};
+    }
+
+    service& running;
+    std::string path;
+    std::string seen;
+};
+
 } // namespace
 
 tl::expected<program_arguments, exit_code>
@@ -59,8 +110,9 @@
     open_event_log(name, parse_level(level));
 }
 
-exit_code serve_until_stopped(event_loop& loop, service& running)
+exit_code serve_until_stopped(event_loop& loop, service& running, const std::string& config_path)
 {
+    settings_watch settings(running, config_path);
     bool is_stopping = false;
     const auto begin_stop = [&] {
         if (is_stopping) {
@@ -72,6 +124,8 @@
     };
     const auto on_terminate = loop.run_on_signal(SIGTERM, begin_stop);
     const auto on_interrupt = loop.run_on_signal(SIGINT, begin_stop);
+    const auto on_hangup = loop.run_on_signal(SIGHUP, [&] { settings.reload("signal"); });
+    const auto on_check = loop.run_every(settings_check_interval, [&] { settings.reload_if_changed(); });
     write_event(log_event::program_started, {{"version", product_version}});
     loop.run();
     write_event(log_event::program_stopped, {});
--- a/src/program/program_frame.h
+++ b/src/program/program_frame.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace tanager {
 
@@ -26,6 +27,9 @@
 
     // Stops taking new work; calls `drained` once the work under way has ended.
     virtual void stop(task drained) = 0;
+
+    // Takes over what it can of settings that were read again. Returns the keys that wait for a restart.
+    virtual std::vector<std::string> reload(settings_reader& reader) = 0;
 };
 
 // Reads a program's settings; problems stay in the reader.
@@ -50,8 +54,9 @@
 // Reads the section that every program has, and opens the log with it.
 void open_log_from(settings_reader& reader, const std::string& program);
 
-// Runs a service until SIGTERM or SIGINT and its graceful stop.
-exit_code serve_until_stopped(event_loop& loop, service& running);
+// Runs a service until SIGTERM or SIGINT and its graceful stop. The settings file is read again after SIGHUP
+// and when it has changed; a file with problems is reported and left out.
+exit_code serve_until_stopped(event_loop& loop, service& running, const std::string& config_path);
 
 // Ends the process at once, without destroying what other threads may still use.
 [[noreturn]] void end_process(exit_code code);
@@ -93,7 +98,7 @@
     if (!running) {
         return report_failed_start(running.error());
     }
-    const exit_code code = serve_until_stopped(**loop, **running);
+    const exit_code code = serve_until_stopped(**loop, **running, arguments->config_path);
     // gRPC's own threads may still hand their last notices to the loop, so neither is taken down before the
     // process.
     end_process(code);
--- /dev/null
+++ b/standins/site/main.cpp
@@ -0,0 +1,88 @@
+// Stand-in for a small site of the platform: its store and backend servers, in one process.
+#include "logging/event_log.h"
+#include "standins/site/site_server.h"
+#include "standins/site/site_store.h"
+#include "standins/support/standin_frame.h"
+
+#include <CLI/CLI.hpp>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <vector>
+
+namespace {
+
+using nlohmann::json;
+
+json make_route(const std::string& name, const std::string& kind, bool is_resumable, int timeout_ms)
+{
+    return {{"name", name},
+            {"host", "shop.example"},
+            {"pathPrefix", "/" + name + "/"},
+            {"kind", kind},
+            {"resumable", is_resumable},
+            {"service", "desk"},
+            {"timeoutMs", timeout_ms},
+            {"targetLatencyMs", 300},
+            {"maxAttempts", 2}};
+}
+
+json make_configuration(int timeout_ms)
+{
+    return {{"version", 1},
+            {"routes",
+             {make_route("order", "non_idempotent", false, timeout_ms),
+              make_route("read", "idempotent", false, timeout_ms),
+              make_route("stream", "streaming", true, timeout_ms)}},
+            {"services", {{{"name", "desk"}}}},
+            {"limits", json::object()}};
+}
+
+std::unique_ptr<tanager::http_server> listen(tanager::event_loop& loop, tanager::http_server::handler serve)
+{
+    auto server = tanager::http_server::create(loop, "127.0.0.1:0", {}, std::move(serve));
+    if (!server) {
+        throw std::runtime_error(server.error().detail);
+    }
+    return std::move(*server);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    using namespace tanager::standin; // NOLINT(google-build-using-namespace)
+    std::size_t servers = 2;
+    int timeout_ms = 5'000; // NOLINT(*-magic-numbers)
+    CLI::App app{"Stand-in for a small site of the platform.", "standin-site"};
+    app.add_option("--servers", servers, "backend servers");
+    app.add_option("--timeout-ms", timeout_ms, "time-out of the routes");
+    CLI11_PARSE(app, argc, argv);
+    const auto loop = start_standin("standin-site");
+    site_store store(*loop);
+    std::string addresses;
+    std::vector<std::unique_ptr<site_server>> served;
+    std::vector<std::unique_ptr<tanager::http_server>> listening;
+    for (std::size_t index = 0; index < servers; ++index) {
+        const auto id = "i-" + std::to_string(index);
+        served.push_back(std::make_unique<site_server>(*loop, id));
+        listening.push_back(
+            listen(*loop, [server = served.back().get()](const auto& exchange) { server->serve(exchange); }));
+        addresses += (index == 0 ? "" : ",") + listening.back()->address();
+        store.write("servers/" + id,
+                    {{"service", "desk"},
+                     {"address", listening.back()->address()},
+                     {"zone", "here"},
+                     {"slots", 6},
+                     {"state", "ready"},
+                     {"born", index + 1}});
+    }
+    store.write("config/main", make_configuration(timeout_ms));
+    listening.push_back(listen(*loop, [&store](const auto& exchange) {
+        if (!store.serve(exchange)) {
+            exchange->reply({404, {}, {}}); // NOLINT(*-magic-numbers)
+        }
+    }));
+    tanager::write_event(tanager::log_event::program_listening,
+                         {{"http", listening.back()->address()}, {"servers", addresses}});
+    return run_until_terminated(*loop);
+}
--- /dev/null
+++ b/standins/site/site_server.h
@@ -0,0 +1,43 @@
+// A backend server of the platform: plain answers, or a stream of events.
+#pragma once
+
+#include "net/event_loop.h"
+#include "net/http_exchange.h"
+#include "standins/support/fault_switch.h"
+#include "standins/support/query.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace tanager::standin {
+
+// Paths below /stream/ give `events` events, one each `event_ms`; the others one answer after `work_ms`. What
+// ran is counted by the request's id and shown under /runs.
+//
+// Faults: `refuse` (count: not run), `cut` (count: runs, then breaks off; a stream in the middle of an
+// event), `foreign` (count: the answer names another request), `unsigned` (count), `extra` (count: a second
+// answer follows).
+class site_server {
+public:
+    site_server(event_loop& loop, std::string id);
+
+    void serve(const std::shared_ptr<http_exchange>& exchange);
+
+private:
+    void run(const std::shared_ptr<http_exchange>& exchange);
+    void answer(http_exchange& exchange);
+    void stream(const std::shared_ptr<http_exchange>& exchange);
+    void send_event(const std::shared_ptr<http_exchange>& exchange, std::uint64_t number, std::uint64_t last);
+    void later(std::chrono::milliseconds delay, std::function<void()> work);
+    http_headers head_for(const http_exchange& exchange);
+
+    event_loop& loop;
+    std::string id;
+    fault_switch faults;
+    std::map<std::string, unsigned> runs;
+    std::uint64_t last_ticket = 0;
+    std::map<std::uint64_t, std::unique_ptr<loop_timer>> pending;
+};
+
+} // namespace tanager::standin
--- /dev/null
+++ b/standins/site/site_store.h
@@ -0,0 +1,52 @@
+// The platform's store as the gateway meets it: objects by kind and name, watches, lost history.
+#pragma once
+
+#include "net/event_loop.h"
+#include "net/http_exchange.h"
+#include "standins/platform/object_table.h"
+#include "standins/support/fault_switch.h"
+#include "standins/support/query.h"
+
+#include <list>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace tanager::standin {
+
+// Faults: `outage` (level: every call is refused), `silent` (level: no call is answered), `forget` (count: a
+// watch hears that its history is gone), `lost_answer` (count: a write takes effect, but its connection is
+// cut).
+class site_store {
+public:
+    explicit site_store(event_loop& loop);
+
+    // Serves /objects and /faults; returns whether the request was for it.
+    bool serve(const std::shared_ptr<http_exchange>& exchange);
+
+    // Writes an object whatever its version; `name` is kind/name.
+    void write(const std::string& name, const nlohmann::json& spec);
+    void remove(const std::string& name);
+
+private:
+    struct waiting_watch {
+        std::shared_ptr<http_exchange> exchange;
+        std::string prefix;
+        std::uint64_t since = 0;
+        std::unique_ptr<loop_timer> expiry;
+    };
+
+    void serve_objects(const std::shared_ptr<http_exchange>& exchange, const parsed_path& path);
+    void serve_watch(const std::shared_ptr<http_exchange>& exchange, const parsed_path& path);
+    void serve_write(http_exchange& exchange, const parsed_path& path);
+    nlohmann::json events_since(const std::string& prefix, std::uint64_t since) const;
+    void answer_watches();
+
+    event_loop& loop;
+    fault_switch faults;
+    object_table table;
+    std::list<waiting_watch> watches;
+    std::list<std::shared_ptr<http_exchange>> unanswered;
+};
+
+} // namespace tanager::standin
