--- a/src/gateway/internal/forward_run.cpp
+++ b/src/gateway/internal/forward_run.cpp
@@ -125,24 +125,25 @@
     this->seek_place();
 }
 
+place_request forward_run::make_place_request(time_point now) const
+{
+    const std::chrono::duration<double, std::milli> objective = this->routed.chosen_route->latency_objective;
+    const auto patience = std::chrono::duration_cast<duration>(waiting_share * objective);
+    const auto latest_start = std::min(this->routed.received + patience, this->routed.deadline);
+    return {this->routed.service,
+            this->routed.is_model,
+            this->routed.request.prompt,
+            this->routed.chosen_route->priority,
+            std::max(latest_start, now),
+            this->routed.received + std::chrono::duration_cast<duration>(due_share * objective),
+            this->tried};
+}
+
 void forward_run::seek_place()
 {
     this->state = this->state == run_state::answering ? run_state::answering : run_state::waiting;
     this->asked = this->context.time.now();
-    const auto objective = this->routed.chosen_route->latency_objective;
-    const auto patience = std::chrono::duration_cast<duration>(
-        std::chrono::duration<double, std::milli>{waiting_share * static_cast<double>(objective.count())});
-    const auto latest_start = std::min(this->routed.received + patience, this->routed.deadline);
-    const auto due = this->routed.received +
-                     std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>{
-                         due_share * static_cast<double>(objective.count())});
-    const place_request wanted{this->routed.service,
-                               this->routed.is_model,
-                               this->routed.request.prompt,
-                               this->routed.chosen_route->priority,
-                               std::max(latest_start, this->asked),
-                               due,
-                               this->tried};
+    const auto wanted = this->make_place_request(this->asked);
     this->ticket = this->context.desk.ask(wanted, this->shared_from_this());
 }
 
@@ -358,7 +359,11 @@
         return;
     }
     this->context.pool.record(this->server->id, server_sign::silent);
-    if (!this->may_go_on_elsewhere() || !this->context.retries.try_spend(this->routed.service)) {
+    auto elsewhere = this->make_place_request(this->context.time.now());
+    elsewhere.tried.push_back(this->server->id);
+    // A slow answer is worth more than none, so the request stays where it is unless another server can take it.
+    if (!this->may_go_on_elsewhere() || !this->context.desk.has_place(elsewhere) ||
+        !this->context.retries.try_spend(this->routed.service)) {
         return;
     }
     ++this->runs;
--- a/src/gateway/internal/forward_run.h
+++ b/src/gateway/internal/forward_run.h
@@ -62,6 +62,7 @@
         finished
     };
 
+    place_request make_place_request(time_point now) const;
     void seek_place();
     attempt_order make_order(const backend_server& target) const;
     void read_prompt();
--- a/src/gateway/internal/place_desk.cpp
+++ b/src/gateway/internal/place_desk.cpp
@@ -76,6 +76,12 @@
     return ticket;
 }
 
+bool place_desk::has_place(const place_request& wanted)
+{
+    std::vector<placement_candidate> candidates;
+    return this->choose(wanted, candidates).has_value();
+}
+
 void place_desk::withdraw(std::uint64_t ticket)
 {
     const auto found = this->kept.find(ticket);
--- a/src/gateway/place_desk.h
+++ b/src/gateway/place_desk.h
@@ -60,6 +60,9 @@
 
     void withdraw(std::uint64_t ticket);
 
+    // Returns whether a request would get a place at this moment.
+    bool has_place(const place_request& wanted);
+
     // Gives a place, or the room for reading a prompt, back and hands it on.
     void release(const std::string& service, const std::string& server_id);
     void release_reading(const std::string& service, const std::string& server_id, std::uint32_t tokens);
--- a/src/gateway/tests/gateway_tests.cpp
+++ b/src/gateway/tests/gateway_tests.cpp
@@ -135,6 +135,7 @@
     CPPUNIT_TEST(rejects_at_once_without_servers);
     CPPUNIT_TEST(ends_at_the_deadline);
     CPPUNIT_TEST(cancels_for_a_caller_that_left);
+    CPPUNIT_TEST(stays_with_a_slow_server_when_no_other_has_room);
     CPPUNIT_TEST(resumes_a_stream);
     CPPUNIT_TEST(cuts_a_stream_that_may_not_be_resumed);
     CPPUNIT_TEST(reads_a_prompt_apart);
@@ -305,6 +306,35 @@
         });
     }
 
+    // Found on Yesil Dongu, trouble-3: 113 requests were broken off for a second attempt that had no place.
+    void stays_with_a_slow_server_when_no_other_has_room()
+    {
+        section("a server takes long over an idempotent request", [] {
+            for (const bool has_other : {false, true}) {
+                middle gateway;
+                gateway.route_in_force.kind = route_kind::idempotent;
+                gateway.route_in_force.latency_objective = 1ms;
+                if (!has_other) {
+                    gateway.pool.list().apply({"b", std::nullopt});
+                    gateway.pool.list().apply({"a", std::nullopt});
+                    gateway.add_server("a", engine_role::none);
+                }
+                const auto exchange = gateway.send();
+                bool has_waited = false;
+                const auto end_of_wait = gateway.loop->run_after(350ms, [&] { has_waited = true; });
+                while (!has_waited) {
+                    gateway.loop->run_once();
+                }
+                section(has_other ? "another one gets it" : "it stays there, and its answer is passed on", [&] {
+                    CPPUNIT_ASSERT_EQUAL(has_other, gateway.call(0).is_cancelled);
+                    CPPUNIT_ASSERT_EQUAL(std::size_t{has_other ? 2U : 1U}, gateway.client.calls.size());
+                    gateway.client.calls.back()->answer(200, own_answer, "text");
+                    CPPUNIT_ASSERT_EQUAL(200, exchange->sent.status);
+                });
+            }
+        });
+    }
+
     void resumes_a_stream()
     {
         section("a resumable stream breaks in the middle of its third event", [] {
