Spare long outputs from prompts where their pauses show the need

Cause: on Yesil Dongu an event of sixty tokens takes 264 ms beside continuous prompt reading (objective 200 ms), so long answers were late or ran into their 15 s time-out; on Midlands it takes 138 ms of 150 and reading does no harm. Change: pauses seen while an engine reads are averaged, and decide; spared outputs share engines.

--- a/src/gateway/gateway_setup.cpp
+++ b/src/gateway/gateway_setup.cpp
@@ -59,7 +59,7 @@
             return {};
         }
         const auto total = this->exchange->known().on_server(server_id);
-        return {total.running, total.unread_tokens};
+        return {total.running, total.unread_tokens, total.long_outputs};
     }
 
 private:
@@ -248,7 +248,7 @@
     {
         std::vector<server_load> loads;
         for (const auto& [id, own] : this->pool.loads()) {
-            loads.push_back({server_key(id), own.running, own.unread_tokens});
+            loads.push_back({server_key(id), own.running, own.unread_tokens, own.long_outputs});
         }
         return loads;
     }
--- a/src/gateway/internal/forward_run.cpp
+++ b/src/gateway/internal/forward_run.cpp
@@ -143,8 +143,8 @@
 {
     this->state = this->state == run_state::answering ? run_state::answering : run_state::waiting;
     this->asked = this->context.time.now();
-    const auto wanted = this->make_place_request(this->asked);
-    this->ticket = this->context.desk.ask(wanted, this->shared_from_this());
+    this->wanted = this->make_place_request(this->asked);
+    this->ticket = this->context.desk.ask(this->wanted, this->shared_from_this());
 }
 
 void forward_run::on_place(const granted_place& granted)
@@ -172,9 +172,8 @@
         order.resume_after = this->routed.request.resume_after;
     }
     if (this->routed.is_model) {
-        const auto& prompt = this->routed.request.prompt;
         order.engine_priority =
-            prompt.output_tokens > prompt.own_tokens ? long_output_priority : long_prompt_priority;
+            this->routed.request.prompt.has_long_output() ? long_output_priority : long_prompt_priority;
     }
     return order;
 }
@@ -419,6 +418,12 @@
 
 void forward_run::forward_events(const std::string& whole)
 {
+    const auto now = this->context.time.now();
+    const std::chrono::duration<double> allowed = this->routed.chosen_route->gap_objective;
+    if (this->state == run_state::answering && allowed.count() > 0) {
+        this->context.pool.record_pause(*this->server, (now - this->last_event) / allowed);
+    }
+    this->last_event = now;
     if (this->state != run_state::answering) {
         this->state = run_state::answering;
         this->first_event = this->elapsed();
@@ -604,7 +609,7 @@
 {
     if (this->reading_call != nullptr) {
         this->break_reading();
-        this->context.desk.release(this->routed.service, this->server->id);
+        this->context.desk.release(this->wanted, this->server->id);
         return;
     }
     this->break_attempt(server_sign::refused);
@@ -619,7 +624,7 @@
     this->silence_timer.reset();
     this->call.reset();
     this->context.pool.record(this->server->id, sign);
-    this->context.desk.release(this->routed.service, this->server->id);
+    this->context.desk.release(this->wanted, this->server->id);
 }
 
 void forward_run::break_attempt(server_sign sign)
--- a/src/gateway/internal/forward_run.h
+++ b/src/gateway/internal/forward_run.h
@@ -108,6 +108,7 @@
     std::shared_ptr<attempt_handler> handler;
     std::shared_ptr<http_call> reading_call;
     std::shared_ptr<const backend_server> server;
+    place_request wanted;
     granted_place place;
     time_point reading_since;
     std::optional<cache_handle> untaken_cache;
@@ -120,6 +121,7 @@
     event_splitter events;
     duration waited{0};
     duration first_event{0};
+    time_point last_event;
     time_point asked;
     std::unique_ptr<loop_timer> deadline_timer;
     std::unique_ptr<loop_timer> connect_timer;
--- a/src/gateway/internal/place_desk.cpp
+++ b/src/gateway/internal/place_desk.cpp
@@ -43,7 +43,7 @@
     if (chosen.reader) {
         place.reader = candidates[*chosen.reader].server;
     }
-    this->pool.begin(place.server->id);
+    this->pool.begin(place.server->id, wanted.prompt.has_long_output());
     if (place.unread_tokens > 0) {
         const auto& reading = place.reader == nullptr ? place.server : place.reader;
         place.tokens_before =
@@ -92,10 +92,10 @@
     this->kept.erase(found);
 }
 
-void place_desk::release(const std::string& service, const std::string& server_id)
+void place_desk::release(const place_request& wanted, const std::string& server_id)
 {
-    this->pool.end(server_id);
-    auto& line = this->line_of(service);
+    this->pool.end(server_id, wanted.prompt.has_long_output());
+    auto& line = this->line_of(wanted.service);
     line.record_release();
     this->serve_line(line);
 }
--- a/src/gateway/internal/server_pool.cpp
+++ b/src/gateway/internal/server_pool.cpp
@@ -26,7 +26,7 @@
 } // namespace
 
 server_pool::server_pool(const clock& time, duration return_grace, const elsewhere_view& elsewhere)
-    : known(time, return_grace), trust(time), elsewhere(elsewhere)
+    : known(time, return_grace), trust(time), pauses(time), elsewhere(elsewhere)
 {
 }
 
@@ -48,6 +48,8 @@
         row.running_here = own.running;
         row.running_elsewhere = others.running;
         row.unread_tokens = std::uint64_t{own.unread_tokens} + others.unread_tokens;
+        row.long_outputs = own.long_outputs + others.long_outputs;
+        row.spare_long_outputs = this->pauses.should_spare(service);
         row.fixed_milliseconds = this->rates.fixed_milliseconds(*server);
         row.token_milliseconds = this->rates.token_milliseconds(*server);
         row.is_warm = this->memory.holds(server->id, shared_key);
@@ -60,15 +62,19 @@
     return found;
 }
 
-void server_pool::begin(const std::string& server_id)
+void server_pool::begin(const std::string& server_id, bool has_long_output)
 {
-    ++this->own_loads[server_id].running;
+    auto& own = this->own_loads[server_id];
+    ++own.running;
+    own.long_outputs += has_long_output ? 1 : 0;
     this->changed();
 }
 
-void server_pool::end(const std::string& server_id)
+void server_pool::end(const std::string& server_id, bool has_long_output)
 {
-    --this->own_loads[server_id].running;
+    auto& own = this->own_loads[server_id];
+    --own.running;
+    own.long_outputs -= has_long_output ? 1 : 0;
     this->drop_if_idle(server_id);
     this->changed();
 }
@@ -97,6 +103,16 @@
     }
 }
 
+void server_pool::record_pause(const backend_server& server, double share_of_objective)
+{
+    const auto own = this->own_loads.find(server.id);
+    const bool is_reading = (own != this->own_loads.end() && own->second.unread_tokens > 0) ||
+                            this->elsewhere.on_server(server.id).unread_tokens > 0;
+    if (is_reading) {
+        this->pauses.record(server.service, share_of_objective);
+    }
+}
+
 void server_pool::record_reading(const backend_server& server, std::uint64_t tokens, duration elapsed)
 {
     this->rates.record(server, tokens, elapsed);
--- a/src/gateway/place_desk.h
+++ b/src/gateway/place_desk.h
@@ -64,7 +64,7 @@
     bool has_place(const place_request& wanted);
 
     // Gives a place, or the room for reading a prompt, back and hands it on.
-    void release(const std::string& service, const std::string& server_id);
+    void release(const place_request& wanted, const std::string& server_id);
     void release_reading(const std::string& service, const std::string& server_id, std::uint32_t tokens);
 
     // Hands out places that came free elsewhere, and rejects what has waited too long.
--- a/src/gateway/server_pool.h
+++ b/src/gateway/server_pool.h
@@ -1,6 +1,7 @@
 // Everything this process believes of the backend servers, and what it has running on each.
 #pragma once
 
+#include "fleet/pause_watch.h"
 #include "fleet/prompt_memory.h"
 #include "fleet/reading_rate.h"
 #include "fleet/server_list.h"
@@ -18,6 +19,7 @@
 struct own_load {
     std::uint32_t running = 0;       // requests
     std::uint32_t unread_tokens = 0; // prompt tokens that the server has still to read
+    std::uint32_t long_outputs = 0;  // of the requests, those with long outputs
 
     friend bool operator==(const own_load&, const own_load&) = default;
 };
@@ -48,8 +50,8 @@
                                                 const std::vector<std::string>& tried) const;
 
     // Counts a request on a server, and takes it off.
-    void begin(const std::string& server_id);
-    void end(const std::string& server_id);
+    void begin(const std::string& server_id, bool has_long_output);
+    void end(const std::string& server_id, bool has_long_output);
 
     // Counts prompt tokens that a server is to read, and takes them off. `begin_reading` returns the tokens
     // that all gateways have given it to read by then.
@@ -59,6 +61,9 @@
     // Learns from the time to a server's first answer, with the tokens that were to be read before it.
     void record_reading(const backend_server& server, std::uint64_t tokens, duration elapsed);
 
+    // Learns from the pause between two events of a stream, as a share of its objective.
+    void record_pause(const backend_server& server, double share_of_objective);
+
     // Learns from what one request says of its server.
     void record(const std::string& server_id, server_sign sign);
 
@@ -73,6 +78,7 @@
     server_list known;
     server_trust trust;
     reading_rate rates;
+    pause_watch pauses;
     prompt_memory memory;
     const elsewhere_view& elsewhere;
     std::map<std::string, own_load> own_loads;
--- a/src/peers/internal/load_codec.cpp
+++ b/src/peers/internal/load_codec.cpp
@@ -19,8 +19,8 @@
 
 constexpr std::size_t field_count = loads_field + 1;
 constexpr int codec_version = 1;
-// Each load is its server, its requests and its unread tokens, one after the other.
-constexpr std::size_t numbers_per_load = 3;
+// Each load is its server, its requests, its unread tokens and its long outputs, one after the other.
+constexpr std::size_t numbers_per_load = 4;
 
 load_report read_report(const json& fields)
 {
@@ -30,7 +30,8 @@
     for (std::size_t index = 0; index + numbers_per_load <= loads.size(); index += numbers_per_load) {
         report.loads.push_back({loads[index].get<std::uint32_t>(),
                                 loads[index + 1].get<std::uint32_t>(),
-                                loads[index + 2].get<std::uint32_t>()});
+                                loads[index + 2].get<std::uint32_t>(),
+ loads[index + 3].get<std::uint32_t>()});
     }
     return report;
 }
@@ -44,6 +45,7 @@
         loads.push_back(load.server);
         loads.push_back(load.running);
         loads.push_back(load.unread_tokens);
+        loads.push_back(load.long_outputs);
     }
     const json fields{
         codec_version, named.sender, named.report.incarnation, named.report.sequence, std::move(loads)};
--- a/src/peers/internal/peer_loads.cpp
+++ b/src/peers/internal/peer_loads.cpp
@@ -41,9 +41,10 @@
 void peer_loads::add(const peer_row& row)
 {
     for (const auto& load : row.loads) {
-        auto& total = this->totals.try_emplace(load.server, server_load{load.server, 0, 0}).first->second;
+        auto& total = this->totals.try_emplace(load.server, server_load{load.server, 0, 0, 0}).first->second;
         total.running += load.running;
         total.unread_tokens += load.unread_tokens;
+        total.long_outputs += load.long_outputs;
     }
 }
 
@@ -53,7 +54,8 @@
         const auto found = this->totals.find(load.server);
         found->second.running -= load.running;
         found->second.unread_tokens -= load.unread_tokens;
-        if (found->second == server_load{load.server, 0, 0}) {
+        found->second.long_outputs -= load.long_outputs;
+        if (found->second == server_load{load.server, 0, 0, 0}) {
             this->totals.erase(found);
         }
     }
@@ -63,7 +65,7 @@
 {
     const auto key = server_key(server_id);
     const auto found = this->totals.find(key);
-    return found == this->totals.end() ? server_load{key, 0, 0} : found->second;
+    return found == this->totals.end() ? server_load{key, 0, 0, 0} : found->second;
 }
 
 std::size_t peer_loads::heard() const
--- a/src/peers/types/load_report.h
+++ b/src/peers/types/load_report.h
@@ -12,6 +12,7 @@
     std::uint32_t server = 0;
     std::uint32_t running = 0;       // requests
     std::uint32_t unread_tokens = 0; // prompt tokens that the server has still to read
+    std::uint32_t long_outputs = 0;  // of the requests, those with long outputs
 
     friend bool operator==(const server_load&, const server_load&) = default;
 };
--- a/src/placement/internal/server_choice.cpp
+++ b/src/placement/internal/server_choice.cpp
@@ -14,6 +14,8 @@
 constexpr std::uint32_t shortest_homed_prompt = 600;
 // What reading beside the tokens of others costs these, as a factor on the time that it takes.
 constexpr double own_reading_cost = 1.5;
+// Up to this share of its slots an engine is given further long outputs before another one is.
+constexpr double shared_use = 0.6;
 // Prompt tokens before a prompt that is too long for its objective anyway.
 constexpr std::uint64_t unread_before_oversized = 3'000;
 // Requests queued at a plain server for each of its slots: as many again start within one service time.
@@ -125,6 +127,29 @@
     return std::nullopt;
 }
 
+// Where reading makes them pause, long outputs share engines, as far as these stay quick, and the others read.
+std::size_t place_long_output(const std::vector<placement_candidate>& candidates,
+                              const std::vector<std::size_t>& decoders,
+                              random_source& random)
+{
+    std::vector<std::size_t> shared;
+    for (const auto index : decoders) {
+        if (!candidates[index].spare_long_outputs) {
+            return least_used(candidates, decoders, random);
+        }
+        if (candidates[index].long_outputs > 0 && use_of(candidates[index]) < shared_use) {
+            shared.push_back(index);
+        }
+    }
+    if (!shared.empty()) {
+        return least_used(candidates, shared, random);
+    }
+    // The next engine to share is the one with the least to read.
+    return *std::ranges::min_element(decoders, {}, [&](std::size_t index) {
+        return std::pair{candidates[index].unread_tokens, running(candidates[index])};
+    });
+}
+
 } // namespace
 
 placement_result choose_plain_server(const std::vector<placement_candidate>& candidates,
@@ -159,6 +184,9 @@
     if (decoders.empty()) {
         return tl::make_unexpected(placement_miss::no_place);
     }
+    if (prompt.has_long_output()) {
+        return placement{place_long_output(candidates, decoders, random), std::nullopt, prompt.own_tokens};
+    }
     if (prompt.shared_tokens + prompt.own_tokens < shortest_homed_prompt) {
         return placement{least_used(candidates, decoders, random), std::nullopt, prompt.own_tokens};
     }
@@ -167,6 +195,9 @@
     const auto budget = static_cast<double>(time_left.count());
     const auto reader = first_fit(
         prompt, budget - first_events, candidates, with_role(candidates, usable, engine_role::prefill));
+    std::erase_if(decoders, [&](std::size_t index) {
+        return candidates[index].spare_long_outputs && candidates[index].long_outputs > 0;
+    });
     const auto alone = first_fit(prompt, budget, candidates, decoders);
     // Reading beside the tokens of others slows those down, so a reader is taken unless it takes much longer.
     if (reader && (!alone || reader->milliseconds + first_events <= alone->milliseconds * own_reading_cost)) {
--- a/src/placement/types/placement_candidate.h
+++ b/src/placement/types/placement_candidate.h
@@ -16,6 +16,12 @@
     std::uint32_t own_tokens = 0;
     std::uint32_t output_tokens = 0; // at most
 
+    // Returns whether most of the work is in generating, so that the request holds its place for seconds.
+    bool has_long_output() const
+    {
+        return this->output_tokens > this->shared_tokens + this->own_tokens;
+    }
+
     friend bool operator==(const prompt_shape&, const prompt_shape&) = default;
 };
 
@@ -25,6 +31,8 @@
     std::uint32_t running_here = 0;      // requests of this process
     std::uint32_t running_elsewhere = 0; // requests of the other gateways, as they last said
     std::uint64_t unread_tokens = 0;     // prompt tokens that it has still to read, of all gateways
+    std::uint32_t long_outputs = 0;      // of the running requests, those with long outputs
+    bool spare_long_outputs = false;     // reading prompts makes the streams beside it pause for too long
     double fixed_milliseconds = 0;       // to the first answer, whatever the prompt's length
     double token_milliseconds = 0;       // to read one prompt token
     bool is_warm = false;                // is known to hold the prompt's shared part
