Plan the split of readers and generators, and order role changes

Change: the gateway that is first by name balances both capacities for the busiest recent second; orders follow a conditional update of one store object, whose revision is the fencing token, after a full lease when the holder changes, with the number of accepted orders expected, and are settled before the next one. Peers learn from the load reports which engine is changing.

--- a/src/fleet/internal/server_list.cpp
+++ b/src/fleet/internal/server_list.cpp
@@ -113,6 +113,12 @@
     return found;
 }
 
+std::shared_ptr<const backend_server> server_list::find(const std::string& id) const
+{
+    const auto found = this->servers.find(id);
+    return found == this->servers.end() || found->second.said_leaving ? nullptr : found->second.server;
+}
+
 bool server_list::takes_work(const std::string& id) const
 {
     const auto found = this->servers.find(id);
--- a/src/fleet/server_list.h
+++ b/src/fleet/server_list.h
@@ -49,6 +49,9 @@
 
     bool takes_work(const std::string& id) const;
 
+    // Returns a server that takes work, or null.
+    std::shared_ptr<const backend_server> find(const std::string& id) const;
+
 private:
     struct known_server {
         std::shared_ptr<const backend_server> server;
--- a/src/gateway/gateway_setup.cpp
+++ b/src/gateway/gateway_setup.cpp
@@ -5,6 +5,7 @@
 #include "base/system_random.h"
 #include "gateway/internal/configuration_observer.h"
 #include "gateway/internal/forward_run.h"
+#include "gateway/internal/role_keeper.h"
 #include "gateway/internal/server_observer.h"
 #include "logging/event_log.h"
 #include "logging/logging_invariant_monitor.h"
@@ -29,6 +30,7 @@
 // How often places that came free elsewhere are handed out, and waiting requests are checked for lateness.
 constexpr std::chrono::milliseconds review_interval{5};
 constexpr std::chrono::milliseconds housekeeping_interval{100};
+constexpr std::chrono::milliseconds role_interval{500};
 // A turn of the loop that comes this much late means that the process stood still.
 constexpr std::chrono::milliseconds gap_bound{400};
 // Retries that a quiet service may spend at once; small, since each gateway has as many.
@@ -62,6 +64,11 @@
         return {total.running, total.unread_tokens, total.long_outputs};
     }
 
+    bool is_changing(const std::string& server_id) const override
+    {
+        return this->exchange != nullptr && this->exchange->is_changing(server_id);
+    }
+
 private:
     const peer_exchange* exchange = nullptr;
 };
@@ -81,6 +88,7 @@
           pool(this->time, settings.return_grace, this->elsewhere),
           desk(this->time, this->random, this->pool),
           retries(settings.retry_share, retry_reserve),
+          demand(this->time),
           configuration(*this->dialect.entries, this->routes),
           servers(*this->dialect.entries, this->pool.list()),
           configuration_follower(object_follower::create(loop,
@@ -137,6 +145,20 @@
         this->peers = std::move(*exchange);
         this->elsewhere.use(*this->peers);
         this->pool.on_change([this] { this->peers->note_change(); });
+        this->roles = std::make_unique<role_keeper>(
+            this->time,
+            this->settings.host,
+            this->routes,
+            this->pool,
+            this->demand,
+            *this->peers,
+            role_orders::create(this->time,
+                                *this->store,
+                                *this->client,
+                                *this->dialect.engines,
+                                {this->settings.host, this->settings.order_lease}),
+            role_policy{this->settings.least_role_gain});
+        this->role_timer = this->loop.run_every(role_interval, [this] { this->roles->review(); });
         write_event(log_event::program_listening,
                     {{"http", this->server->address()},
                      {"pages", this->page_server->address()},
@@ -165,6 +187,8 @@
         this->stopped_at = this->time.now();
         this->server->close_after_replies();
         this->peers->leave();
+        this->role_timer.reset();
+        this->roles->forget_decisions();
         this->stop_timer = this->loop.run_every(drain_check_interval, [this] { this->check_drained(); });
     }
 
@@ -262,7 +286,8 @@
                 *this->client,
                 this->pool,
                 this->desk,
-                this->retries};
+                this->retries,
+                this->demand};
     }
 
     void answer_failure(http_exchange& exchange,
@@ -313,6 +338,7 @@
         const auto gap = now - this->last_turn;
         this->last_turn = now;
         if (gap > gap_bound) {
+            this->roles->forget_decisions();
             write_event(
                 log_event::loop_gap,
                 {{"gap_ms",
@@ -366,6 +392,7 @@
     server_pool pool;
     place_desk desk;
     retry_budget retries;
+    demand_meter demand;
     configuration_observer configuration;
     server_observer servers;
     std::shared_ptr<object_follower> configuration_follower;
@@ -374,6 +401,8 @@
     std::unique_ptr<http_server> server;
     std::unique_ptr<http_server> page_server;
     std::unique_ptr<peer_exchange> peers;
+    std::unique_ptr<role_keeper> roles;
+    std::unique_ptr<loop_timer> role_timer;
     std::unique_ptr<loop_timer> review_timer;
     std::unique_ptr<loop_timer> housekeeping;
     std::unique_ptr<loop_timer> stop_timer;
--- a/src/gateway/gateway_setup.h
+++ b/src/gateway/gateway_setup.h
@@ -5,6 +5,7 @@
 #include "gateway/types/gateway_settings.h"
 #include "gateway/wire_codec.h"
 #include "net/http_client.h"
+#include "roles/engine_codec.h"
 #include "program/program_frame.h"
 
 #include <functional>
@@ -16,6 +17,7 @@
 struct gateway_dialect {
     std::unique_ptr<wire_codec> wire;
     std::unique_ptr<store_codec> entries;
+    std::unique_ptr<engine_codec> engines;
     std::function<std::unique_ptr<object_store>(http_client&, const socket_address&)> make_store;
     std::string readiness_path;
 };
--- a/src/gateway/internal/forward_run.cpp
+++ b/src/gateway/internal/forward_run.cpp
@@ -108,6 +108,10 @@
 void forward_run::start()
 {
     this->context.retries.record_request(this->routed.service);
+    const auto& prompt = this->routed.request.prompt;
+    if (this->routed.is_model && !prompt.has_long_output()) {
+        this->context.demand.record_prompt(this->routed.service, prompt.own_tokens);
+    }
     const auto self = this->shared_from_this();
     this->routed.exchange->on_caller_left([weak = this->weak_from_this()] {
         if (const auto alive = weak.lock()) {
@@ -293,6 +297,7 @@
     const auto& target = *this->server;
     auto order = this->make_order(target);
     order.cache = cache;
+    this->generating_since = cache ? this->context.time.now() : time_point{};
     if (this->state != run_state::answering) {
         this->state = run_state::sent;
     }
@@ -454,6 +459,10 @@
         return;
     }
     this->end_attempt(server_sign::answered);
+    if (this->generating_since != time_point{}) {
+        this->context.demand.record_generation(this->routed.service,
+                                               this->context.time.now() - this->generating_since);
+    }
     if (this->state != run_state::answering) {
         this->deliver_whole();
         return;
--- a/src/gateway/internal/forward_run.h
+++ b/src/gateway/internal/forward_run.h
@@ -8,6 +8,7 @@
 #include "metrics/metrics_registry.h"
 #include "net/http_client.h"
 #include "net/http_exchange.h"
+#include "roles/demand_meter.h"
 #include "routes/types/route_table.h"
 
 #include <memory>
@@ -27,6 +28,7 @@
     server_pool& pool;
     place_desk& desk;
     retry_budget& retries;
+    demand_meter& demand;
 };
 
 // A request that has a route.
@@ -122,6 +124,7 @@
     duration waited{0};
     duration first_event{0};
     time_point last_event;
+    time_point generating_since;
     time_point asked;
     std::unique_ptr<loop_timer> deadline_timer;
     std::unique_ptr<loop_timer> connect_timer;
--- a/src/gateway/internal/gateway_settings.cpp
+++ b/src/gateway/internal/gateway_settings.cpp
@@ -12,6 +12,8 @@
 constexpr integer_range request_range{1, 1'000'000};
 constexpr integer_range percent_range{0, 100};
 constexpr std::int64_t default_retry_percent = 20;
+constexpr integer_range gain_range{0, 1'000};
+constexpr std::int64_t default_role_gain_percent = 20;
 constexpr double percent = 100.0;
 
 void load_http(settings_reader& reader, http_server_limits& http)
@@ -50,6 +52,12 @@
     settings.retry_share = static_cast<double>(reader.read_integer(
                                {"retries", "percent"}, default_retry_percent, percent_range)) /
                            percent;
+    settings.order_lease =
+        reader.read_milliseconds({"roles", "order_lease_ms"}, defaults.order_lease, grace_range);
+    settings.least_role_gain =
+        static_cast<double>(reader.read_integer(
+            {"roles", "least_gain_percent"}, default_role_gain_percent, gain_range)) /
+        percent;
     return settings;
 }
 
--- /dev/null
+++ b/src/gateway/internal/role_keeper.cpp
@@ -0,0 +1,142 @@
+#include "gateway/internal/role_keeper.h"
+
+#include "logging/event_log.h"
+
+#include <algorithm>
+
+namespace tanager {
+
+namespace {
+
+// Reviews in a row that must come to the same change.
+constexpr int agreeing_reviews = 3;
+// How long an engine is given no work after an order: until its list entry shows the new role, or this is over.
+constexpr std::chrono::seconds longest_change{20};
+// After a change the figures are given time to follow.
+constexpr std::chrono::seconds quiet_after_change{2};
+// A prefill engine reads about twice as fast as a decode engine; used while a service has none.
+constexpr double prefill_speed_up = 2;
+
+} // namespace
+
+role_keeper::role_keeper(const clock& time,
+                         std::string host,
+                         const route_directory& routes,
+                         server_pool& pool,
+                         const demand_meter& demand,
+                         peer_exchange& peers,
+                         std::shared_ptr<role_orders> orders,
+                         const role_policy& policy)
+    : time(time),
+      host(std::move(host)),
+      routes(routes),
+      pool(pool),
+      demand(demand),
+      peers(peers),
+      orders(std::move(orders)),
+      policy(policy)
+{
+}
+
+bool role_keeper::is_planner() const
+{
+    const auto heard = this->peers.known().names();
+    return std::ranges::all_of(heard, [this](const auto& peer) { return this->host < peer; });
+}
+
+void role_keeper::forget_decisions()
+{
+    this->orders->step_down();
+    this->wanted.reset();
+    this->times_wanted = 0;
+}
+
+void role_keeper::review()
+{
+    this->finish_change();
+    if (!this->is_planner()) {
+        this->forget_decisions();
+        return;
+    }
+    const bool is_ready = this->orders->prepare();
+    if (this->changing || !is_ready || this->time.now() < this->quiet_until) {
+        return;
+    }
+    for (const auto& service : this->routes.model_services()) {
+        this->plan_for(service);
+    }
+}
+
+void role_keeper::finish_change()
+{
+    if (!this->changing) {
+        return;
+    }
+    const auto server = this->pool.list().find(this->changing->engine);
+    const bool is_done = server == nullptr || server->role == this->changing->role;
+    if (is_done || this->time.now() >= this->changing->until) {
+        write_event(log_event::role_change_ended,
+                    {{"server", this->changing->engine}, {"outcome", is_done ? "done" : "not seen"}});
+        this->changing.reset();
+        this->quiet_until = this->time.now() + quiet_after_change;
+        this->peers.announce_change({});
+    }
+}
+
+std::vector<role_engine> role_keeper::engines_of(const std::string& service) const
+{
+    std::vector<role_engine> engines;
+    const auto unsettled = this->orders->unsettled();
+    for (const auto& row : this->pool.candidates(service, 0, {})) {
+        engines.push_back({row.server->id,
+                           row.server->role,
+                           row.server->slots,
+                           row.running_here + row.running_elsewhere,
+                           row.long_outputs,
+                           unsettled != row.server->id});
+    }
+    return engines;
+}
+
+void role_keeper::plan_for(const std::string& service)
+{
+    const auto engines = this->engines_of(service);
+    const auto token_time = this->pool.prefill_token_milliseconds(service, prefill_speed_up);
+    const auto asked = this->demand.measure(service, this->peers.known().heard() + 1, token_time);
+    const auto change = plan_role_change(engines, asked, this->policy);
+    if (!change) {
+        this->wanted.reset();
+        this->times_wanted = 0;
+        return;
+    }
+    const bool is_same = this->wanted && this->wanted->role == change->role;
+    this->times_wanted = is_same ? this->times_wanted + 1 : 1;
+    this->wanted = change;
+    if (this->times_wanted < agreeing_reviews) {
+        return;
+    }
+    write_event(log_event::role_change_decided,
+                {{"service", service},
+                 {"server", change->engine},
+                 {"role", change->role == engine_role::prefill ? "prefill" : "decode"},
+                 {"reading_ms", std::to_string(asked.reading_milliseconds)},
+                 {"generating_ms", std::to_string(asked.generating_milliseconds)},
+                 {"prompts_per_s", std::to_string(asked.prompts_per_second)},
+                 {"engines", std::to_string(engines.size())}});
+    this->begin(*change);
+}
+
+void role_keeper::begin(const role_change& change)
+{
+    const auto server = this->pool.list().find(change.engine);
+    if (server == nullptr) {
+        return;
+    }
+    this->changing = running_change{change.engine, change.role, this->time.now() + longest_change};
+    this->wanted.reset();
+    this->times_wanted = 0;
+    this->peers.announce_change(change.engine);
+    this->orders->send(*server, change);
+}
+
+} // namespace tanager
--- /dev/null
+++ b/src/gateway/internal/role_keeper.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "gateway/server_pool.h"
+#include "peers/peer_exchange.h"
+#include "roles/demand_meter.h"
+#include "roles/role_orders.h"
+#include "roles/role_plan.h"
+#include "routes/route_directory.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace tanager {
+
+// Keeps the split of each model service's engines as planned. Only the first of the gateways that hear each other
+// plans; the orders themselves are guarded by the store.
+class role_keeper {
+public:
+    role_keeper(const clock& time,
+                std::string host,
+                const route_directory& routes,
+                server_pool& pool,
+                const demand_meter& demand,
+                peer_exchange& peers,
+                std::shared_ptr<role_orders> orders,
+                const role_policy& policy);
+
+    // Called at an interval.
+    void review();
+
+    // Called after the process stood still: what was decided before is void.
+    void forget_decisions();
+
+private:
+    struct running_change {
+        std::string engine;
+        engine_role role = engine_role::none;
+        time_point until;
+    };
+
+    bool is_planner() const;
+    void finish_change();
+    void plan_for(const std::string& service);
+    std::vector<role_engine> engines_of(const std::string& service) const;
+    void begin(const role_change& change);
+
+    const clock& time;
+    std::string host;
+    const route_directory& routes;
+    server_pool& pool;
+    const demand_meter& demand;
+    peer_exchange& peers;
+    std::shared_ptr<role_orders> orders;
+    role_policy policy;
+    std::optional<role_change> wanted;
+    int times_wanted = 0;
+    std::optional<running_change> changing;
+    time_point quiet_until;
+};
+
+} // namespace tanager
--- a/src/gateway/internal/server_pool.cpp
+++ b/src/gateway/internal/server_pool.cpp
@@ -53,7 +53,7 @@
         row.fixed_milliseconds = this->rates.fixed_milliseconds(*server);
         row.token_milliseconds = this->rates.token_milliseconds(*server);
         row.is_warm = this->memory.holds(server->id, shared_key);
-        row.is_aside = this->trust.is_aside(server->id);
+        row.is_aside = this->trust.is_aside(server->id) || this->elsewhere.is_changing(server->id);
         row.is_on_trial = this->trust.is_on_trial(server->id);
         row.was_tried = std::ranges::find(tried, server->id) != tried.end();
         row.server = std::move(server);
@@ -103,6 +103,19 @@
     }
 }
 
+double server_pool::prefill_token_milliseconds(const std::string& service, double speed_up) const
+{
+    double estimate = 0;
+    for (const auto& server : this->known.serving(service)) {
+        const double milliseconds = this->rates.token_milliseconds(*server);
+        if (server->role == engine_role::prefill) {
+            return milliseconds;
+        }
+        estimate = milliseconds / speed_up;
+    }
+    return estimate;
+}
+
 void server_pool::record_pause(const backend_server& server, double share_of_objective)
 {
     const auto own = this->own_loads.find(server.id);
--- a/src/gateway/tests/gateway_tests.cpp
+++ b/src/gateway/tests/gateway_tests.cpp
@@ -36,6 +36,11 @@
     {
         return {};
     }
+
+    bool is_changing(const std::string& /*server_id*/) const override
+    {
+        return false;
+    }
 };
 
 // A gateway's middle: everything between a routed request and the calls to backend servers.
@@ -70,14 +75,7 @@
         request.prompt = this->prompt;
         const auto now = this->time.now();
         const auto run =
-            std::make_shared<forward_run>(forward_context{this->loop_ref(),
-                                                          this->time,
-                                                          this->metrics,
-                                                          this->codec,
-                                                          this->client,
-                                                          this->pool,
-                                                          this->desk,
-                                                          this->retries},
+            std::make_shared<forward_run>(forward_context{this->loop_ref(), this->time, this->metrics, this->codec, this->client, this->pool, this->desk, this->retries, this->demand},
                                           routed_request{exchange,
                                                          request,
                                                          std::make_shared<const route>(this->route_in_force),
@@ -117,6 +115,7 @@
     server_pool pool{time, 2s, elsewhere};
     place_desk desk{time, random, pool};
     retry_budget retries{every_request, reserve};
+    demand_meter demand{time};
     route route_in_force;
     prompt_shape prompt;
     bool is_model = false;
--- a/src/logging/internal/log_event.cpp
+++ b/src/logging/internal/log_event.cpp
@@ -64,6 +64,11 @@
     event_row{log_event::peer_heard, "peer_heard", log_level::info},
     event_row{log_event::peer_silent, "peer_silent", log_level::info},
     event_row{log_event::loop_gap, "loop_gap", log_level::warning},
+    event_row{log_event::order_authority, "order_authority", log_level::info},
+    event_row{log_event::order_sent, "order_sent", log_level::info},
+    event_row{log_event::order_settled, "order_settled", log_level::info},
+    event_row{log_event::role_change_decided, "role_change_decided", log_level::info},
+    event_row{log_event::role_change_ended, "role_change_ended", log_level::info},
     event_row{log_event::fault_switched, "fault_switched", log_level::info},
 };
 
--- a/src/logging/types/log_event.h
+++ b/src/logging/types/log_event.h
@@ -55,6 +55,11 @@
     peer_heard = 3028,
     peer_silent = 3029,
     loop_gap = 3030,
+    order_authority = 3040,
+    order_sent = 3041,
+    order_settled = 3042,
+    role_change_decided = 3043,
+    role_change_ended = 3044,
 
     // 4000: agent
     attempt_refused = 4001,
--- a/src/peers/internal/peer_exchange.cpp
+++ b/src/peers/internal/peer_exchange.cpp
@@ -70,6 +70,17 @@
         this->is_changed = true;
     }
 
+    void announce_change(const std::string& server_id) override
+    {
+        this->changing = server_id.empty() ? 0 : server_key(server_id);
+        this->is_changed = true;
+    }
+
+    bool is_changing(const std::string& server_id) const override
+    {
+        return this->changing == server_key(server_id) || this->view.is_changing(server_id);
+    }
+
     void leave() override
     {
         this->is_leaving = true;
@@ -156,7 +167,7 @@
     {
         this->is_changed = false;
         const auto datagram =
-            encode_report({this->settings.host, {this->incarnation, ++this->sequence, std::move(load)}});
+            encode_report({this->settings.host, {this->incarnation, ++this->sequence, std::move(load), this->changing}});
         for (const auto& [name, address] : this->peers) {
             // A datagram that the kernel does not take is made good by the next report.
             static_cast<void>(this->socket->send(address, datagram));
@@ -211,6 +222,7 @@
     std::uint64_t revision = 0;
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
+    std::uint32_t changing = 0;
     bool is_changed = false;
     bool is_leaving = false;
     time_point reported_at;
--- a/src/peers/internal/peer_loads.cpp
+++ b/src/peers/internal/peer_loads.cpp
@@ -2,6 +2,7 @@
 
 #include "base/digest.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace tanager {
@@ -34,6 +35,7 @@
     row.sequence = report.sequence;
     row.heard_at = this->time.now();
     row.loads = report.loads;
+    row.changing = report.changing;
     this->add(row);
     return true;
 }
@@ -68,6 +70,21 @@
     return found == this->totals.end() ? server_load{key, 0, 0, 0} : found->second;
 }
 
+bool peer_loads::is_changing(const std::string& server_id) const
+{
+    const auto key = server_key(server_id);
+    return std::ranges::any_of(this->peers, [key](const auto& row) { return row.second.changing == key; });
+}
+
+std::vector<std::string> peer_loads::names() const
+{
+    std::vector<std::string> names;
+    for (const auto& [name, row] : this->peers) {
+        names.push_back(name);
+    }
+    return names;
+}
+
 std::size_t peer_loads::heard() const
 {
     return this->peers.size();
--- a/src/peers/peer_exchange.h
+++ b/src/peers/peer_exchange.h
@@ -50,6 +50,11 @@
     // Marks the load as changed; a report follows within the report interval.
     virtual void note_change() = 0;
 
+    // Tells the peers that this gateway is changing the role of an engine; empty when it no longer is.
+    virtual void announce_change(const std::string& server_id) = 0;
+
+    virtual bool is_changing(const std::string& server_id) const = 0;
+
     // Takes this gateway's object out of the store and reports an empty load.
     virtual void leave() = 0;
 };
--- a/src/peers/peer_loads.h
+++ b/src/peers/peer_loads.h
@@ -33,6 +33,11 @@
     // Returns the sum over all peers.
     server_load on_server(const std::string& server_id) const;
 
+    // Returns whether a peer is changing the role of this engine.
+    bool is_changing(const std::string& server_id) const;
+
+    std::vector<std::string> names() const;
+
     // Returns the peers that were heard within the silence allowed.
     std::size_t heard() const;
 
@@ -45,6 +50,7 @@
         std::uint64_t sequence = 0;
         time_point heard_at;
         std::vector<server_load> loads;
+        std::uint32_t changing = 0;
     };
 
     void add(const peer_row& row);
--- a/src/peers/tests/peers_tests.cpp
+++ b/src/peers/tests/peers_tests.cpp
@@ -14,7 +14,7 @@
 
 load_report make_report(std::uint64_t incarnation, std::uint64_t sequence, std::uint32_t running)
 {
-    return {incarnation, sequence, {{server_key("engine"), running, running * 100, running / 2}}};
+    return {incarnation, sequence, {{server_key("engine"), running, running * 100, running / 2}}, 0};
 }
 
 class peers_tests : public CppUnit::TestFixture {
--- a/src/peers/types/load_report.h
+++ b/src/peers/types/load_report.h
@@ -22,6 +22,7 @@
     std::uint64_t incarnation = 0; // of the sending process
     std::uint64_t sequence = 0;    // rises with each report of that process
     std::vector<server_load> loads;
+    std::uint32_t changing = 0; // the engine whose role this gateway is changing; 0 for none
 
     friend bool operator==(const load_report&, const load_report&) = default;
 };
--- /dev/null
+++ b/src/roles/engine_codec.h
@@ -0,0 +1,30 @@
+// Translates reports of engines and orders to them.
+#pragma once
+
+#include "base/types/result.h"
+#include "net/types/http_types.h"
+#include "roles/types/role_types.h"
+
+namespace tanager {
+
+class engine_codec {
+public:
+    engine_codec() = default;
+    engine_codec(const engine_codec&) = delete;
+    engine_codec& operator=(const engine_codec&) = delete;
+    engine_codec(engine_codec&&) = delete;
+    engine_codec& operator=(engine_codec&&) = delete;
+    virtual ~engine_codec() = default;
+
+    virtual http_request encode_report_request(const std::string& server_id) const = 0;
+
+    // Fails with backend_answer_malformed.
+    virtual result<engine_report> decode_report(const http_reply& reply) const = 0;
+
+    virtual http_request encode_order(const role_order& order) const = 0;
+
+    // Returns whether the engine accepted the order, or had already carried it out.
+    virtual bool is_accepted(const http_reply& reply) const = 0;
+};
+
+} // namespace tanager
--- /dev/null
+++ b/src/roles/role_orders.h
@@ -0,0 +1,55 @@
+// Sends orders to engines, as the one process that may.
+#pragma once
+
+#include "base/clock.h"
+#include "net/http_client.h"
+#include "roles/engine_codec.h"
+#include "store/object_store.h"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace tanager {
+
+struct role_order_settings {
+    std::string holder;             // this process's host
+    std::chrono::milliseconds lease{3'000}; // no order follows one of another holder within this time
+
+    friend bool operator==(const role_order_settings&, const role_order_settings&) = default;
+};
+
+// Authority is a successful conditional update of the one object that names the holder; its revision is the fencing
+// token. Each order is preceded by such an update, so that a process that was replaced finds out before it sends.
+// A holder that takes over waits for the lease first. An order without an answer is settled by the engine's report,
+// never by another order; until then `is_settled` is false.
+class role_orders {
+public:
+    static std::shared_ptr<role_orders> create(const clock& time,
+                                               object_store& store,
+                                               http_client& client,
+                                               const engine_codec& codec,
+                                               const role_order_settings& settings);
+
+    role_orders() = default;
+    role_orders(const role_orders&) = delete;
+    role_orders& operator=(const role_orders&) = delete;
+    role_orders(role_orders&&) = delete;
+    role_orders& operator=(role_orders&&) = delete;
+    virtual ~role_orders() = default;
+
+    // Returns whether an order could be sent now: nothing is under way, and the lease of the one before is over.
+    // Called again and again by a process that is to be the holder; it takes over where it is not.
+    virtual bool prepare() = 0;
+
+    // Gives up the claim to be the holder, for instance after the process stood still.
+    virtual void step_down() = 0;
+
+    virtual void send(const backend_server& engine, const role_change& change) = 0;
+
+    // Returns the engine whose order is under way or not settled, if there is one.
+    virtual std::optional<std::string> unsettled() const = 0;
+};
+
+} // namespace tanager
--- /dev/null
+++ b/src/roles/role_plan.h
@@ -0,0 +1,27 @@
+// Decides how many engines of a service read prompts and how many generate.
+#pragma once
+
+#include "roles/types/role_types.h"
+
+#include <optional>
+#include <vector>
+
+namespace tanager {
+
+// Load pattern: the mix of long prompts and long outputs moves within seconds, a change of role takes an engine away
+// for seconds. So the split is planned for the peak of the present mix rather than followed: the readers' and the
+// generators' capacity for long prompts are balanced, beside the places that long outputs hold, and an engine is
+// changed only when that raises the smaller of the two by the least gain. One engine at a time; the one with the least
+// to finish.
+std::optional<role_change> plan_role_change(const std::vector<role_engine>& engines,
+                                            const role_demand& demand,
+                                            const role_policy& policy);
+
+// Returns the long prompts a second that a split can serve.
+double served_prompts(std::size_t readers,
+                      std::size_t generators,
+                      double slots_per_engine,
+                      double long_outputs,
+                      const role_demand& demand);
+
+} // namespace tanager
--- /dev/null
+++ b/src/roles/tests/roles_tests.cpp
@@ -0,0 +1,1 @@
+#include "testing/story.h"
--- a/src/routes/internal/route_directory.cpp
+++ b/src/routes/internal/route_directory.cpp
@@ -69,6 +69,17 @@
     }
 }
 
+std::vector<std::string> route_directory::model_services() const
+{
+    std::vector<std::string> names;
+    for (const auto& [name, entry] : this->services) {
+        if (entry.is_model) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
 const service_entry* route_directory::find_service(const std::string& name) const
 {
     const auto found = this->services.find(name);
--- a/src/routes/route_directory.h
+++ b/src/routes/route_directory.h
@@ -22,6 +22,8 @@
     // Returns the route of that host with the longest prefix of the path, or null.
     std::shared_ptr<const route> find(std::string_view host, std::string_view path) const;
 
+    std::vector<std::string> model_services() const;
+
     const service_entry* find_service(const std::string& name) const;
 
 private:
