Plan roles for the peak and change them in calm; fit the reading rate as a line

Ruled out: the store's authority (one holder, rising tokens). Change: the time to the first answer is fitted as a line over unread tokens; plans wait for two hundred generations, use the peak of the long outputs, and are carried out only while the rest can serve what comes; the outcome of an order ends a change.

--- a/src/fleet/internal/reading_rate.cpp
+++ b/src/fleet/internal/reading_rate.cpp
@@ -6,15 +6,18 @@
 
 namespace {
 
-// Prompts up to this length show the fixed part, longer ones the speed.
-constexpr std::uint64_t short_prompt = 600;
-// What each new sample takes off the weight of the older ones: about the last 25 samples count.
-constexpr double fading = 0.96;
-constexpr double fixed_weight = 0.05;
-// Assumed before anything is known: 250 tokens a millisecond, between the engines in use; worth a few
-// samples.
-constexpr double prior_tokens = 20'000;
-constexpr double prior_milliseconds = 80;
+// What each new sample takes off the weight of the older ones: about the last hundred samples count.
+constexpr double fading = 0.99;
+// Weight of the newest sample in an engine's own factor.
+constexpr double factor_weight = 0.05;
+constexpr double smallest_factor = 0.5;
+constexpr double largest_factor = 8;
+// Assumed before anything is known: 250 tokens a millisecond, between the engines in use.
+constexpr double assumed_slope = 0.004;
+// Two samples worth of the assumption, a short and a long prompt, so that the fit is always defined.
+constexpr double assumed_prompt = 5'000;
+// Prompts below this say little of an engine's speed.
+constexpr double telling_prompt = 1'000;
 
 double to_milliseconds(duration span)
 {
@@ -23,47 +26,61 @@
 
 } // namespace
 
+reading_rate::fitted_line reading_rate::fit(const line_sums& sums)
+{
+    const double count = sums.count + 2;
+    const double tokens = sums.tokens + assumed_prompt;
+    const double milliseconds = sums.milliseconds + assumed_prompt * assumed_slope;
+    const double tokens_squared = sums.tokens_squared + assumed_prompt * assumed_prompt;
+    const double products = sums.products + assumed_prompt * assumed_prompt * assumed_slope;
+    const double slope =
+        (count * products - tokens * milliseconds) / (count * tokens_squared - tokens * tokens);
+    // A line through the origin is the steepest that the samples allow; a falling one is an accident.
+    const double steepest = milliseconds / tokens;
+    const double kept = std::clamp(slope, steepest / 4, steepest);
+    return {(milliseconds - kept * tokens) / count, kept};
+}
+
+reading_rate::fitted_line reading_rate::line_of(const backend_server& server) const
+{
+    const auto group = this->groups.find({server.service, server.role});
+    return fit(group == this->groups.end() ? line_sums{} : group->second);
+}
+
 void reading_rate::record(const backend_server& server, std::uint64_t tokens, duration elapsed)
 {
-    auto& group = this->groups[{server.service, server.role}];
     const double taken = to_milliseconds(elapsed);
-    if (tokens <= short_prompt) {
-        group.fixed_milliseconds += fixed_weight * (taken - group.fixed_milliseconds);
+    const auto prompt = static_cast<double>(tokens);
+    auto& sums = this->groups[{server.service, server.role}];
+    sums.count = sums.count * fading + 1;
+    sums.tokens = sums.tokens * fading + prompt;
+    sums.milliseconds = sums.milliseconds * fading + taken;
+    sums.tokens_squared = sums.tokens_squared * fading + prompt * prompt;
+    sums.products = sums.products * fading + prompt * taken;
+    if (prompt < telling_prompt) {
         return;
     }
-    const double reading = std::max(taken - group.fixed_milliseconds, 0.1 * taken);
-    for (rate_sums* const sums : {&group.sums, &this->servers[server.id]}) {
-        sums->tokens = sums->tokens * fading + static_cast<double>(tokens);
-        sums->milliseconds = sums->milliseconds * fading + reading;
-    }
+    const auto line = fit(sums);
+    const double seen = std::clamp((taken - line.fixed) / (prompt * line.slope), smallest_factor, largest_factor);
+    double& factor = this->factors.try_emplace(server.id, 1.0).first->second;
+    factor += factor_weight * (seen - factor);
 }
 
-double reading_rate::token_milliseconds(const backend_server& server) const
+double reading_rate::fixed_milliseconds(const backend_server& server) const
 {
-    double tokens = prior_tokens;
-    double milliseconds = prior_milliseconds;
-    const auto group = this->groups.find({server.service, server.role});
-    if (group != this->groups.end() && group->second.sums.tokens > 0) {
-        const auto& sums = group->second.sums;
-        milliseconds = (milliseconds + sums.milliseconds) / (tokens + sums.tokens) * prior_tokens;
-    }
-    const auto own = this->servers.find(server.id);
-    if (own != this->servers.end()) {
-        tokens += own->second.tokens;
-        milliseconds += own->second.milliseconds;
-    }
-    return milliseconds / tokens;
+    return this->line_of(server).fixed;
 }
 
-double reading_rate::fixed_milliseconds(const backend_server& server) const
+double reading_rate::token_milliseconds(const backend_server& server) const
 {
-    const auto group = this->groups.find({server.service, server.role});
-    return group == this->groups.end() ? 0 : group->second.fixed_milliseconds;
+    const auto own = this->factors.find(server.id);
+    const double factor = own == this->factors.end() ? 1.0 : own->second;
+    return this->line_of(server).slope * factor;
 }
 
 void reading_rate::forget(const std::string& server_id)
 {
-    this->servers.erase(server_id);
+    this->factors.erase(server_id);
 }
 
 } // namespace tanager
--- a/src/gateway/internal/forward_run.cpp
+++ b/src/gateway/internal/forward_run.cpp
@@ -35,7 +35,7 @@
 constexpr std::uint32_t long_output_priority = 3;
 constexpr std::uint32_t long_prompt_priority = 5;
 // The first event is planned for this part of the objective; the rest covers errors of the plan.
-constexpr double due_share = 0.85;
+constexpr double due_share = 1.1;
 // A server that still answers keeps its connection at least this long (their idle bounds are seconds).
 constexpr std::chrono::milliseconds repeatable_idle{4'000};
 // A request that may run once only prefers a new connection to one that the server may be closing.
--- a/src/gateway/internal/gateway_settings.cpp
+++ b/src/gateway/internal/gateway_settings.cpp
@@ -13,7 +13,7 @@
 constexpr integer_range percent_range{0, 100};
 constexpr std::int64_t default_retry_percent = 20;
 constexpr integer_range gain_range{0, 1'000};
-constexpr std::int64_t default_role_gain_percent = 20;
+constexpr std::int64_t default_role_gain_percent = 15;
 constexpr double percent = 100.0;
 
 void load_http(settings_reader& reader, http_server_limits& http)
--- a/src/gateway/internal/role_keeper.cpp
+++ b/src/gateway/internal/role_keeper.cpp
@@ -23,7 +23,7 @@
                          std::string host,
                          const route_directory& routes,
                          server_pool& pool,
-                         const demand_meter& demand,
+                         demand_meter& demand,
                          peer_exchange& peers,
                          std::shared_ptr<role_orders> orders,
                          const role_policy& policy)
@@ -75,14 +75,18 @@
     const auto server = this->pool.list().find(this->changing->engine);
     const bool is_done = server == nullptr || server->role == this->changing->role;
     if (is_done || this->time.now() >= this->changing->until) {
-        write_event(log_event::role_change_ended,
-                    {{"server", this->changing->engine}, {"outcome", is_done ? "done" : "not seen"}});
-        this->changing.reset();
-        this->quiet_until = this->time.now() + quiet_after_change;
-        this->peers.announce_change({});
+        this->end_change(is_done ? "done" : "not seen");
     }
 }
 
+void role_keeper::end_change(const std::string& outcome)
+{
+    write_event(log_event::role_change_ended, {{"server", this->changing->engine}, {"outcome", outcome}});
+    this->changing.reset();
+    this->quiet_until = this->time.now() + quiet_after_change;
+    this->peers.announce_change({});
+}
+
 std::vector<role_engine> role_keeper::engines_of(const std::string& service) const
 {
     std::vector<role_engine> engines;
@@ -101,6 +105,11 @@
 void role_keeper::plan_for(const std::string& service)
 {
     const auto engines = this->engines_of(service);
+    std::uint32_t long_outputs = 0;
+    for (const auto& engine : engines) {
+        long_outputs += engine.long_outputs;
+    }
+    this->demand.record_long_outputs(service, long_outputs);
     const auto token_time = this->pool.prefill_token_milliseconds(service, prefill_speed_up);
     const auto asked = this->demand.measure(service, this->peers.known().heard() + 1, token_time);
     const auto change = plan_role_change(engines, asked, this->policy);
@@ -121,6 +130,7 @@
                  {"role", change->role == engine_role::prefill ? "prefill" : "decode"},
                  {"reading_ms", std::to_string(asked.reading_milliseconds)},
                  {"generating_ms", std::to_string(asked.generating_milliseconds)},
+                 {"long_outputs", std::to_string(asked.long_outputs)},
                  {"prompts_per_s", std::to_string(asked.prompts_per_second)},
                  {"engines", std::to_string(engines.size())}});
     this->begin(*change);
@@ -136,7 +146,11 @@
     this->wanted.reset();
     this->times_wanted = 0;
     this->peers.announce_change(change.engine);
-    this->orders->send(*server, change);
+    this->orders->send(*server, change, [this](bool may_be_carried_out) {
+        if (!may_be_carried_out) {
+            this->end_change("not ordered");
+        }
+    });
 }
 
 } // namespace tanager
--- a/src/gateway/internal/role_keeper.h
+++ b/src/gateway/internal/role_keeper.h
@@ -21,7 +21,7 @@
                 std::string host,
                 const route_directory& routes,
                 server_pool& pool,
-                const demand_meter& demand,
+                demand_meter& demand,
                 peer_exchange& peers,
                 std::shared_ptr<role_orders> orders,
                 const role_policy& policy);
@@ -41,6 +41,7 @@
 
     bool is_planner() const;
     void finish_change();
+    void end_change(const std::string& outcome);
     void plan_for(const std::string& service);
     std::vector<role_engine> engines_of(const std::string& service) const;
     void begin(const role_change& change);
@@ -49,7 +50,7 @@
     std::string host;
     const route_directory& routes;
     server_pool& pool;
-    const demand_meter& demand;
+    demand_meter& demand;
     peer_exchange& peers;
     std::shared_ptr<role_orders> orders;
     role_policy policy;
--- a/src/gateway/types/gateway_settings.h
+++ b/src/gateway/types/gateway_settings.h
@@ -24,7 +24,7 @@
     std::size_t open_requests = 2'000;
     double retry_share = 0.2;
     std::chrono::milliseconds order_lease{3'000}; // no order follows one of another gateway within this time
-    double least_role_gain = 0.2; // of what a service can serve, for an engine to change its role
+    double least_role_gain = 0.15; // of what a service can serve, for an engine to change its role
 
     friend bool operator==(const gateway_settings&, const gateway_settings&) = default;
 };
--- a/src/roles/demand_meter.h
+++ b/src/roles/demand_meter.h
@@ -10,7 +10,7 @@
 
 namespace tanager {
 
-// Load pattern: bursts of some seconds on a low mean. The rate that counts is that of the busiest recent second.
+// Load pattern: bursts of some seconds on a low mean, of long prompts and of long outputs.
 class demand_meter {
 public:
     explicit demand_meter(const clock& time);
@@ -21,15 +21,21 @@
     // Records how long a request with a long prompt held its place once the prompt had been read.
     void record_generation(const std::string& service, duration held);
 
+    // Records how many long outputs run at the moment, on all gateways.
+    void record_long_outputs(const std::string& service, std::uint32_t running);
+
     // Returns the demand on all gateways, of which this is one in `gateways`; `token_milliseconds` is what a prefill
     // engine takes for a prompt token.
     role_demand measure(const std::string& service, std::size_t gateways, double token_milliseconds) const;
 
 private:
     struct service_row {
+        std::uint32_t prompts = 0;
+        std::uint32_t generations = 0;
         double own_tokens = 0;
         double held_milliseconds = 0;
-        double peak_per_second = 0;
+        double peak_long_outputs = 0;
+        std::uint32_t last_second = 0;
         time_point second_began;
         std::uint32_t in_second = 0;
     };
--- a/src/roles/internal/demand_meter.cpp
+++ b/src/roles/internal/demand_meter.cpp
@@ -8,12 +8,15 @@
 
 // Weight of the newest request in the averages: about the last hundred count.
 constexpr double newest_weight = 0.01;
-// What the rate of the busiest second loses with each further second.
+// Fewer generations than this say too little to change an engine's role.
+constexpr std::uint32_t telling_samples = 200;
+// What the peak of the long outputs loses with each further record; two are made a second.
 constexpr double peak_fading = 0.97;
 
-void average(double& standing, double newest)
+// The first samples are averaged evenly, so that no single one decides for long.
+double weight_of(std::uint32_t samples)
 {
-    standing = standing == 0 ? newest : standing + newest_weight * (newest - standing);
+    return std::max(newest_weight, 1.0 / samples);
 }
 
 } // namespace
@@ -23,10 +26,11 @@
 void demand_meter::record_prompt(const std::string& service, std::uint32_t own_tokens)
 {
     auto& row = this->services[service];
-    average(row.own_tokens, own_tokens);
+    ++row.prompts;
+    row.own_tokens += weight_of(row.prompts) * (own_tokens - row.own_tokens);
     const auto now = this->time.now();
     if (now - row.second_began >= std::chrono::seconds{1}) {
-        row.peak_per_second = std::max(row.peak_per_second * peak_fading, static_cast<double>(row.in_second));
+        row.last_second = row.in_second;
         row.second_began = now;
         row.in_second = 0;
     }
@@ -35,8 +39,16 @@
 
 void demand_meter::record_generation(const std::string& service, duration held)
 {
-    average(this->services[service].held_milliseconds,
-            std::chrono::duration<double, std::milli>(held).count());
+    auto& row = this->services[service];
+    ++row.generations;
+    const double milliseconds = std::chrono::duration<double, std::milli>(held).count();
+    row.held_milliseconds += weight_of(row.generations) * (milliseconds - row.held_milliseconds);
+}
+
+void demand_meter::record_long_outputs(const std::string& service, std::uint32_t running)
+{
+    auto& row = this->services[service];
+    row.peak_long_outputs = std::max(row.peak_long_outputs * peak_fading, static_cast<double>(running));
 }
 
 role_demand demand_meter::measure(const std::string& service,
@@ -48,9 +60,13 @@
         return {};
     }
     const auto& row = found->second;
+    if (row.generations < telling_samples) {
+        return {};
+    }
     return {row.own_tokens * token_milliseconds,
             row.held_milliseconds,
-            row.peak_per_second * static_cast<double>(gateways)};
+            static_cast<double>(std::max(row.last_second, row.in_second)) * static_cast<double>(gateways),
+            row.peak_long_outputs};
 }
 
 } // namespace tanager
--- a/src/roles/internal/role_orders.cpp
+++ b/src/roles/internal/role_orders.cpp
@@ -58,8 +58,11 @@
         return this->pending;
     }
 
-    void send(const backend_server& engine, const role_change& change) override
+    void send(const backend_server& engine,
+              const role_change& change,
+              std::function<void(bool)> on_end) override
     {
+        this->ended = std::move(on_end);
         this->pending = engine.id;
         this->is_calling = true;
         http_call_options options;
@@ -161,12 +164,14 @@
                                if (!reply.has_value() && reply.error().progress == call_progress::maybe_sent) {
                                    write_event(log_event::order_settled,
                                                {{"server", engine.id}, {"outcome", "unknown"}});
+                                   self->ended(true);
                                    return;
                                }
                                const bool accepted = reply.has_value() && self->codec.is_accepted(*reply);
                                write_event(log_event::order_settled,
                                            {{"server", engine.id}, {"outcome", accepted ? "accepted" : "refused"}});
                                self->pending.reset();
+                               self->ended(accepted);
                            });
     }
 
@@ -175,6 +180,7 @@
         write_event(log_event::order_settled, {{"server", *this->pending}, {"outcome", reason}});
         this->is_calling = false;
         this->pending.reset();
+        this->ended(false);
     }
 
     const clock& time;
@@ -188,6 +194,7 @@
     std::uint64_t order_number = 0;
     time_point orders_from;
     std::optional<std::string> pending;
+    std::function<void(bool)> ended;
     time_point pending_until;
 };
 
--- a/src/roles/internal/role_plan.cpp
+++ b/src/roles/internal/role_plan.cpp
@@ -8,13 +8,14 @@
 
 // Engines slow down as they fill up, so the plan uses this share of their places.
 constexpr double planned_use = 0.75;
+// An engine may be away for seconds while no more than this share of what can be served comes.
+constexpr double calm_share = 0.8;
 constexpr double milliseconds_per_second = 1000;
 
 struct engine_counts {
     std::size_t readers = 0;
     std::size_t generators = 0;
     double slots = 0;
-    double long_outputs = 0;
 };
 
 engine_counts count_engines(const std::vector<role_engine>& engines)
@@ -24,7 +25,6 @@
         counts.readers += engine.role == engine_role::prefill ? 1 : 0;
         counts.generators += engine.role == engine_role::decode ? 1 : 0;
         counts.slots += engine.slots;
-        counts.long_outputs += engine.long_outputs;
     }
     return counts;
 }
@@ -49,11 +49,10 @@
 double served_prompts(std::size_t readers,
                       std::size_t generators,
                       double slots_per_engine,
-                      double long_outputs,
                       const role_demand& demand)
 {
     const double places =
-        std::max(0.0, static_cast<double>(generators) * slots_per_engine * planned_use - long_outputs);
+        std::max(0.0, static_cast<double>(generators) * slots_per_engine * planned_use - demand.long_outputs);
     const double generated = places / demand.generating_milliseconds * milliseconds_per_second;
     const double read = static_cast<double>(readers) / demand.reading_milliseconds * milliseconds_per_second;
     return std::min(read, generated);
@@ -72,15 +71,15 @@
     }
     const double slots = counts.slots / static_cast<double>(total);
     const auto served_with = [&](std::size_t readers) {
-        return served_prompts(readers, total - readers, slots, counts.long_outputs, demand);
+        return served_prompts(readers, total - readers, slots, demand);
     };
     std::size_t best = counts.readers;
     for (std::size_t readers = 0; readers < total; ++readers) {
         best = served_with(readers) > served_with(best) ? readers : best;
     }
     const bool is_worth_it = served_with(best) > served_with(counts.readers) * (1 + policy.least_gain);
-    const bool is_short = demand.prompts_per_second > served_with(counts.readers);
-    if (!is_worth_it || !is_short) {
+    const bool is_calm = demand.prompts_per_second < served_with(counts.readers) * calm_share;
+    if (!is_worth_it || !is_calm) {
         return std::nullopt;
     }
     const auto from = best > counts.readers ? engine_role::decode : engine_role::prefill;
--- a/src/roles/role_orders.h
+++ b/src/roles/role_orders.h
@@ -7,6 +7,7 @@
 #include "store/object_store.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -46,7 +47,10 @@
     // Gives up the claim to be the holder, for instance after the process stood still.
     virtual void step_down() = 0;
 
-    virtual void send(const backend_server& engine, const role_change& change) = 0;
+    // `ended` hears whether the order may be carried out.
+    virtual void send(const backend_server& engine,
+                      const role_change& change,
+                      std::function<void(bool may_be_carried_out)> ended) = 0;
 
     // Returns the engine whose order is under way or not settled, if there is one.
     virtual std::optional<std::string> unsettled() const = 0;
--- a/src/roles/types/role_types.h
+++ b/src/roles/types/role_types.h
@@ -25,7 +25,8 @@
 struct role_demand {
     double reading_milliseconds = 0;    // of a prefill engine, for one long prompt
     double generating_milliseconds = 0; // a place is held for so long once a long prompt has been read
-    double prompts_per_second = 0;      // long prompts that came, rejected ones included
+    double prompts_per_second = 0;      // long prompts that came in the last second, rejected ones included
+    double long_outputs = 0;            // at the same time, at their recent peak
 
     friend bool operator==(const role_demand&, const role_demand&) = default;
 };
@@ -39,7 +40,7 @@
 
 // How much a change is weighed against the capacity that it takes away for seconds.
 struct role_policy {
-    double least_gain = 0.2; // of what the service can serve at the peak
+    double least_gain = 0.15; // of the long prompts that the service can serve
 
     friend bool operator==(const role_policy&, const role_policy&) = default;
 };
