Leave a refused KV cache to another engine, and count failed readings as retries

Change: the cache goes to the next engine, twice at most; a call to a reader that came to nothing is paid from the retry budget.

--- a/src/fleet/internal/reading_rate.cpp
+++ b/src/fleet/internal/reading_rate.cpp
@@ -17,6 +17,8 @@
 // The assumption counts as a tenth of a short and of a long prompt, so that the fit is always defined.
 constexpr double assumed_weight = 0.1;
 constexpr double assumed_prompt = 5'000;
+// The flattest line that is believed, as a share of the steepest.
+constexpr double flattest_share = 0.1;
 // Prompts below this say little of an engine's speed.
 constexpr double telling_prompt = 1'000;
 
@@ -38,7 +40,7 @@
         (count * products - tokens * milliseconds) / (count * tokens_squared - tokens * tokens);
     // A line through the origin is the steepest that the samples allow; a falling one is an accident.
     const double steepest = milliseconds / tokens;
-    const double kept = std::clamp(slope, steepest / 4, steepest);
+    const double kept = std::clamp(slope, steepest * flattest_share, steepest);
     return {(milliseconds - kept * tokens) / count, kept};
 }
 
--- a/src/gateway/gateway_setup.cpp
+++ b/src/gateway/gateway_setup.cpp
@@ -85,7 +85,7 @@
           client(http_client::create(loop)),
           store_client(http_client::create(loop)),
           store(this->dialect.make_store(*this->store_client, store_address)),
-          pool(this->time, settings.return_grace, this->elsewhere),
+          pool(this->time, settings.data_centre, settings.return_grace, this->elsewhere),
           desk(this->time, this->random, this->pool),
           retries(settings.retry_share, retry_reserve),
           demand(this->time),
--- a/src/gateway/internal/forward_run.cpp
+++ b/src/gateway/internal/forward_run.cpp
@@ -15,6 +15,8 @@
 constexpr int status_first_success = 200;
 constexpr int status_last_success = 299;
 
+// A KV cache that was refused this often is taken to be gone.
+constexpr std::uint32_t most_refusals_of_cache = 2;
 // A connection inside a site is made within some milliseconds; a lost opening packet is sent again after a
 // second.
 constexpr std::chrono::milliseconds connect_patience{250};
@@ -141,6 +143,7 @@
             this->routed.chosen_route->priority,
             std::max(latest_start, now),
             this->routed.received + std::chrono::duration_cast<duration>(due_share * objective),
+            this->untaken_cache.has_value(),
             this->tried};
 }
 
@@ -162,7 +165,7 @@
         this->read_prompt();
         return;
     }
-    this->send({});
+    this->send(this->untaken_cache);
 }
 
 attempt_order forward_run::make_order(const backend_server& target) const
@@ -226,22 +229,37 @@
                 .other_server) {
             this->context.pool.list().note_leaving(reader->id);
         }
-        this->context.metrics.count("tanager_prompts_not_read_total");
-        this->send({});
+        this->send_unread("prompt not read by " + reader->id);
         return;
     }
     this->context.pool.record(reader->id, server_sign::answered);
     const auto cache = this->context.codec.decode_cache(reader->address, reply->body);
     if (!cache) {
-        write_event(log_event::request_retried,
-                    {{"request", this->routed.request.id}, {"cause", cache.error().detail}});
-        this->send({});
+        this->send_unread(cache.error().detail);
         return;
     }
     this->untaken_cache = *cache;
     this->send(*cache);
 }
 
+// The generating engine gets the prompt itself. A call to a reader that came to nothing counts as an arrival,
+// so this one is a retry.
+void forward_run::send_unread(const std::string& cause)
+{
+    this->context.metrics.count("tanager_prompts_not_read_total");
+    write_event(log_event::request_retried, {{"request", this->routed.request.id}, {"cause", cause}});
+    if (this->context.retries.try_spend(this->routed.service)) {
+        this->send({});
+        return;
+    }
+    this->context.desk.release(this->wanted, this->server->id);
+    if (this->runs > 0 || this->state == run_state::answering) {
+        this->settle_broken({result_code::outcome_unknown, cause});
+        return;
+    }
+    this->reject({result_code::backend_refused, cause});
+}
+
 // Takes the prompt off the engine that was to read it; `is_measured` when it has just done so.
 void forward_run::end_reading(bool is_measured)
 {
@@ -360,7 +378,7 @@
     if (this->reading_call != nullptr) {
         this->context.pool.record(this->place.reader->id, server_sign::silent);
         this->break_reading();
-        this->send({});
+        this->send_unread("reader is silent");
         return;
     }
     this->context.pool.record(this->server->id, server_sign::silent);
@@ -481,6 +499,10 @@
         this->context.pool.list().note_leaving(this->server->id);
     }
     this->end_attempt(server_sign::refused);
+    this->refusals_of_cache += this->untaken_cache ? 1 : 0;
+    if (this->refusals_of_cache >= most_refusals_of_cache) {
+        this->release_cache();
+    }
     const error cause{result_code::backend_refused,
                       this->server->id + " refused with status " + std::to_string(this->head.status)};
     if (this->try_again(cause, false)) {
--- a/src/gateway/internal/forward_run.h
+++ b/src/gateway/internal/forward_run.h
@@ -69,6 +69,7 @@
     attempt_order make_order(const backend_server& target) const;
     void read_prompt();
     void on_prompt_read(const tl::expected<http_reply, http_failure>& reply);
+    void send_unread(const std::string& cause);
     void end_reading(bool is_measured);
     void break_reading();
     void release_cache();
@@ -117,6 +118,7 @@
     std::vector<std::string> tried;
     std::uint32_t runs = 0; // attempts that a server may have run
     std::uint32_t connect_failures = 0;
+    std::uint32_t refusals_of_cache = 0;
     answer_head head;
     http_headers answer_headers;
     std::string collected;
--- a/src/gateway/internal/place_desk.cpp
+++ b/src/gateway/internal/place_desk.cpp
@@ -30,6 +30,9 @@
     if (!wanted.is_model) {
         return choose_plain_server(candidates, this->random);
     }
+    if (wanted.is_read) {
+        return choose_generator(candidates, this->random);
+    }
     const auto left = std::chrono::floor<std::chrono::milliseconds>(wanted.due - this->time.now());
     return choose_engines(wanted.prompt, left, candidates, this->random);
 }
--- a/src/gateway/internal/server_pool.cpp
+++ b/src/gateway/internal/server_pool.cpp
@@ -25,8 +25,15 @@
 
 } // namespace
 
-server_pool::server_pool(const clock& time, duration return_grace, const elsewhere_view& elsewhere)
-    : known(time, return_grace), trust(time), pauses(time), elsewhere(elsewhere)
+server_pool::server_pool(const clock& time,
+                         std::string data_centre,
+                         duration return_grace,
+                         const elsewhere_view& elsewhere)
+    : data_centre(std::move(data_centre)),
+      known(time, return_grace),
+      trust(time),
+      pauses(time),
+      elsewhere(elsewhere)
 {
 }
 
@@ -55,6 +62,7 @@
         row.is_warm = this->memory.holds(server->id, shared_key);
         row.is_aside = this->trust.is_aside(server->id) || this->elsewhere.is_changing(server->id);
         row.is_on_trial = this->trust.is_on_trial(server->id);
+        row.is_local = server->data_centre == this->data_centre;
         row.was_tried = std::ranges::find(tried, server->id) != tried.end();
         row.server = std::move(server);
         found.push_back(std::move(row));
--- a/src/gateway/place_desk.h
+++ b/src/gateway/place_desk.h
@@ -23,6 +23,7 @@
     std::uint32_t priority = 0;
     time_point latest_start; // a later start misses the objective
     time_point due;          // when the first event, or the answer, is to be there
+    bool is_read = false;    // the prompt lies in a KV cache that the server will take
     std::vector<std::string> tried;
 };
 
--- a/src/gateway/server_pool.h
+++ b/src/gateway/server_pool.h
@@ -42,7 +42,10 @@
 
 class server_pool {
 public:
-    server_pool(const clock& time, duration return_grace, const elsewhere_view& elsewhere);
+    server_pool(const clock& time,
+                std::string data_centre,
+                duration return_grace,
+                const elsewhere_view& elsewhere);
 
     server_list& list();
 
@@ -82,6 +85,7 @@
 private:
     void drop_if_idle(const std::string& server_id);
 
+    std::string data_centre;
     server_list known;
     server_trust trust;
     reading_rate rates;
--- a/src/gateway/tests/gateway_tests.cpp
+++ b/src/gateway/tests/gateway_tests.cpp
@@ -120,7 +120,7 @@
     plain_codec codec;
     fake_client client;
     nobody_else elsewhere;
-    server_pool pool{time, 2s, elsewhere};
+    server_pool pool{time, "here", 2s, elsewhere};
     place_desk desk{time, random, pool};
     retry_budget retries{every_request, reserve};
     demand_meter demand{time};
@@ -416,6 +416,30 @@
                 CPPUNIT_ASSERT_EQUAL(std::string{}, find_header(gateway.call(1).request.headers, "cache"));
             }
         });
+        // Found by a hunt on Yesil Dongu (mix, seed 423288968007): each refusal cost two further arrivals,
+        // and the budget counted one.
+        section("a generator that refuses leaves the cache to another one", [&] {
+            middle gateway;
+            make_fleet(gateway);
+            gateway.add_server("f", engine_role::decode);
+            gateway.send();
+            gateway.call(0).answer(200, {}, "h7");
+            gateway.call(1).answer(503, {{"not-run", "1"}}, "");
+            CPPUNIT_ASSERT_EQUAL(std::string{}, find_header(gateway.call(2).request.headers, "only-read"));
+            CPPUNIT_ASSERT_EQUAL(std::string{"h7"}, find_header(gateway.call(2).request.headers, "cache"));
+            CPPUNIT_ASSERT(gateway.server_of(gateway.call(1)) != gateway.server_of(gateway.call(2)));
+        });
+        section("a reader that refuses costs a retry, and without one the request is rejected as not run",
+                [&] {
+                    middle gateway;
+                    make_fleet(gateway);
+                    gateway.retries = retry_budget{0.0, 0.0};
+                    const auto exchange = gateway.send();
+                    gateway.call(0).answer(503, {{"not-run", "1"}}, "");
+                    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, gateway.client.calls.size());
+                    CPPUNIT_ASSERT_EQUAL(503, exchange->sent.status);
+                    CPPUNIT_ASSERT(gateway.pool.loads().empty());
+                });
         section("a cache that nobody takes is freed", [&] {
             middle gateway;
             make_fleet(gateway);
--- a/src/placement/internal/server_choice.cpp
+++ b/src/placement/internal/server_choice.cpp
@@ -14,6 +14,8 @@
 constexpr std::uint32_t shortest_homed_prompt = 600;
 // What reading beside the tokens of others costs these, as a factor on the time that it takes.
 constexpr double own_reading_cost = 1.5;
+// An engine of this data centre may be fuller than another one by this share of its slots.
+constexpr double local_surplus = 0.25;
 // Up to this share of its slots an engine is given further long outputs before another one is.
 constexpr double shared_use = 0.6;
 // A shared part is read again only on an engine that would still have this part of the time to spare: under
@@ -94,6 +96,22 @@
     return found;
 }
 
+tl::expected<std::vector<std::size_t>, placement_miss>
+decoders_with_room(const std::vector<placement_candidate>& candidates, const std::vector<std::size_t>& usable)
+{
+    auto decoders = with_role(candidates, usable, engine_role::decode);
+    if (decoders.empty()) {
+        return tl::make_unexpected(placement_miss::no_server);
+    }
+    std::erase_if(decoders, [&](std::size_t index) {
+        return running(candidates[index]) >= candidates[index].server->slots;
+    });
+    if (decoders.empty()) {
+        return tl::make_unexpected(placement_miss::no_place);
+    }
+    return decoders;
+}
+
 // An engine that can read a prompt in time.
 struct reading_place {
     std::size_t index = 0;
@@ -155,6 +173,26 @@
     });
 }
 
+// Returns the least used engine of this data centre while that is not much fuller than others: a prompt that
+// was read elsewhere has no home among the generators, and bytes between data centres cost.
+std::size_t nearest_with_room(const std::vector<placement_candidate>& candidates,
+                              const std::vector<std::size_t>& decoders,
+                              random_source& random)
+{
+    std::vector<std::size_t> local;
+    for (const auto index : decoders) {
+        if (candidates[index].is_local) {
+            local.push_back(index);
+        }
+    }
+    const auto emptiest = least_used(candidates, decoders, random);
+    if (local.empty()) {
+        return emptiest;
+    }
+    const auto nearest = least_used(candidates, local, random);
+    return use_of(candidates[nearest]) <= use_of(candidates[emptiest]) + local_surplus ? nearest : emptiest;
+}
+
 } // namespace
 
 placement_result choose_plain_server(const std::vector<placement_candidate>& candidates,
@@ -173,29 +211,33 @@
     return placement{least_used(candidates, usable, random), std::nullopt, 0};
 }
 
+placement_result choose_generator(const std::vector<placement_candidate>& candidates, random_source& random)
+{
+    const auto decoders = decoders_with_room(candidates, usable_indexes(candidates));
+    if (!decoders) {
+        return tl::make_unexpected(decoders.error());
+    }
+    return placement{nearest_with_room(candidates, *decoders, random), std::nullopt, 0};
+}
+
 placement_result choose_engines(const prompt_shape& prompt,
                                 std::chrono::milliseconds time_left,
                                 const std::vector<placement_candidate>& candidates,
                                 random_source& random)
 {
     const auto usable = usable_indexes(candidates);
-    auto decoders = with_role(candidates, usable, engine_role::decode);
-    if (decoders.empty()) {
-        return tl::make_unexpected(placement_miss::no_server);
-    }
-    std::erase_if(decoders, [&](std::size_t index) {
-        return running(candidates[index]) >= candidates[index].server->slots;
-    });
-    if (decoders.empty()) {
-        return tl::make_unexpected(placement_miss::no_place);
+    const auto found = decoders_with_room(candidates, usable);
+    if (!found) {
+        return tl::make_unexpected(found.error());
     }
+    auto decoders = *found;
     if (prompt.has_long_output()) {
         return placement{place_long_output(candidates, decoders, random), std::nullopt, prompt.own_tokens};
     }
     if (prompt.shared_tokens + prompt.own_tokens < shortest_homed_prompt) {
         return placement{least_used(candidates, decoders, random), std::nullopt, prompt.own_tokens};
     }
-    const auto emptiest = least_used(candidates, decoders, random);
+    const auto emptiest = nearest_with_room(candidates, decoders, random);
     const double first_events = candidates[emptiest].fixed_milliseconds;
     const auto budget = static_cast<double>(time_left.count());
     const auto reader = first_fit(
--- a/src/placement/server_choice.h
+++ b/src/placement/server_choice.h
@@ -24,6 +24,9 @@
 placement_result choose_plain_server(const std::vector<placement_candidate>& candidates,
                                      random_source& random);
 
+// Chooses the engine that generates from a KV cache that another one has read the prompt into.
+placement_result choose_generator(const std::vector<placement_candidate>& candidates, random_source& random);
+
 // Chooses the engine that generates, and one that reads the prompt for it where that is better. Load pattern:
 // bursts of long prompts that share most of their tokens with a few hundred others, between few prompts with
 // long outputs.
--- a/src/placement/tests/placement_tests.cpp
+++ b/src/placement/tests/placement_tests.cpp
@@ -57,6 +57,7 @@
     CPPUNIT_TEST(spreads_plain_requests);
     CPPUNIT_TEST(passes_over_what_cannot_serve);
     CPPUNIT_TEST(reads_long_prompts_apart);
+    CPPUNIT_TEST(generates_nearby_where_there_is_room);
     CPPUNIT_TEST(keeps_a_shared_part_at_its_home);
     CPPUNIT_TEST(moves_few_homes_when_an_engine_goes);
     CPPUNIT_TEST(says_no_place_rather_than_late);
@@ -142,6 +143,21 @@
         });
     }
 
+    void generates_nearby_where_there_is_room()
+    {
+        section("a long prompt is read apart, and one engine of this data centre has room", [] {
+            seeded_random random;
+            auto fleet = make_fleet();
+            fleet[3].is_local = true;
+            fleet[3].running_elsewhere = 1;
+            CPPUNIT_ASSERT_EQUAL(std::size_t{3}, choose_engines(check, 100ms, fleet, random)->server);
+            section("it goes to another data centre when this one is much fuller", [&] {
+                fleet[3].running_elsewhere = 4;
+                CPPUNIT_ASSERT(choose_engines(check, 100ms, fleet, random)->server != 3);
+            });
+        });
+    }
+
     // Checks come in bursts in which hundreds of subjects repeat; reading a subject again costs more than a
     // check.
     void keeps_a_shared_part_at_its_home()
--- a/src/placement/types/placement_candidate.h
+++ b/src/placement/types/placement_candidate.h
@@ -38,6 +38,7 @@
     bool is_warm = false;                // is known to hold the prompt's shared part
     bool is_aside = false;               // passed over after failures
     bool is_on_trial = false;            // was put aside and has not answered since
+    bool is_local = false;               // is in the data centre of this process
     bool was_tried = false;              // has had this request already
 };
 
