--- a/src/gateway/gateway_setup.cpp
+++ b/src/gateway/gateway_setup.cpp
@@ -33,6 +33,8 @@
 constexpr std::chrono::milliseconds role_interval{500};
 // A turn of the loop that comes this much late means that the process stood still.
 constexpr std::chrono::milliseconds gap_bound{400};
+// Descriptors that callers do not get: connections to servers, the store and operators, and files.
+constexpr int kept_descriptors = 800;
 // Retries that a quiet service may spend at once; small, since each gateway has as many.
 constexpr double retry_reserve = 3;
 constexpr std::chrono::milliseconds unready_retry_after{500};
@@ -113,10 +115,12 @@
 
     result<void> listen()
     {
+        auto limits = this->settings.http;
+        limits.descriptors = std::max(limits.descriptors / 2, limits.descriptors - kept_descriptors);
         auto callers = http_server::create(
             this->loop,
             this->settings.listen,
-            this->settings.http,
+            limits,
             [this](const std::shared_ptr<http_exchange>& exchange) { this->on_request(exchange); });
         if (!callers) {
             return tl::make_unexpected(callers.error());
--- a/src/gateway/internal/forward_run.cpp
+++ b/src/gateway/internal/forward_run.cpp
@@ -715,6 +715,8 @@
     this->release_cache();
     this->context.metrics.observe(
         "tanager_request_seconds", {this->routed.service, this->routed.chosen_route->name}, this->elapsed());
+    this->context.metrics.count("tanager_requests_finished_total",
+                                "outcome=\"" + std::string{outcome} + "\"");
     this->log_end(outcome, status);
     const auto finished = std::exchange(this->done, nullptr);
     finished();
--- a/src/gateway/tests/gateway_tests.cpp
+++ b/src/gateway/tests/gateway_tests.cpp
@@ -97,7 +97,7 @@
         return exchange;
     }
 
-    event_loop& loop_ref()
+    event_loop& loop_ref() const
     {
         return *this->loop;
     }
--- a/src/net/mocks/fake_client.h
+++ b/src/net/mocks/fake_client.h
@@ -27,7 +27,7 @@
         void resume() override {}
 
         // Answers in full with these headers and body.
-        void answer(int status, const http_headers& headers, const std::string& body)
+        void answer(int status, const http_headers& headers, const std::string& body) const
         {
             const auto receiver = this->handler;
             receiver->on_head(status, headers);
@@ -39,7 +39,7 @@
             }
         }
 
-        void fail(call_progress progress)
+        void fail(call_progress progress) const
         {
             const auto receiver = this->handler;
             const auto code = progress == call_progress::not_sent ? result_code::connect_failed
