Split the gateway's run and setup into smaller parts

The answer's handler, the reading of a prompt by another engine, and the first filters (decode, readiness, route, what a stopping process can finish) are parts of their own.

--- a/src/gateway/gateway_setup.cpp
+++ b/src/gateway/gateway_setup.cpp
@@ -1,10 +1,9 @@
 #include "gateway/gateway_setup.h"
 
-#include "base/digest.h"
 #include "base/system_clock.h"
 #include "base/system_random.h"
 #include "gateway/internal/configuration_observer.h"
-#include "gateway/internal/forward_run.h"
+#include "gateway/internal/request_gate.h"
 #include "gateway/internal/role_keeper.h"
 #include "gateway/internal/server_observer.h"
 #include "logging/event_log.h"
@@ -37,18 +36,6 @@
 constexpr int kept_descriptors = 800;
 // Retries that a quiet service may spend at once; small, since each gateway has as many.
 constexpr double retry_reserve = 3;
-constexpr std::chrono::milliseconds unready_retry_after{500};
-// Another gateway can take the request at once.
-constexpr std::chrono::milliseconds return_elsewhere{1};
-// What a request without a deadline of its own may take beyond its route's time-out.
-constexpr std::chrono::milliseconds default_patience{15'000};
-
-std::chrono::milliseconds patience_of(const route& wanted, const caller_request& request)
-{
-    return std::min(request.patience.value_or(default_patience),
-                    wanted.timeout.count() > 0 ? wanted.timeout : default_patience);
-}
-
 // What the other gateways have running, once the exchange with them has been set up.
 class exchanged_view final : public elsewhere_view {
 public:
@@ -106,6 +93,10 @@
               [this] { return this->refusal(); },
               [this] { this->refresh_gauges(); })
     {
+        this->gate = std::make_unique<request_gate>(this->make_context(),
+                                                    this->routes,
+                                                    settings.open_requests,
+                                                    [this] { return this->is_informed(); });
         this->last_turn = this->time.now();
         this->review_timer = loop.run_every(review_interval, [this] { this->desk.review(); });
         this->housekeeping = loop.run_every(housekeeping_interval, [this] { this->keep_house(); });
@@ -121,7 +112,7 @@
             this->loop,
             this->settings.listen,
             limits,
-            [this](const std::shared_ptr<http_exchange>& exchange) { this->on_request(exchange); });
+            [this](const std::shared_ptr<http_exchange>& exchange) { this->gate->accept(exchange); });
         if (!callers) {
             return tl::make_unexpected(callers.error());
         }
@@ -181,6 +172,7 @@
         in_force.open_requests = this->settings.open_requests;
         this->settings.stop_grace = wanted.stop_grace;
         this->settings.open_requests = wanted.open_requests;
+        this->gate->set_open_requests(wanted.open_requests);
         return in_force == this->settings ? std::vector<std::string>{}
                                           : std::vector<std::string>{"addresses, limits of http, retries"};
     }
@@ -211,67 +203,6 @@
         }
     }
 
-    void on_request(const std::shared_ptr<http_exchange>& exchange)
-    {
-        const auto received = this->time.now();
-        const auto request = this->dialect.wire->decode(exchange->request());
-        if (!request) {
-            this->answer_failure(*exchange, {}, request.error(), std::chrono::milliseconds{0});
-            return;
-        }
-        if (!this->is_informed()) {
-            this->answer_failure(*exchange,
-                                 *request,
-                                 {result_code::not_ready, "no configuration is known yet"},
-                                 unready_retry_after);
-            return;
-        }
-        const auto route = this->routes.find(request->host, request->path);
-        if (route == nullptr) {
-            this->answer_failure(
-                *exchange,
-                *request,
-                {result_code::route_unknown, "no route in version " + std::to_string(this->routes.version())},
-                std::chrono::milliseconds{0});
-            return;
-        }
-        if (!this->may_finish(*route, *request)) {
-            this->answer_failure(*exchange,
-                                 *request,
-                                 {result_code::not_ready, "this gateway is about to end"},
-                                 return_elsewhere);
-            return;
-        }
-        if (this->open_runs >= this->settings.open_requests) {
-            this->answer_failure(
-                *exchange, *request, {result_code::not_ready, "too many open requests"}, unready_retry_after);
-            return;
-        }
-        this->run(exchange, *request, route, received);
-    }
-
-    void run(const std::shared_ptr<http_exchange>& exchange,
-             const caller_request& request,
-             const std::shared_ptr<const route>& route,
-             time_point received)
-    {
-        const auto& service = choose_service(*route, hash64(request.id));
-        const auto* const entry = this->routes.find_service(service);
-        const auto patience = patience_of(*route, request);
-        ++this->open_runs;
-        const auto started = std::make_shared<forward_run>(this->context(),
-                                                           routed_request{exchange,
-                                                                          request,
-                                                                          route,
-                                                                          service,
-                                                                          entry != nullptr && entry->is_model,
-                                                                          this->routes.version(),
-                                                                          received,
-                                                                          received + patience},
-                                                           [this] { --this->open_runs; });
-        started->start();
-    }
-
     std::vector<server_load> report_load() const
     {
         std::vector<server_load> loads;
@@ -281,7 +212,7 @@
         return loads;
     }
 
-    forward_context context()
+    forward_context make_context()
     {
         return {this->loop,
                 this->time,
@@ -294,35 +225,6 @@
                 this->demand};
     }
 
-    void answer_failure(http_exchange& exchange,
-                        const caller_request& request,
-                        const error& cause,
-                        std::chrono::milliseconds retry_after)
-    {
-        write_event(log_event::request_rejected,
-                    {{"request", request.id.empty() ? "-" : request.id},
-                     {"cause", cause.detail},
-                     {"configuration", std::to_string(this->routes.version())},
-                     {"retry_after_ms", std::to_string(retry_after.count())}});
-        this->metrics.count("tanager_requests_rejected_total",
-                            "code=\"" + std::to_string(static_cast<int>(cause.code)) + "\"");
-        exchange.reply(
-            this->dialect.wire->encode_failure(request, http_status_of(cause.code), cause, retry_after));
-    }
-
-    // Returns whether a request that comes now can be answered before this process is killed.
-    bool may_finish(const route& wanted, const caller_request& request) const
-    {
-        if (!this->drained) {
-            return true;
-        }
-        const auto since = this->time.now() - this->stopped_at;
-        if (since < accept_after_stop) {
-            return true;
-        }
-        return since + patience_of(wanted, request) < this->settings.stop_grace - end_before_kill;
-    }
-
     bool is_informed() const
     {
         return this->routes.is_known() && this->servers.is_known();
@@ -356,7 +258,7 @@
 
     void refresh_gauges()
     {
-        this->metrics.set_gauge("tanager_requests_open", static_cast<double>(this->open_runs));
+        this->metrics.set_gauge("tanager_requests_open", static_cast<double>(this->gate->open()));
         this->metrics.set_gauge("tanager_requests_waiting", static_cast<double>(this->desk.waiting()));
         this->metrics.set_gauge("tanager_peers_heard", static_cast<double>(this->peers->known().heard()));
         this->metrics.set_gauge("tanager_configuration_version", static_cast<double>(this->routes.version()));
@@ -371,7 +273,8 @@
             return;
         }
         this->server->stop_accepting();
-        const bool is_idle = this->open_runs == 0 && this->server->open_exchanges() == 0;
+        this->gate->close_at(this->stopped_at + this->settings.stop_grace - end_before_kill);
+        const bool is_idle = this->gate->open() == 0 && this->server->open_exchanges() == 0;
         if (!is_idle && since < this->settings.stop_grace - end_before_kill) {
             return;
         }
@@ -402,6 +305,7 @@
     std::shared_ptr<object_follower> configuration_follower;
     std::shared_ptr<object_follower> server_follower;
     health_pages pages;
+    std::unique_ptr<request_gate> gate;
     std::unique_ptr<http_server> server;
     std::unique_ptr<http_server> page_server;
     std::unique_ptr<peer_exchange> peers;
@@ -410,7 +314,6 @@
     std::unique_ptr<loop_timer> review_timer;
     std::unique_ptr<loop_timer> housekeeping;
     std::unique_ptr<loop_timer> stop_timer;
-    std::size_t open_runs = 0;
     time_point last_turn;
     time_point stopped_at;
     task drained;
--- a/src/gateway/internal/forward_run.cpp
+++ b/src/gateway/internal/forward_run.cpp
@@ -56,48 +56,6 @@
 
 } // namespace
 
-// Passes the notices of one attempt on, until the run has turned to another one.
-class forward_run::attempt_handler final : public http_reply_handler {
-public:
-    explicit attempt_handler(std::weak_ptr<forward_run> run) : run(std::move(run)) {}
-
-    void detach()
-    {
-        this->run.reset();
-    }
-
-    void on_head(int status, const http_headers& headers) override
-    {
-        if (const auto alive = this->run.lock()) {
-            alive->on_answer_head(status, headers);
-        }
-    }
-
-    void on_data(std::string_view data) override
-    {
-        if (const auto alive = this->run.lock()) {
-            alive->on_answer_data(data);
-        }
-    }
-
-    void on_end() override
-    {
-        if (const auto alive = this->run.lock()) {
-            alive->on_answer_end();
-        }
-    }
-
-    void on_failure(const http_failure& failure) override
-    {
-        if (const auto alive = this->run.lock()) {
-            alive->on_attempt_failure(failure);
-        }
-    }
-
-private:
-    std::weak_ptr<forward_run> run;
-};
-
 forward_run::forward_run(const forward_context& context, routed_request routed, std::function<void()> done)
     : context(context), routed(std::move(routed)), done(std::move(done))
 {
@@ -202,38 +160,24 @@
                  {"server", this->server->id},
                  {"tokens_before", std::to_string(this->place.tokens_before)},
                  {"waited_ms", to_milliseconds(this->waited)}});
-    this->reading_call = this->context.client.fetch(
-        this->place.reader->address,
-        this->context.codec.encode(this->routed.exchange->request(), order),
-        options,
-        [weak = this->weak_from_this()](const tl::expected<http_reply, http_failure>& reply) {
-            if (const auto alive = weak.lock()) {
-                alive->on_prompt_read(reply);
-            }
-        });
+    this->reading = std::make_shared<prompt_reading>(
+        this->context.codec, this->context.pool, this->place.reader, this->routed.request);
+    this->reading->start(this->context.client,
+                         this->context.codec.encode(this->routed.exchange->request(), order),
+                         options,
+                         [weak = this->weak_from_this()](const result<cache_handle>& cache) {
+                             if (const auto alive = weak.lock()) {
+                                 alive->on_prompt_read(cache);
+                             }
+                         });
     this->watch_silence();
 }
 
-void forward_run::on_prompt_read(const tl::expected<http_reply, http_failure>& reply)
+void forward_run::on_prompt_read(const result<cache_handle>& cache)
 {
-    const auto reader = this->place.reader;
-    this->reading_call.reset();
+    this->reading.reset();
     this->silence_timer.reset();
-    const bool is_read = reply.has_value() && is_success(reply->status);
-    this->end_reading(is_read);
-    if (!is_read) {
-        const bool is_refusal = reply.has_value();
-        this->context.pool.record(reader->id, is_refusal ? server_sign::refused : server_sign::silent);
-        if (is_refusal &&
-            this->context.codec.decode_answer(this->routed.request, reply->status, reply->headers)
-                .other_server) {
-            this->context.pool.list().note_leaving(reader->id);
-        }
-        this->send_unread("prompt not read by " + reader->id);
-        return;
-    }
-    this->context.pool.record(reader->id, server_sign::answered);
-    const auto cache = this->context.codec.decode_cache(reader->address, reply->body);
+    this->end_reading(cache.has_value());
     if (!cache) {
         this->send_unread(cache.error().detail);
         return;
@@ -278,8 +222,8 @@
 
 void forward_run::break_reading()
 {
-    this->reading_call->cancel();
-    this->reading_call.reset();
+    this->reading->cancel();
+    this->reading.reset();
     this->silence_timer.reset();
     this->end_reading(false);
 }
@@ -375,7 +319,7 @@
     if (this->state == run_state::finished || !this->is_under_way()) {
         return;
     }
-    if (this->reading_call != nullptr) {
+    if (this->reading != nullptr) {
         this->context.pool.record(this->place.reader->id, server_sign::silent);
         this->break_reading();
         this->send_unread("reader is silent");
@@ -634,13 +578,13 @@
 
 bool forward_run::is_under_way() const
 {
-    return this->call != nullptr || this->reading_call != nullptr;
+    return this->call != nullptr || this->reading != nullptr;
 }
 
 // Breaks off whatever is under way, for reasons that say nothing of the server.
 void forward_run::break_off()
 {
-    if (this->reading_call != nullptr) {
+    if (this->reading != nullptr) {
         this->break_reading();
         this->context.desk.release(this->wanted, this->server->id);
         return;
--- a/src/gateway/internal/forward_run.h
+++ b/src/gateway/internal/forward_run.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "answers/event_splitter.h"
+#include "gateway/internal/attempt_handler.h"
+#include "gateway/internal/prompt_reading.h"
 #include "gateway/place_desk.h"
 #include "gateway/types/caller_request.h"
 #include "gateway/wire_codec.h"
@@ -44,7 +46,9 @@
 };
 
 // Carries one request from its route to its answer.
-class forward_run final : public place_listener, public std::enable_shared_from_this<forward_run> {
+class forward_run final : public place_listener,
+                          public attempt_listener,
+                          public std::enable_shared_from_this<forward_run> {
 public:
     forward_run(const forward_context& context, routed_request routed, std::function<void()> done);
 
@@ -52,10 +56,12 @@
 
     void on_place(const granted_place& granted) override;
     void on_no_place(placement_miss miss) override;
+    void on_answer_head(int status, const http_headers& headers) override;
+    void on_answer_data(std::string_view data) override;
+    void on_answer_end() override;
+    void on_attempt_failure(const http_failure& failure) override;
 
 private:
-    class attempt_handler;
-
     enum class run_state {
         waiting,   // for a place
         reading,   // an engine reads the prompt for another one
@@ -68,7 +74,7 @@
     void seek_place();
     attempt_order make_order(const backend_server& target) const;
     void read_prompt();
-    void on_prompt_read(const tl::expected<http_reply, http_failure>& reply);
+    void on_prompt_read(const result<cache_handle>& cache);
     void send_unread(const std::string& cause);
     void end_reading(bool is_measured);
     void break_reading();
@@ -77,10 +83,6 @@
     void watch_connecting();
     void watch_silence();
 
-    void on_answer_head(int status, const http_headers& headers);
-    void on_answer_data(std::string_view data);
-    void on_answer_end();
-    void on_attempt_failure(const http_failure& failure);
     void on_silence();
     void on_deadline();
     void on_caller_left();
@@ -109,7 +111,7 @@
     std::uint64_t ticket = 0;
     std::shared_ptr<http_call> call;
     std::shared_ptr<attempt_handler> handler;
-    std::shared_ptr<http_call> reading_call;
+    std::shared_ptr<prompt_reading> reading;
     std::shared_ptr<const backend_server> server;
     place_request wanted;
     granted_place place;
--- /dev/null
+++ b/src/gateway/internal/prompt_reading.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "gateway/server_pool.h"
+#include "gateway/types/caller_request.h"
+#include "gateway/wire_codec.h"
+#include "net/http_client.h"
+
+#include <functional>
+#include <memory>
+
+namespace tanager {
+
+// One call that has an engine read a prompt for another one. Whatever goes wrong here, the request has not
+// run.
+class prompt_reading final : public std::enable_shared_from_this<prompt_reading> {
+public:
+    // Hears the KV cache that holds the prompt, or why there is none.
+    using outcome = std::function<void(const result<cache_handle>&)>;
+
+    prompt_reading(const wire_codec& codec,
+                   server_pool& pool,
+                   std::shared_ptr<const backend_server> reader,
+                   caller_request request);
+
+    // `sent` is the caller's request as the reader is to get it.
+    void
+    start(http_client& client, const http_request& sent, const http_call_options& options, outcome ended);
+
+    // Breaks the call off; the outcome is not heard any more.
+    void cancel();
+
+private:
+    result<cache_handle> judge(const tl::expected<http_reply, http_failure>& reply);
+
+    const wire_codec& codec;
+    server_pool& pool;
+    std::shared_ptr<const backend_server> reader;
+    caller_request request;
+    std::shared_ptr<http_call> call;
+    outcome ended;
+};
+
+} // namespace tanager
