Advise rejected callers to return when the overload may be over

Cause: two thirds of the price on both sites was for callers who were rejected, came back as told within the same burst and were rejected again; the advice came from the waiting line, which is short in an overload by design. Change: the advice grows with the time for which callers have been rejected already, and is drawn over as much again; after 250 ms without a rejection it is short again. The test replays a burst of three seconds.

--- a/src/admission/tests/admission_tests.cpp
+++ b/src/admission/tests/admission_tests.cpp
@@ -1,8 +1,10 @@
+#include "admission/return_advice.h"
 #include "admission/waiting_line.h"
 #include "base/mocks/manual_clock.h"
 #include "testing/story.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <random>
 
 namespace tanager {
 
@@ -11,11 +13,23 @@
 using namespace std::chrono_literals;
 using testing::section;
 
+class seeded_random final : public random_source {
+public:
+    std::uint64_t next() override
+    {
+        return this->engine();
+    }
+
+private:
+    std::mt19937_64 engine{20261204};
+};
+
 class admission_tests : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(admission_tests);
     CPPUNIT_TEST(rejects_at_once_what_cannot_start_in_time);
     CPPUNIT_TEST(serves_the_urgent_first);
     CPPUNIT_TEST(leaves_no_dead_work_after_a_burst);
+    CPPUNIT_TEST(sends_callers_back_after_the_burst);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -89,6 +103,42 @@
         });
     }
 
+    // The pattern of the worst seconds: a burst of three seconds, in which half of the callers are rejected.
+    void sends_callers_back_after_the_burst()
+    {
+        section("a hundred callers are rejected each second for three seconds", [] {
+            manual_clock time;
+            seeded_random random;
+            return_advice advice(time);
+            const auto end = time.now() + 3s;
+            int within = 0;
+            int late_ones_within = 0;
+            for (int count = 0; count < 300; ++count) {
+                advice.record_rejection();
+                const bool is_within = time.now() + advice.suggest(5ms, random) < end;
+                within += is_within ? 1 : 0;
+                late_ones_within += is_within && time.now() > end - 1s ? 1 : 0;
+                time.advance(10ms);
+            }
+            section("the early ones cannot know better, but of the last second nobody returns into it", [&] {
+                CPPUNIT_ASSERT(within < 200);
+                CPPUNIT_ASSERT_EQUAL(0, late_ones_within);
+            });
+            section("after a calm the advice is short again", [&] {
+                time.advance(250ms);
+                advice.record_rejection();
+                CPPUNIT_ASSERT(advice.suggest(5ms, random) <= 100ms);
+            });
+        });
+        section("a long line is waited for", [] {
+            manual_clock time;
+            seeded_random random;
+            return_advice advice(time);
+            advice.record_rejection();
+            CPPUNIT_ASSERT(advice.suggest(700ms, random) >= 700ms);
+        });
+    }
+
 private:
     static void release_for(waiting_line& line, manual_clock& time, int times, duration pause)
     {
--- a/src/gateway/internal/forward_run.cpp
+++ b/src/gateway/internal/forward_run.cpp
@@ -558,7 +558,7 @@
 
 void forward_run::reject(const error& cause)
 {
-    const auto retry_after = this->context.desk.suggest_return(this->routed.service);
+    const auto retry_after = this->context.desk.advise_return(this->routed.service);
     write_event(log_event::request_rejected,
                 {{"request", this->routed.request.id},
                  {"cause", cause.detail},
--- a/src/gateway/internal/place_desk.cpp
+++ b/src/gateway/internal/place_desk.cpp
@@ -5,23 +5,19 @@
 
 namespace tanager {
 
-namespace {
-
-// The shortest and longest suggestions to a rejected caller; short enough to leave time for a second try
-// within the shortest deadlines in use.
-constexpr std::chrono::milliseconds soonest_return{50};
-constexpr std::chrono::milliseconds latest_return{2'000};
-
-} // namespace
-
 place_desk::place_desk(const clock& time, random_source& random, server_pool& pool)
     : time(time), random(random), pool(pool)
 {
 }
 
+place_desk::service_desk& place_desk::desk_of(const std::string& service)
+{
+    return this->desks.try_emplace(service, this->time).first->second;
+}
+
 waiting_line& place_desk::line_of(const std::string& service)
 {
-    return this->lines.try_emplace(service, this->time).first->second;
+    return this->desk_of(service).line;
 }
 
 placement_result place_desk::choose(const place_request& wanted, std::vector<placement_candidate>& candidates)
@@ -142,9 +138,9 @@
 
 void place_desk::review()
 {
-    for (auto& [service, line] : this->lines) {
-        if (line.size() > 0) {
-            this->serve_line(line);
+    for (auto& [service, desk] : this->desks) {
+        if (desk.line.size() > 0) {
+            this->serve_line(desk.line);
         }
     }
 }
@@ -154,21 +150,13 @@
     return this->kept.size();
 }
 
-std::chrono::milliseconds place_desk::suggest_return(const std::string& service) const
+std::chrono::milliseconds place_desk::advise_return(const std::string& service)
 {
-    const auto found = this->lines.find(service);
-    if (found == this->lines.end()) {
-        return soonest_return;
-    }
-    const auto start = found->second.expected_start(std::numeric_limits<std::uint32_t>::max());
-    if (start == time_point::max()) {
-        return latest_return;
-    }
-    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(start - this->time.now());
-    // Spread over twice the expected wait, so that those rejected together do not return together.
-    const auto spread = static_cast<std::uint64_t>(std::max(wait, soonest_return).count());
-    const std::chrono::milliseconds drawn{static_cast<std::int64_t>(this->random.next() % spread)};
-    return std::clamp(wait + drawn, soonest_return, latest_return);
+    auto& desk = this->desk_of(service);
+    desk.advice.record_rejection();
+    const auto start = desk.line.expected_start(std::numeric_limits<std::uint32_t>::max());
+    const auto wait = start == time_point::max() ? duration{0} : start - this->time.now();
+    return desk.advice.suggest(wait, this->random);
 }
 
 } // namespace tanager
--- a/src/gateway/place_desk.h
+++ b/src/gateway/place_desk.h
@@ -1,6 +1,7 @@
 // Gives requests their places on backend servers, now or when one comes free.
 #pragma once
 
+#include "admission/return_advice.h"
 #include "admission/waiting_line.h"
 #include "base/random_source.h"
 #include "gateway/server_pool.h"
@@ -73,8 +74,8 @@
 
     std::size_t waiting() const;
 
-    // Returns when a request that is rejected now may expect a place.
-    std::chrono::milliseconds suggest_return(const std::string& service) const;
+    // Returns when a caller whose request is rejected now should come back.
+    std::chrono::milliseconds advise_return(const std::string& service);
 
 private:
     struct kept_request {
@@ -87,14 +88,23 @@
                const placement& chosen,
                const std::vector<placement_candidate>& candidates,
                place_listener& listener);
+    // What is kept for each service.
+    struct service_desk {
+        explicit service_desk(const clock& time) : line(time), advice(time) {}
+
+        waiting_line line;
+        return_advice advice;
+    };
+
     void serve_line(waiting_line& line);
+    service_desk& desk_of(const std::string& service);
     waiting_line& line_of(const std::string& service);
 
     const clock& time;
     random_source& random;
     server_pool& pool;
     std::uint64_t last_ticket = 0;
-    std::map<std::string, waiting_line> lines;
+    std::map<std::string, service_desk> desks;
     std::map<std::uint64_t, kept_request> kept;
 };
 
