Forget what was learned of servers that have gone, and drop fields that nobody reads

Cause: trust, reading rates and prompt memory kept a row for each server that ever was; ids differ with each start, so a long-lived gateway would grow without bound. Found by reading. Change: once a minute the rows of servers that are not listed go. Test: fleet_tests, drops_what_was_learned_of_servers_that_have_gone.

--- a/src/fleet/internal/prompt_memory.cpp
+++ b/src/fleet/internal/prompt_memory.cpp
@@ -31,9 +31,9 @@
     return engine != this->engines.end() && engine->second.held.contains(shared_key);
 }
 
-void prompt_memory::forget(const std::string& server_id)
+void prompt_memory::keep_only(const std::set<std::string>& listed)
 {
-    this->engines.erase(server_id);
+    std::erase_if(this->engines, [&](const auto& row) { return !listed.contains(row.first); });
 }
 
 } // namespace tanager
--- a/src/fleet/internal/reading_rate.cpp
+++ b/src/fleet/internal/reading_rate.cpp
@@ -82,9 +82,9 @@
     return this->line_of(server).slope * factor;
 }
 
-void reading_rate::forget(const std::string& server_id)
+void reading_rate::keep_only(const std::set<std::string>& listed)
 {
-    this->factors.erase(server_id);
+    std::erase_if(this->factors, [&](const auto& row) { return !listed.contains(row.first); });
 }
 
 } // namespace tanager
--- a/src/fleet/internal/server_list.cpp
+++ b/src/fleet/internal/server_list.cpp
@@ -1,7 +1,5 @@
 #include "fleet/server_list.h"
 
-#include <set>
-
 namespace tanager {
 
 server_list::server_list(const clock& time, duration return_grace)
@@ -119,6 +117,15 @@
     return found == this->servers.end() || found->second.said_leaving ? nullptr : found->second.server;
 }
 
+std::set<std::string> server_list::ids() const
+{
+    std::set<std::string> found;
+    for (const auto& [id, row] : this->servers) {
+        found.insert(id);
+    }
+    return found;
+}
+
 bool server_list::takes_work(const std::string& id) const
 {
     const auto found = this->servers.find(id);
--- a/src/fleet/internal/server_trust.cpp
+++ b/src/fleet/internal/server_trust.cpp
@@ -72,9 +72,9 @@
     return found != this->rows.end() && found->second.on_trial;
 }
 
-void server_trust::forget(const std::string& id)
+void server_trust::keep_only(const std::set<std::string>& listed)
 {
-    this->rows.erase(id);
+    std::erase_if(this->rows, [&](const auto& row) { return !listed.contains(row.first); });
 }
 
 } // namespace tanager
--- a/src/fleet/prompt_memory.h
+++ b/src/fleet/prompt_memory.h
@@ -16,7 +16,8 @@
 
     bool holds(const std::string& server_id, std::uint64_t shared_key) const;
 
-    void forget(const std::string& server_id);
+    // Drops what is known of servers that are not in the list any more.
+    void keep_only(const std::set<std::string>& listed);
 
 private:
     struct engine_memory {
--- a/src/fleet/reading_rate.h
+++ b/src/fleet/reading_rate.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 
 namespace tanager {
@@ -24,7 +25,8 @@
     double fixed_milliseconds(const backend_server& server) const;
     double token_milliseconds(const backend_server& server) const;
 
-    void forget(const std::string& server_id);
+    // Drops what is known of servers that are not in the list any more.
+    void keep_only(const std::set<std::string>& listed);
 
 private:
     struct group_key {
--- a/src/fleet/server_list.h
+++ b/src/fleet/server_list.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -47,6 +48,9 @@
     // Returns every server that takes work.
     std::vector<std::shared_ptr<const backend_server>> serving() const;
 
+    // Returns the ids of all servers in the list, draining ones included.
+    std::set<std::string> ids() const;
+
     bool takes_work(const std::string& id) const;
 
     // Returns a server that takes work, or null.
--- a/src/fleet/server_trust.h
+++ b/src/fleet/server_trust.h
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 
 #include <map>
+#include <set>
 #include <string>
 
 namespace tanager {
@@ -31,7 +32,8 @@
     // Returns whether the server has been put aside and has not answered since.
     bool is_on_trial(const std::string& id) const;
 
-    void forget(const std::string& id);
+    // Drops what is known of servers that are not in the list any more.
+    void keep_only(const std::set<std::string>& listed);
 
 private:
     struct standing {
--- a/src/fleet/tests/fleet_tests.cpp
+++ b/src/fleet/tests/fleet_tests.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(passes_over_servers_that_fail_often);
     CPPUNIT_TEST(learns_how_fast_an_engine_reads);
     CPPUNIT_TEST(remembers_a_bounded_number_of_parts);
+    CPPUNIT_TEST(drops_what_was_learned_of_servers_that_have_gone);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -186,6 +187,33 @@
         });
     }
 
+    void drops_what_was_learned_of_servers_that_have_gone()
+    {
+        section("one of two engines has gone for good", [] {
+            manual_clock time;
+            server_list servers(time, grace);
+            server_trust trust(time);
+            prompt_memory memory;
+            reading_rate rates;
+            const auto unknown = rates.token_milliseconds(make_server("gone"));
+            for (const auto* const id : {"gone", "stays"}) {
+                servers.apply({id, make_server(id)});
+                trust.record(id, server_sign::silent);
+                trust.record(id, server_sign::silent);
+                memory.remember(id, 7);
+                rates.record(make_server(id), 5'000, 5s);
+            }
+            time.advance(grace);
+            servers.apply({"gone", std::nullopt});
+            trust.keep_only(servers.ids());
+            memory.keep_only(servers.ids());
+            rates.keep_only(servers.ids());
+            CPPUNIT_ASSERT(!trust.is_on_trial("gone") && trust.is_on_trial("stays"));
+            CPPUNIT_ASSERT(!memory.holds("gone", 7) && memory.holds("stays", 7));
+            CPPUNIT_ASSERT(rates.token_milliseconds(make_server("stays")) > unknown);
+        });
+    }
+
     void remembers_a_bounded_number_of_parts()
     {
         section("an engine that is given many shared parts", [] {
--- a/src/gateway/gateway_setup.cpp
+++ b/src/gateway/gateway_setup.cpp
@@ -30,6 +30,8 @@
 constexpr std::chrono::milliseconds review_interval{5};
 constexpr std::chrono::milliseconds housekeeping_interval{100};
 constexpr std::chrono::milliseconds role_interval{500};
+// An entry that lapses for a moment should not cost what was learned of its server.
+constexpr std::chrono::minutes cleaning_interval{1};
 // A turn of the loop that comes this much late means that the process stood still.
 constexpr std::chrono::milliseconds gap_bound{400};
 // Descriptors that callers do not get: connections to servers, the store and operators, and files.
@@ -100,6 +102,7 @@
         this->last_turn = this->time.now();
         this->review_timer = loop.run_every(review_interval, [this] { this->desk.review(); });
         this->housekeeping = loop.run_every(housekeeping_interval, [this] { this->keep_house(); });
+        this->cleaning = loop.run_every(cleaning_interval, [this] { this->pool.forget_gone(); });
         this->configuration_follower->start();
         this->server_follower->start();
     }
@@ -313,6 +316,7 @@
     std::unique_ptr<loop_timer> role_timer;
     std::unique_ptr<loop_timer> review_timer;
     std::unique_ptr<loop_timer> housekeeping;
+    std::unique_ptr<loop_timer> cleaning;
     std::unique_ptr<loop_timer> stop_timer;
     time_point last_turn;
     time_point stopped_at;
--- a/src/gateway/internal/server_pool.cpp
+++ b/src/gateway/internal/server_pool.cpp
@@ -154,6 +154,14 @@
     this->changed = std::move(callback);
 }
 
+void server_pool::forget_gone()
+{
+    const auto listed = this->known.ids();
+    this->trust.keep_only(listed);
+    this->rates.keep_only(listed);
+    this->memory.keep_only(listed);
+}
+
 const std::map<std::string, own_load>& server_pool::loads() const
 {
     return this->own_loads;
--- a/src/gateway/server_pool.h
+++ b/src/gateway/server_pool.h
@@ -77,6 +77,9 @@
     // Learns from what one request says of its server.
     void record(const std::string& server_id, server_sign sign);
 
+    // Drops what was learned of servers that have gone, whose ids never come back.
+    void forget_gone();
+
     const std::map<std::string, own_load>& loads() const;
 
     // Called after each change of the loads.
--- a/src/gateway/types/caller_request.h
+++ b/src/gateway/types/caller_request.h
@@ -50,7 +50,6 @@
     bool is_signed = false;    // carries the server's digest
     bool not_run = false;      // the server states that it did not run the request
     bool other_server = false; // the address belongs to another server by now
-    bool is_event_stream = false;
 
     friend bool operator==(const answer_head&, const answer_head&) = default;
 };
--- a/src/routes/types/route_table.h
+++ b/src/routes/types/route_table.h
@@ -46,19 +46,9 @@
     friend bool operator==(const route&, const route&) = default;
 };
 
-// How a service's model engines work; all zero for a plain service.
-struct engine_traits {
-    std::uint32_t slots = 0;
-    std::uint64_t cache_tokens = 0;
-    std::chrono::milliseconds handle_lifetime{0};
-
-    friend bool operator==(const engine_traits&, const engine_traits&) = default;
-};
-
 struct service_entry {
     std::string name;
     bool is_model = false;
-    engine_traits engine;
 
     friend bool operator==(const service_entry&, const service_entry&) = default;
 };
