--- a/src/admission/tests/admission_tests.cpp
+++ b/src/admission/tests/admission_tests.cpp
@@ -1,10 +1,10 @@
 #include "admission/return_advice.h"
 #include "admission/waiting_line.h"
 #include "base/mocks/manual_clock.h"
+#include "base/mocks/seeded_random.h"
 #include "testing/story.h"
 
 #include <cppunit/extensions/HelperMacros.h>
-#include <random>
 
 namespace tanager {
 
@@ -13,16 +13,9 @@
 using namespace std::chrono_literals;
 using testing::section;
 
-class seeded_random final : public random_source {
-public:
-    std::uint64_t next() override
-    {
-        return this->engine();
-    }
+constexpr std::uint64_t seed = 20261204;
 
-private:
-    std::mt19937_64 engine{20261204};
-};
+;
 
 class admission_tests : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(admission_tests);
@@ -108,7 +101,7 @@
     {
         section("a hundred callers are rejected each second for three seconds", [] {
             manual_clock time;
-            seeded_random random;
+            seeded_random random(seed);
             return_advice advice(time);
             const auto end = time.now() + 3s;
             int within = 0;
@@ -132,7 +125,7 @@
         });
         section("a long line is waited for", [] {
             manual_clock time;
-            seeded_random random;
+            seeded_random random(seed);
             return_advice advice(time);
             advice.record_rejection();
             CPPUNIT_ASSERT(advice.suggest(700ms, random) >= 700ms);
--- a/src/gateway/tests/gateway_tests.cpp
+++ b/src/gateway/tests/gateway_tests.cpp
@@ -1,5 +1,6 @@
 #include "base/digest.h"
 #include "base/mocks/manual_clock.h"
+#include "base/mocks/seeded_random.h"
 #include "gateway/internal/forward_run.h"
 #include "gateway/mocks/plain_codec.h"
 #include "net/mocks/fake_client.h"
@@ -18,17 +19,9 @@
 
 constexpr double every_request = 1.0;
 constexpr double reserve = 3;
+constexpr std::uint64_t gateway_seed = 7;
 
-class seeded_random final : public random_source {
-public:
-    std::uint64_t next() override
-    {
-        return this->engine();
-    }
-
-private:
-    std::mt19937_64 engine{7};
-};
+;
 
 class nobody_else final : public elsewhere_view {
 public:
@@ -115,7 +108,7 @@
 
     std::unique_ptr<event_loop> loop;
     manual_clock time;
-    seeded_random random;
+    seeded_random random{gateway_seed};
     metrics_registry metrics;
     plain_codec codec;
     fake_client client;
--- a/src/placement/tests/placement_tests.cpp
+++ b/src/placement/tests/placement_tests.cpp
@@ -1,9 +1,9 @@
+#include "base/mocks/seeded_random.h"
 #include "placement/server_choice.h"
 #include "testing/story.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <map>
-#include <random>
 
 namespace tanager {
 
@@ -12,16 +12,9 @@
 using namespace std::chrono_literals;
 using testing::section;
 
-class seeded_random final : public random_source {
-public:
-    std::uint64_t next() override
-    {
-        return this->engine();
-    }
+constexpr std::uint64_t seed = 20261204;
 
-private:
-    std::mt19937_64 engine{20261204};
-};
+;
 
 placement_candidate make_candidate(const std::string& id, engine_role role, double token_milliseconds)
 {
@@ -69,7 +62,7 @@
     void spreads_plain_requests()
     {
         section("three plain servers, one of them with less to do", [] {
-            seeded_random random;
+            seeded_random random(seed);
             std::vector<placement_candidate> servers;
             for (const auto* const id : {"a", "b", "c"}) {
                 servers.push_back(make_candidate(id, engine_role::none, 0));
@@ -99,7 +92,7 @@
     void passes_over_what_cannot_serve()
     {
         section("two servers, of which one is aside", [] {
-            seeded_random random;
+            seeded_random random(seed);
             std::vector servers{make_candidate("a", engine_role::none, 0),
                                 make_candidate("b", engine_role::none, 0)};
             servers[0].is_aside = true;
@@ -128,7 +121,7 @@
     void reads_long_prompts_apart()
     {
         section("an idle fleet gets a long prompt", [] {
-            seeded_random random;
+            seeded_random random(seed);
             auto fleet = make_fleet();
             const auto chosen = choose_engines(check, 100ms, fleet, random);
             CPPUNIT_ASSERT(chosen->reader.has_value());
@@ -146,7 +139,7 @@
     void generates_nearby_where_there_is_room()
     {
         section("a long prompt is read apart, and one engine of this data centre has room", [] {
-            seeded_random random;
+            seeded_random random(seed);
             auto fleet = make_fleet();
             fleet[3].is_local = true;
             fleet[3].running_elsewhere = 1;
@@ -163,7 +156,7 @@
     void keeps_a_shared_part_at_its_home()
     {
         section("one subject is asked for again and again, from any gateway", [] {
-            seeded_random random;
+            seeded_random random(seed);
             const auto fleet = make_fleet();
             const auto first = choose_engines(check, 100ms, fleet, random);
             for (int count = 0; count < 50; ++count) {
@@ -177,7 +170,7 @@
     void moves_few_homes_when_an_engine_goes()
     {
         section("a thousand subjects, and readers of which one goes", [] {
-            seeded_random random;
+            seeded_random random(seed);
             std::vector<placement_candidate> before = make_fleet();
             for (int index = 2; index < 5; ++index) {
                 before.push_back(
@@ -201,7 +194,7 @@
     void says_no_place_rather_than_late()
     {
         section("each engine has more to read than fits the time left", [] {
-            seeded_random random;
+            seeded_random random(seed);
             auto fleet = make_fleet();
             for (auto& candidate : fleet) {
                 candidate.unread_tokens = 100'000;
@@ -209,7 +202,7 @@
             CPPUNIT_ASSERT(choose_engines(check, 100ms, fleet, random).error() == placement_miss::no_place);
         });
         section("each slot is taken", [] {
-            seeded_random random;
+            seeded_random random(seed);
             auto fleet = make_fleet();
             for (auto& candidate : fleet) {
                 candidate.running_elsewhere = 6;
@@ -217,7 +210,7 @@
             CPPUNIT_ASSERT(choose_engines(draft, 100ms, fleet, random).error() == placement_miss::no_place);
         });
         section("only readers are left", [] {
-            seeded_random random;
+            seeded_random random(seed);
             auto fleet = make_fleet();
             fleet.erase(fleet.begin(), fleet.begin() + 7);
             CPPUNIT_ASSERT(choose_engines(draft, 100ms, fleet, random).error() == placement_miss::no_server);
@@ -227,7 +220,7 @@
     void finds_a_place_for_oversized_prompts()
     {
         section("a prompt that no engine could read within its objective", [] {
-            seeded_random random;
+            seeded_random random(seed);
             auto fleet = make_fleet();
             auto prompt = check;
             prompt.own_tokens = 90'000;
@@ -244,7 +237,7 @@
     void sends_short_prompts_where_most_room_is()
     {
         section("a draft comes while all engines but one are nearly full", [] {
-            seeded_random random;
+            seeded_random random(seed);
             auto fleet = make_fleet();
             for (auto& candidate : fleet) {
                 candidate.running_elsewhere = 5;
