Tell a crash only when every connected entry knows of it

Ruled out: relaying from the entry that ran the request (still a race of two connections). Now the agent announces the crash, each entry confirms the report, and only then is the failure told; an entry that does not confirm within 300 ms or has gone is not waited for.

--- a/src/agent/agent_setup.cpp
+++ b/src/agent/agent_setup.cpp
@@ -82,7 +82,9 @@
               [this] { this->refresh_gauges(); })
     {
         this->known.on_change([this] { this->on_catalogue_change(); });
-        this->backend_stage.on_crash([this] { this->hub.broadcast_crashes(); });
+        this->backend_stage.on_crash([this](const crash_report& report, task announced) {
+            this->hub.announce_crash(report, std::move(announced));
+        });
         this->backend_stage.on_released([this] { this->queue_stage.start_ready(); });
         this->housekeeping = loop.run_every(housekeeping_interval, [this] { this->keep_house(); });
     }
--- a/src/agent/internal/backend_filter.cpp
+++ b/src/agent/internal/backend_filter.cpp
@@ -40,34 +40,44 @@
     ++this->running_attempts;
     const auto pool = this->known.find_pool(work.request->pool());
     const bool is_model = pool == nullptr || pool->kind == pool_kind::model;
+    const auto fingerprint = work.request->fingerprint();
     const auto call = std::make_shared<backend_call>(
         this->loop,
         this->time,
         this->metrics,
         std::move(work),
         is_model,
-        [this](std::function<void(std::uint64_t)> verdict) { this->monitor.investigate(std::move(verdict)); },
+        [this, fingerprint](const backend_monitor::verdict_callback& verdict) {
+            this->investigate(fingerprint, verdict);
+        },
         [this](const dispatched_work& ended, const backend_outcome& outcome) {
             this->on_done(ended, outcome);
         });
     call->start(this->client, this->backend);
 }
 
+// Finds out whether a broken call was a crash. A crash is told only once it has been announced.
+void backend_filter::investigate(std::uint64_t fingerprint, const backend_monitor::verdict_callback& verdict)
+{
+    this->monitor.investigate([this, fingerprint, verdict](std::uint64_t crash) {
+        if (crash == 0) {
+            verdict(crash);
+            return;
+        }
+        this->metrics.count("tanager_crash_suspects_total");
+        this->crashed({crash, fingerprint}, [verdict, crash] { verdict(crash); });
+    });
+}
+
 void backend_filter::on_done(const dispatched_work& work, const backend_outcome& outcome)
 {
     --this->running_attempts;
     this->ledger.release(work.request->member(), work.request->pieces());
-    const auto fingerprint = work.request->fingerprint();
-    if (outcome.crash != 0) {
-        this->crashes.record({outcome.crash, fingerprint});
-        this->metrics.count("tanager_crash_suspects_total");
-        this->crash_callback();
-    }
     if (outcome.not_run) {
         this->monitor.note_refused();
     }
     if (outcome.ended && work.alone) {
-        this->crashes.clear(fingerprint);
+        this->crashes.clear(work.request->fingerprint());
     }
     if (outcome.ended) {
         this->metrics.count("tanager_attempts_finished_total");
@@ -93,9 +103,9 @@
     this->released_callback = std::move(callback);
 }
 
-void backend_filter::on_crash(std::function<void()> callback)
+void backend_filter::on_crash(crash_callback callback)
 {
-    this->crash_callback = std::move(callback);
+    this->crashed = std::move(callback);
 }
 
 std::size_t backend_filter::running() const
--- a/src/agent/internal/backend_filter.h
+++ b/src/agent/internal/backend_filter.h
@@ -37,13 +37,15 @@
     // Called each time pieces were given back.
     void on_released(std::function<void()> callback);
 
-    // Called each time a crash was recorded.
-    void on_crash(std::function<void()> callback);
+    // Called for each request that was running at a crash; `announced` lets its failure be told.
+    using crash_callback = std::function<void(const crash_report& report, std::function<void()> announced)>;
+    void on_crash(crash_callback callback);
 
     // Returns the attempts that the backend server is running.
     std::size_t running() const;
 
 private:
+    void investigate(std::uint64_t fingerprint, const backend_monitor::verdict_callback& verdict);
     void on_done(const dispatched_work& work, const backend_outcome& outcome);
 
     event_loop& loop;
@@ -58,7 +60,7 @@
     metrics_registry& metrics;
     std::size_t running_attempts = 0;
     std::function<void()> released_callback;
-    std::function<void()> crash_callback;
+    crash_callback crashed;
 };
 
 } // namespace tanager
--- a/src/agent/internal/entry_hub.cpp
+++ b/src/agent/internal/entry_hub.cpp
@@ -11,6 +11,8 @@
 // TCP, HTTP/2 and gRPC framing around a report.
 constexpr std::size_t framing_bytes = 80;
 constexpr std::size_t typical_report_bytes = 160;
+// A report and its confirmation between regions, with a retransmission.
+constexpr std::chrono::milliseconds confirmation_patience{300};
 
 } // namespace
 
@@ -33,6 +35,7 @@
       windows(windows),
       crashes(crashes),
       queue_size(std::move(queue_size)),
+      confirmations(time, confirmation_patience),
       ticks(loop.run_every(settings.shortest_report_interval, [this] { this->on_tick(); }))
 {
 }
@@ -53,6 +56,7 @@
 
 void entry_hub::on_tick()
 {
+    this->confirmations.expire();
     const auto now = this->time.now();
     for (auto& [id, entry] : this->entries) {
         if (entry.next_report <= now) {
@@ -70,6 +74,7 @@
     stream->on_message([this, id](const protocol::entry_message& message) { this->on_message(id, message); });
     stream->on_closed([this, id] {
         this->entries.erase(id);
+        this->confirmations.drop_entry(id);
         write_event(log_event::entry_disconnected, {{"entries", std::to_string(this->entries.size())}});
     });
     auto first = this->make_report();
@@ -127,6 +132,27 @@
     }
 }
 
+void entry_hub::announce_crash(const crash_report& report, task confirmed)
+{
+    this->crashes.record(report);
+    std::set<std::uint64_t> asked;
+    for (const auto& [id, entry] : this->entries) {
+        asked.insert(id);
+    }
+    this->broadcast_crashes();
+    this->confirmations.expect(report, std::move(asked), std::move(confirmed));
+}
+
+void entry_hub::note_crashes(std::uint64_t id, const protocol::entry_message& message)
+{
+    if (record_crashes(message, this->crashes)) {
+        this->broadcast_crashes();
+    }
+    for (const auto& row : message.crashes()) {
+        this->confirmations.confirm(id, {row.crash(), row.fingerprint()});
+    }
+}
+
 void entry_hub::on_message(std::uint64_t id, const protocol::entry_message& message)
 {
     const auto sender = this->entries.find(id);
@@ -137,9 +163,7 @@
     for (const auto& row : message.claim_windows()) {
         this->windows.note(row.shard(), row.window());
     }
-    if (record_crashes(message, this->crashes)) {
-        this->broadcast_crashes();
-    }
+    this->note_crashes(id, message);
     if (message.host_listed_leaving() && !this->status.is_leaving()) {
         this->status.set_leaving();
         write_event(log_event::agent_leaving, {{"host", this->settings.host}, {"source", "host list"}});
--- a/src/agent/internal/entry_hub.h
+++ b/src/agent/internal/entry_hub.h
@@ -7,6 +7,7 @@
 #include "catalogue/catalogue.h"
 #include "limits/share_ledger.h"
 #include "net/event_loop.h"
+#include "quarantine/crash_confirmations.h"
 
 #include <functional>
 #include <map>
@@ -33,8 +34,9 @@
     // Sends the present state to every entry now.
     void broadcast();
 
-    // Tells every entry of the crashes that this agent knows of.
-    void broadcast_crashes();
+    // Tells every entry that a request was running at a crash; calls `confirmed` when they know, or could not
+    // be reached in time.
+    void announce_crash(const crash_report& report, task confirmed);
 
     // Ends every connection.
     void close_all();
@@ -47,6 +49,8 @@
 private:
     void on_message(std::uint64_t id, const protocol::entry_message& message);
     void on_tick();
+    void broadcast_crashes();
+    void note_crashes(std::uint64_t id, const protocol::entry_message& message);
     struct connected_entry {
         std::shared_ptr<entry_stream> stream;
         std::chrono::milliseconds wanted_interval{0};
@@ -69,6 +73,7 @@
     claim_windows& windows;
     crash_ledger& crashes;
     std::function<std::size_t()> queue_size;
+    crash_confirmations confirmations;
     std::map<std::uint64_t, connected_entry> entries;
     std::uint64_t last_id = 0;
     std::uint64_t bytes = 0;
--- a/src/entry/internal/agent_directory.cpp
+++ b/src/entry/internal/agent_directory.cpp
@@ -156,12 +156,7 @@
     const std::chrono::milliseconds interval{message.report_interval_milliseconds()};
     const bool is_current = this->monitor.record_heartbeat(
         host, message.agent_incarnation(), message.leaving(), missed_reports * interval + report_grace);
-    if (record_crashes(message, this->crashes)) {
-        // Other agents hear of it through the entries.
-        auto relayed = this->make_message();
-        add_crashes(this->crashes, relayed);
-        this->send_to_all(relayed);
-    }
+    this->note_crashes(address, message);
     if (!is_current) {
         return;
     }
@@ -169,6 +164,26 @@
     this->answer_catalogue_part(address, message);
 }
 
+// Agents hear of crashes elsewhere through the entries. The sender gets the reports back in any case: until
+// then it tells nobody that the request has failed.
+void agent_directory::note_crashes(const std::string& address, const protocol::agent_message& message)
+{
+    if (message.crashes().empty()) {
+        return;
+    }
+    const bool any_new = record_crashes(message, this->crashes);
+    auto answer = this->make_message();
+    add_crashes(this->crashes, answer);
+    if (any_new) {
+        this->send_to_all(answer);
+        return;
+    }
+    const auto link = this->links_by_address.find(address);
+    if (link != this->links_by_address.end()) {
+        link->second->send(answer);
+    }
+}
+
 void agent_directory::answer_catalogue_part(const std::string& address,
                                             const protocol::agent_message& message)
 {
--- a/src/entry/internal/agent_directory.h
+++ b/src/entry/internal/agent_directory.h
@@ -66,6 +66,7 @@
     void on_message(const std::string& address, const protocol::agent_message& message);
     void on_connected(const std::string& address);
     void on_broken(const std::string& address);
+    void note_crashes(const std::string& address, const protocol::agent_message& message);
     void answer_catalogue_part(const std::string& address, const protocol::agent_message& message);
     protocol::entry_message make_message() const;
     void send_to_all(const protocol::entry_message& message);
--- a/src/quarantine/tests/quarantine_tests.cpp
+++ b/src/quarantine/tests/quarantine_tests.cpp
@@ -1,6 +1,7 @@
 #include "base/mocks/counting_invariant_monitor.h"
 #include "base/mocks/manual_clock.h"
 #include "limits/admission_queue.h"
+#include "quarantine/crash_confirmations.h"
 #include "quarantine/crash_ledger.h"
 #include "testing/story.h"
 
@@ -23,6 +24,7 @@
     CPPUNIT_TEST(two_crashes_refuse_a_request);
     CPPUNIT_TEST(the_innocent_are_cleared_by_finishing);
     CPPUNIT_TEST(a_suspect_runs_alone);
+    CPPUNIT_TEST(a_crash_is_told_when_every_entry_knows);
     CPPUNIT_TEST(random_crashes_stop_at_two);
     CPPUNIT_TEST_SUITE_END();
 
@@ -64,6 +66,49 @@
         });
     }
 
+    void a_crash_is_told_when_every_entry_knows()
+    {
+        constexpr std::chrono::milliseconds patience{300};
+        manual_clock time;
+        crash_confirmations confirmations(time, patience);
+        int told = 0;
+        const auto tell = [&] {
+            ++told;
+        };
+        section("not while one of two entries has not confirmed", [&] {
+            confirmations.expect({1, 7}, {1, 2}, tell);
+            confirmations.confirm(1, {1, 7});
+            CPPUNIT_ASSERT_EQUAL(0, told);
+            section("nor when it confirms another request", [&] { confirmations.confirm(2, {1, 8}); });
+            CPPUNIT_ASSERT_EQUAL(0, told);
+            section("but when it confirms this one, once", [&] {
+                confirmations.confirm(2, {1, 7});
+                confirmations.confirm(2, {1, 7});
+                CPPUNIT_ASSERT_EQUAL(1, told);
+            });
+        });
+        section("an entry that has gone is not waited for", [&] {
+            confirmations.expect({2, 7}, {1, 2}, tell);
+            confirmations.confirm(1, {2, 7});
+            confirmations.drop_entry(2);
+            CPPUNIT_ASSERT_EQUAL(2, told);
+        });
+        section("nor one that stays silent for too long", [&] {
+            confirmations.expect({3, 7}, {1}, tell);
+            time.advance(patience - std::chrono::milliseconds{1});
+            confirmations.expire();
+            CPPUNIT_ASSERT_EQUAL(2, told);
+            time.advance(std::chrono::milliseconds{1});
+            confirmations.expire();
+            CPPUNIT_ASSERT_EQUAL(3, told);
+        });
+        section("with no entry there is nothing to wait for", [&] {
+            confirmations.expect({4, 7}, {}, tell);
+            CPPUNIT_ASSERT_EQUAL(4, told);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, confirmations.waiting());
+        });
+    }
+
     void a_suspect_runs_alone()
     {
         counting_invariant_monitor invariants;
