Mind the link of its own host when placing prompts

Cause: on the grown Yesil Dongu site 19 of 27 hosts have links of 10 Mbit/s. A long prompt that is read apart leaves its host twice; the time on the link was taken for slowness of the engines (reading rates), and requests were granted places that their bytes could not reach in time.

--- a/src/gateway/gateway_setup.cpp
+++ b/src/gateway/gateway_setup.cpp
@@ -77,7 +77,8 @@
           store_client(http_client::create(loop)),
           store(this->dialect.make_store(*this->store_client, store_address)),
           pool(this->time, settings.data_centre, settings.return_grace, this->elsewhere),
-          desk(this->time, this->random, this->pool),
+          link(this->time, settings.link_megabits),
+          desk(this->time, this->random, this->pool, this->link),
           retries(settings.retry_share, retry_reserve),
           demand(this->time),
           configuration(*this->dialect.entries, this->routes),
@@ -225,7 +226,8 @@
                 this->pool,
                 this->desk,
                 this->retries,
-                this->demand};
+                this->demand,
+                this->link};
     }
 
     bool is_informed() const
@@ -300,6 +302,7 @@
     exchanged_view elsewhere;
     route_directory routes;
     server_pool pool;
+    uplink link;
     place_desk desk;
     retry_budget retries;
     demand_meter demand;
--- a/src/gateway/internal/forward_run.cpp
+++ b/src/gateway/internal/forward_run.cpp
@@ -32,6 +32,8 @@
 constexpr std::chrono::milliseconds call_slack{1'000};
 // Bytes for a slow caller above which the server is not read from.
 constexpr std::size_t unsent_bound = std::size_t{128} * 1024;
+// The head of a request as it is sent on.
+constexpr std::size_t typical_head_bytes = 500;
 // An engine preempts what is less urgent. A long output has the most to lose from that, and takes little
 // reading.
 constexpr std::uint32_t long_output_priority = 3;
@@ -101,6 +103,7 @@
             this->routed.chosen_route->priority,
             std::max(latest_start, now),
             this->routed.received + std::chrono::duration_cast<duration>(due_share * objective),
+            this->routed.exchange->request().body.size() + typical_head_bytes,
             this->untaken_cache.has_value(),
             this->tried};
 }
@@ -144,6 +147,16 @@
     return order;
 }
 
+// Encodes a call, and counts its bytes as handed to this host's link.
+http_request forward_run::encode_for(const attempt_order& order)
+{
+    auto encoded = this->context.codec.encode(this->routed.exchange->request(), order);
+    const auto bytes = encoded.body.size() + typical_head_bytes;
+    this->sending = this->context.link.expect(bytes).total();
+    this->context.link.record(bytes);
+    return encoded;
+}
+
 // The prompt is read by another engine than the one that generates. Whatever goes wrong here, the request has
 // not run, and the generating engine can still read the prompt itself.
 void forward_run::read_prompt()
@@ -163,7 +176,7 @@
     this->reading = std::make_shared<prompt_reading>(
         this->context.codec, this->context.pool, this->place.reader, this->routed.request);
     this->reading->start(this->context.client,
-                         this->context.codec.encode(this->routed.exchange->request(), order),
+                         this->encode_for(order),
                          options,
                          [weak = this->weak_from_this()](const result<cache_handle>& cache) {
                              if (const auto alive = weak.lock()) {
@@ -210,7 +223,9 @@
     const auto reader = this->place.reader == nullptr ? this->place.server : this->place.reader;
     if (is_measured) {
         this->context.pool.record_reading(
-            *reader, this->place.tokens_before, this->context.time.now() - this->reading_since);
+            *reader,
+            this->place.tokens_before,
+            std::max(this->context.time.now() - this->reading_since - this->sending, duration{0}));
     }
     const auto tokens = std::exchange(this->place.unread_tokens, 0);
     this->place.tokens_before = 0;
@@ -276,11 +291,7 @@
                  {"with_cache", cache ? "yes" : "no"},
                  {"tokens_before", std::to_string(this->place.tokens_before)},
                  {"waited_ms", to_milliseconds(this->waited)}});
-    this->call =
-        this->context.client.start(target.address,
-                                   this->context.codec.encode(this->routed.exchange->request(), order),
-                                   options,
-                                   this->handler);
+    this->call = this->context.client.start(target.address, this->encode_for(order), options, this->handler);
     this->watch_connecting();
     this->watch_silence();
 }
@@ -404,6 +415,7 @@
                                       this->first_event);
         this->routed.exchange->start(this->head.status, this->answer_headers);
     }
+    this->context.link.record(whole.size());
     this->routed.exchange->write(whole);
     this->watch_silence();
     if (this->routed.exchange->unsent_bytes() > unsent_bound && this->call != nullptr) {
@@ -424,8 +436,8 @@
     }
     this->end_attempt(server_sign::answered);
     if (this->generating_since != time_point{}) {
-        this->context.demand.record_generation(this->routed.service,
-                                               this->context.time.now() - this->generating_since);
+        this->context.demand.record_generation(
+            this->routed.service, this->context.time.now() - this->generating_since - this->sending);
     }
     if (this->state != run_state::answering) {
         this->deliver_whole();
@@ -572,6 +584,7 @@
 
 void forward_run::deliver_whole()
 {
+    this->context.link.record(this->collected.size());
     this->routed.exchange->reply({this->head.status, this->answer_headers, this->collected});
     this->finish("complete", this->head.status);
 }
--- a/src/gateway/internal/forward_run.h
+++ b/src/gateway/internal/forward_run.h
@@ -12,6 +12,7 @@
 #include "net/http_exchange.h"
 #include "roles/demand_meter.h"
 #include "routes/types/route_table.h"
+#include "uplink/uplink.h"
 
 #include <memory>
 #include <optional>
@@ -31,6 +32,7 @@
     place_desk& desk;
     retry_budget& retries;
     demand_meter& demand;
+    uplink& link;
 };
 
 // A request that has a route.
@@ -73,6 +75,7 @@
     place_request make_place_request(time_point now) const;
     void seek_place();
     attempt_order make_order(const backend_server& target) const;
+    http_request encode_for(const attempt_order& order);
     void read_prompt();
     void on_prompt_read(const result<cache_handle>& cache);
     void send_unread(const std::string& cause);
@@ -125,6 +128,7 @@
     http_headers answer_headers;
     std::string collected;
     event_splitter events;
+    duration sending{0}; // what the last call needed to leave this host
     duration waited{0};
     duration first_event{0};
     time_point last_event;
--- a/src/gateway/internal/gateway_settings.cpp
+++ b/src/gateway/internal/gateway_settings.cpp
@@ -15,6 +15,7 @@
 constexpr integer_range gain_range{0, 1'000};
 constexpr std::int64_t default_role_gain_percent = 15;
 constexpr double percent = 100.0;
+constexpr double highest_megabits = 1e6;
 
 void load_http(settings_reader& reader, http_server_limits& http)
 {
@@ -43,6 +44,8 @@
     settings.peers = reader.read_address({"peers", "listen"}, "");
     settings.store = reader.read_address({"store", "address"}, "");
     load_http(reader, settings.http);
+    settings.link_megabits =
+        reader.read_decimal({"gateway", "link_megabits"}, defaults.link_megabits, highest_megabits);
     settings.stop_grace =
         reader.read_milliseconds({"gateway", "stop_grace_ms"}, defaults.stop_grace, grace_range);
     settings.return_grace =
--- a/src/gateway/internal/place_desk.cpp
+++ b/src/gateway/internal/place_desk.cpp
@@ -5,8 +5,8 @@
 
 namespace tanager {
 
-place_desk::place_desk(const clock& time, random_source& random, server_pool& pool)
-    : time(time), random(random), pool(pool)
+place_desk::place_desk(const clock& time, random_source& random, server_pool& pool, const uplink& link)
+    : time(time), random(random), pool(pool), link(link)
 {
 }
 
@@ -30,7 +30,7 @@
         return choose_generator(candidates, this->random);
     }
     const auto left = std::chrono::floor<std::chrono::milliseconds>(wanted.due - this->time.now());
-    return choose_engines(wanted.prompt, left, candidates, this->random);
+    return choose_engines(wanted.prompt, left, candidates, this->random, this->link.expect(wanted.bytes));
 }
 
 void place_desk::grant(const place_request& wanted,
--- a/src/gateway/place_desk.h
+++ b/src/gateway/place_desk.h
@@ -7,6 +7,7 @@
 #include "gateway/server_pool.h"
 #include "gateway/types/caller_request.h"
 #include "placement/server_choice.h"
+#include "uplink/uplink.h"
 
 #include <cstdint>
 #include <functional>
@@ -24,6 +25,7 @@
     std::uint32_t priority = 0;
     time_point latest_start; // a later start misses the objective
     time_point due;          // when the first event, or the answer, is to be there
+    std::size_t bytes = 0;   // of the request as it is sent
     bool is_read = false;    // the prompt lies in a KV cache that the server will take
     std::vector<std::string> tried;
 };
@@ -54,7 +56,7 @@
 
 class place_desk {
 public:
-    place_desk(const clock& time, random_source& random, server_pool& pool);
+    place_desk(const clock& time, random_source& random, server_pool& pool, const uplink& link);
 
     // Answers the listener at once, or keeps it until a place comes free or the latest start has passed.
     // Returns a ticket for `withdraw`.
@@ -103,6 +105,7 @@
     const clock& time;
     random_source& random;
     server_pool& pool;
+    const uplink& link;
     std::uint64_t last_ticket = 0;
     std::map<std::string, service_desk> desks;
     std::map<std::uint64_t, kept_request> kept;
--- a/src/gateway/tests/gateway_tests.cpp
+++ b/src/gateway/tests/gateway_tests.cpp
@@ -76,7 +76,8 @@
                                                           this->pool,
                                                           this->desk,
                                                           this->retries,
-                                                          this->demand},
+                                                          this->demand,
+                                                          this->link},
                                           routed_request{exchange,
                                                          request,
                                                          std::make_shared<const route>(this->route_in_force),
@@ -114,7 +115,8 @@
     fake_client client;
     nobody_else elsewhere;
     server_pool pool{time, "here", 2s, elsewhere};
-    place_desk desk{time, random, pool};
+    uplink link{time, 0};
+    place_desk desk{time, random, pool, link};
     retry_budget retries{every_request, reserve};
     demand_meter demand{time};
     route route_in_force;
--- a/src/gateway/types/gateway_settings.h
+++ b/src/gateway/types/gateway_settings.h
@@ -14,10 +14,11 @@
     std::string host;
     std::string data_centre;
     std::string region;
-    std::string listen; // callers, ip:port
-    std::string pages;  // readiness and metrics, ip:port
-    std::string peers;  // load messages between gateways, ip:port
-    std::string store;  // the platform's store, ip:port
+    std::string listen;       // callers, ip:port
+    std::string pages;        // readiness and metrics, ip:port
+    std::string peers;        // load messages between gateways, ip:port
+    std::string store;        // the platform's store, ip:port
+    double link_megabits = 0; // of this host, a second; 0 when it is never the bottleneck
     http_server_limits http;
     std::chrono::milliseconds stop_grace{8'000};   // from SIGTERM until the process is killed
     std::chrono::milliseconds return_grace{2'000}; // for server entries after the store has returned
--- a/src/placement/internal/server_choice.cpp
+++ b/src/placement/internal/server_choice.cpp
@@ -23,6 +23,8 @@
 constexpr double read_again_share = 0.4;
 // Prompt tokens before a prompt that is too long for its objective anyway.
 constexpr std::uint64_t unread_before_oversized = 3'000;
+// Such a prompt also waits until the link of this host is free for this part of the objective.
+constexpr double queued_before_oversized = 0.25;
 // Requests queued at a plain server for each of its slots: as many again start within one service time.
 constexpr std::uint32_t queued_per_slot = 1;
 
@@ -112,6 +114,26 @@
     return decoders;
 }
 
+double to_milliseconds(duration span)
+{
+    return std::chrono::duration<double, std::milli>(span).count();
+}
+
+// What may pass until a prompt has been read.
+struct reading_budget {
+    double milliseconds = 0; // of the engine
+    double sending = 0;      // of this host's link, before the engine begins
+    bool is_link_free = true;
+};
+
+reading_budget make_budget(double milliseconds, const sending_time& sending)
+{
+    const double queued = to_milliseconds(sending.queued);
+    return {milliseconds,
+            queued + to_milliseconds(sending.own),
+            queued <= milliseconds * queued_before_oversized};
+}
+
 // An engine that can read a prompt in time.
 struct reading_place {
     std::size_t index = 0;
@@ -126,7 +148,7 @@
 
 // Returns the first engine, in the order of homes of the shared part, that can read the prompt in time.
 std::optional<reading_place> first_fit(const prompt_shape& prompt,
-                                       double budget,
+                                       const reading_budget& budget,
                                        const std::vector<placement_candidate>& candidates,
                                        std::vector<std::size_t> indexes)
 {
@@ -139,10 +161,12 @@
         // The first home is taken to hold the shared part, since every gateway sends it there.
         const bool is_read_again = place > 0 && !candidate.is_warm;
         const auto tokens = prompt.own_tokens + (is_read_again ? prompt.shared_tokens : 0);
-        const double expected = expected_milliseconds(candidate, candidate.unread_tokens + tokens);
-        const bool is_oversized = expected_milliseconds(candidate, tokens) > budget;
-        const double allowed = is_read_again ? budget * read_again_share : budget;
-        if (expected <= allowed || (is_oversized && candidate.unread_tokens <= unread_before_oversized)) {
+        const double expected =
+            budget.sending + expected_milliseconds(candidate, candidate.unread_tokens + tokens);
+        const bool is_oversized = expected_milliseconds(candidate, tokens) > budget.milliseconds;
+        const bool is_calm = budget.is_link_free && candidate.unread_tokens <= unread_before_oversized;
+        const double allowed = is_read_again ? budget.milliseconds * read_again_share : budget.milliseconds;
+        if (expected <= allowed || (is_oversized && is_calm)) {
             return reading_place{indexes[place], tokens, expected};
         }
     }
@@ -223,7 +247,8 @@
 placement_result choose_engines(const prompt_shape& prompt,
                                 std::chrono::milliseconds time_left,
                                 const std::vector<placement_candidate>& candidates,
-                                random_source& random)
+                                random_source& random,
+                                const sending_time& sending)
 {
     const auto usable = usable_indexes(candidates);
     const auto found = decoders_with_room(candidates, usable);
@@ -238,16 +263,19 @@
         return placement{least_used(candidates, decoders, random), std::nullopt, prompt.own_tokens};
     }
     const auto emptiest = nearest_with_room(candidates, decoders, random);
-    const double first_events = candidates[emptiest].fixed_milliseconds;
     const auto budget = static_cast<double>(time_left.count());
-    const auto reader = first_fit(
-        prompt, budget - first_events, candidates, with_role(candidates, usable, engine_role::prefill));
+    // What follows once the prompt has been read apart: it is sent again, and the first events are made.
+    const double rest = to_milliseconds(sending.total()) + candidates[emptiest].fixed_milliseconds;
+    const auto reader = first_fit(prompt,
+                                  make_budget(budget - rest, sending),
+                                  candidates,
+                                  with_role(candidates, usable, engine_role::prefill));
     std::erase_if(decoders, [&](std::size_t index) {
         return candidates[index].spare_long_outputs && candidates[index].long_outputs > 0;
     });
-    const auto alone = first_fit(prompt, budget, candidates, decoders);
+    const auto alone = first_fit(prompt, make_budget(budget, sending), candidates, decoders);
     // Reading beside the tokens of others slows those down, so a reader is taken unless it takes much longer.
-    if (reader && (!alone || reader->milliseconds + first_events <= alone->milliseconds * own_reading_cost)) {
+    if (reader && (!alone || reader->milliseconds + rest <= alone->milliseconds * own_reading_cost)) {
         return placement{emptiest, reader->index, reader->tokens};
     }
     if (alone) {
--- a/src/placement/server_choice.h
+++ b/src/placement/server_choice.h
@@ -3,6 +3,7 @@
 
 #include "base/random_source.h"
 #include "placement/types/placement_candidate.h"
+#include "uplink/uplink.h"
 
 #include <chrono>
 #include <tl/expected.hpp>
@@ -35,9 +36,13 @@
 // that reads it itself, in the order of a rendezvous hash on its shared part, so that the part is read once;
 // engines that could not give the first event within `time_left` are passed over. A prompt that no idle
 // engine could read in that time is placed where little is to be read before it.
+//
+// A prompt that is read apart leaves this host twice. On a host with a thin link that time decides: `sending`
+// is what one of the two takes.
 placement_result choose_engines(const prompt_shape& prompt,
                                 std::chrono::milliseconds time_left,
                                 const std::vector<placement_candidate>& candidates,
-                                random_source& random);
+                                random_source& random,
+                                const sending_time& sending = {});
 
 } // namespace tanager
--- a/src/placement/tests/placement_tests.cpp
+++ b/src/placement/tests/placement_tests.cpp
@@ -56,6 +56,7 @@
     CPPUNIT_TEST(says_no_place_rather_than_late);
     CPPUNIT_TEST(finds_a_place_for_oversized_prompts);
     CPPUNIT_TEST(sends_short_prompts_where_most_room_is);
+    CPPUNIT_TEST(minds_the_link_of_its_host);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -234,6 +235,35 @@
         });
     }
 
+    // A burst at a host with a tenth of its neighbours' bandwidth.
+    void minds_the_link_of_its_host()
+    {
+        section("a prompt leaves a host with a thin link", [] {
+            seeded_random random(seed);
+            const auto fleet = make_fleet();
+            section("twice while the link is free", [&] {
+                const auto chosen = choose_engines(check, 100ms, fleet, random, {0ms, 8ms});
+                CPPUNIT_ASSERT(chosen->reader.has_value());
+            });
+            section("once when sending it twice would take too long", [&] {
+                const auto chosen = choose_engines(check, 100ms, fleet, random, {30ms, 8ms});
+                CPPUNIT_ASSERT(chosen.has_value());
+                CPPUNIT_ASSERT(!chosen->reader.has_value());
+            });
+            section("not at all when what is queued takes up the time", [&] {
+                const auto chosen = choose_engines(check, 100ms, fleet, random, {90ms, 8ms});
+                CPPUNIT_ASSERT(chosen.error() == placement_miss::no_place);
+            });
+            section("nor when it is too long for any engine", [&] {
+                auto prompt = check;
+                prompt.own_tokens = 90'000;
+                CPPUNIT_ASSERT(choose_engines(prompt, 100ms, fleet, random, {20ms, 80ms}).has_value());
+                const auto chosen = choose_engines(prompt, 100ms, fleet, random, {90ms, 80ms});
+                CPPUNIT_ASSERT(chosen.error() == placement_miss::no_place);
+            });
+        });
+    }
+
     void sends_short_prompts_where_most_room_is()
     {
         section("a draft comes while all engines but one are nearly full", [] {
--- a/src/settings/internal/settings_reader.cpp
+++ b/src/settings/internal/settings_reader.cpp
@@ -128,6 +128,22 @@
     return *number;
 }
 
+double settings_reader::read_decimal(const settings_key& key, double fallback, double highest)
+{
+    const std::string* const value = this->find(key);
+    if (value == nullptr) {
+        return fallback;
+    }
+    double number = 0;
+    const auto* const end = value->data() + value->size();
+    const auto parsed = std::from_chars(value->data(), end, number);
+    if (parsed.ec != std::errc{} || parsed.ptr != end || !(number >= 0 && number <= highest)) {
+        this->add_problem(key, "'" + *value + "' is not a number from 0 to " + std::to_string(highest));
+        return fallback;
+    }
+    return number;
+}
+
 std::chrono::milliseconds settings_reader::read_milliseconds(const settings_key& key,
                                                              std::chrono::milliseconds fallback,
                                                              integer_range range)
--- a/src/settings/settings_reader.h
+++ b/src/settings/settings_reader.h
@@ -39,6 +39,8 @@
     std::string read_text(const settings_key& key, const std::string& fallback);
     std::string read_required_text(const settings_key& key);
     std::int64_t read_integer(const settings_key& key, std::int64_t fallback, integer_range range);
+    // Reads a decimal from 0 to `highest`.
+    double read_decimal(const settings_key& key, double fallback, double highest);
     std::chrono::milliseconds
     read_milliseconds(const settings_key& key, std::chrono::milliseconds fallback, integer_range range);
     bool read_flag(const settings_key& key, bool fallback);
--- /dev/null
+++ b/src/uplink/internal/uplink.cpp
@@ -0,0 +1,40 @@
+#include "uplink/uplink.h"
+
+#include <algorithm>
+
+namespace tanager {
+
+namespace {
+
+constexpr double bytes_per_megabit = 125'000;
+// What framing adds to each byte of payload: headers of TCP and IP in packets of about 1,500 bytes.
+constexpr double framing_factor = 1.05;
+
+} // namespace
+
+uplink::uplink(const clock& time, double megabits_per_second)
+    : time(time), bytes_per_second(megabits_per_second * bytes_per_megabit), free_at(time.now())
+{
+}
+
+duration uplink::time_of(std::size_t bytes) const
+{
+    if (this->bytes_per_second <= 0) {
+        return duration{0};
+    }
+    const std::chrono::duration<double> needed{static_cast<double>(bytes) * framing_factor /
+                                               this->bytes_per_second};
+    return std::chrono::duration_cast<duration>(needed);
+}
+
+void uplink::record(std::size_t bytes)
+{
+    this->free_at = std::max(this->free_at, this->time.now()) + this->time_of(bytes);
+}
+
+sending_time uplink::expect(std::size_t bytes) const
+{
+    return {std::max(this->free_at - this->time.now(), duration{0}), this->time_of(bytes)};
+}
+
+} // namespace tanager
--- /dev/null
+++ b/src/uplink/tests/uplink_tests.cpp
@@ -0,0 +1,61 @@
+#include "base/mocks/manual_clock.h"
+#include "testing/story.h"
+#include "uplink/uplink.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace tanager {
+
+using namespace std::chrono_literals;
+using testing::section;
+
+class uplink_tests : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(uplink_tests);
+    CPPUNIT_TEST(tells_how_long_bytes_wait);
+    CPPUNIT_TEST(a_fast_link_never_waits);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void tells_how_long_bytes_wait()
+    {
+        constexpr double megabits = 10;
+        constexpr std::size_t prompt_bytes = 10'000;
+        manual_clock time;
+        uplink link(time, megabits);
+        section("an idle link sends a prompt at once", [&] {
+            const auto idle = link.expect(prompt_bytes);
+            CPPUNIT_ASSERT(idle.queued == duration{0});
+            CPPUNIT_ASSERT(idle.own >= 8ms && idle.own < 9ms);
+        });
+        section("a burst of ten leaves one after the other", [&] {
+            const auto one = link.expect(prompt_bytes).own;
+            for (int count = 0; count < 10; ++count) {
+                link.record(prompt_bytes);
+            }
+            CPPUNIT_ASSERT(link.expect(prompt_bytes).queued == 10 * one);
+            section("and has left after its time", [&] {
+                time.advance(4 * one);
+                CPPUNIT_ASSERT(link.expect(0).queued == 6 * one);
+                time.advance(20 * one);
+                CPPUNIT_ASSERT(link.expect(0).queued == duration{0});
+            });
+        });
+        section("idle time is not saved up", [&] {
+            time.advance(10s);
+            link.record(prompt_bytes);
+            CPPUNIT_ASSERT(link.expect(0).queued > duration{0});
+        });
+    }
+
+    void a_fast_link_never_waits()
+    {
+        manual_clock time;
+        uplink link(time, 0);
+        link.record(1'000'000'000);
+        CPPUNIT_ASSERT(link.expect(1'000'000).total() == duration{0});
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(uplink_tests);
+
+} // namespace tanager
