--- a/src/placement/internal/server_choice.cpp
+++ b/src/placement/internal/server_choice.cpp
@@ -25,6 +25,8 @@
 constexpr std::uint64_t unread_before_oversized = 3'000;
 // Such a prompt also waits until the link of this host is free for this part of the objective.
 constexpr double queued_before_oversized = 0.25;
+// Engines that are compared when one with room is wanted.
+constexpr std::size_t drawn_engines = 3;
 // Requests queued at a plain server for each of its slots: as many again start within one service time.
 constexpr std::uint32_t queued_per_slot = 1;
 
@@ -85,6 +87,19 @@
     return chosen;
 }
 
+// Returns the least used of a few drawn by lot. What other gateways have running is known late, and all know it
+// alike: were each to take the least used of all, they would all take the same one.
+std::size_t least_used_of_few(const std::vector<placement_candidate>& candidates,
+                              std::vector<std::size_t> indexes,
+                              random_source& random)
+{
+    for (std::size_t drawn = 0; drawn < std::min(drawn_engines, indexes.size()); ++drawn) {
+        std::swap(indexes[drawn], indexes[drawn + random.next() % (indexes.size() - drawn)]);
+    }
+    indexes.resize(std::min(drawn_engines, indexes.size()));
+    return least_used(candidates, indexes, random);
+}
+
 std::vector<std::size_t> with_role(const std::vector<placement_candidate>& candidates,
                                    const std::vector<std::size_t>& indexes,
                                    engine_role role)
@@ -209,11 +224,11 @@
             local.push_back(index);
         }
     }
-    const auto emptiest = least_used(candidates, decoders, random);
+    const auto emptiest = least_used_of_few(candidates, decoders, random);
     if (local.empty()) {
         return emptiest;
     }
-    const auto nearest = least_used(candidates, local, random);
+    const auto nearest = least_used_of_few(candidates, local, random);
     return use_of(candidates[nearest]) <= use_of(candidates[emptiest]) + local_surplus ? nearest : emptiest;
 }
 
