--- a/src/gateway/internal/place_desk.cpp
+++ b/src/gateway/internal/place_desk.cpp
@@ -17,9 +17,10 @@
     return this->desks.try_emplace(service, this->time).first->second;
 }
 
-waiting_line& place_desk::line_of(const std::string& service)
+waiting_line& place_desk::line_of(const place_request& wanted)
 {
-    return this->desk_of(service).line;
+    auto& desk = this->desk_of(wanted.service);
+    return wanted.prompt.has_long_output() ? desk.long_outputs : desk.line;
 }
 
 // Long outputs are few and hold their places for seconds, so they are not held to a share.
@@ -83,7 +84,7 @@
     if (wanted.is_model && !wanted.prompt.has_long_output()) {
         this->desk_of(wanted.service).prompts.record();
     }
-    auto& line = this->line_of(wanted.service);
+    auto& line = this->line_of(wanted);
     const auto first = line.next();
     const bool goes_first = !first || first->priority > wanted.priority;
     std::vector<placement_candidate> candidates;
@@ -116,16 +117,17 @@
     if (found == this->kept.end()) {
         return;
     }
-    this->line_of(found->second.wanted.service).leave(ticket);
+    this->line_of(found->second.wanted).leave(ticket);
     this->kept.erase(found);
 }
 
 void place_desk::release(const place_request& wanted, const std::string& server_id)
 {
     this->pool.end(server_id, wanted.prompt.has_long_output());
-    auto& line = this->line_of(wanted.service);
-    line.record_release();
-    this->serve_line(line);
+    auto& desk = this->desk_of(wanted.service);
+    desk.line.record_release();
+    desk.long_outputs.record_release();
+    this->serve(desk);
 }
 
 void place_desk::release_reading(const std::string& service,
@@ -133,7 +135,13 @@
                                  std::uint32_t tokens)
 {
     this->pool.end_reading(server_id, tokens);
-    this->serve_line(this->line_of(service));
+    this->serve(this->desk_of(service));
+}
+
+void place_desk::serve(service_desk& desk)
+{
+    this->serve_line(desk.long_outputs);
+    this->serve_line(desk.line);
 }
 
 void place_desk::serve_line(waiting_line& line)
@@ -168,8 +176,8 @@
 void place_desk::review()
 {
     for (auto& [service, desk] : this->desks) {
-        if (desk.line.size() > 0) {
-            this->serve_line(desk.line);
+        if (desk.line.size() + desk.long_outputs.size() > 0) {
+            this->serve(desk);
         }
     }
 }
--- a/src/gateway/place_desk.h
+++ b/src/gateway/place_desk.h
@@ -97,16 +97,20 @@
                place_listener& listener);
     // What is kept for each service.
     struct service_desk {
-        explicit service_desk(const clock& time) : line(time), prompts(time), advice(time) {}
+        explicit service_desk(const clock& time) : line(time), long_outputs(time), prompts(time), advice(time)
+        {
+        }
 
         waiting_line line;
-        arrival_meter prompts; // those with short outputs
+        waiting_line long_outputs; // few, and each worth many others: a burst of those is not before them
+        arrival_meter prompts;     // those with short outputs
         return_advice advice;
     };
 
+    void serve(service_desk& desk);
     void serve_line(waiting_line& line);
     service_desk& desk_of(const std::string& service);
-    waiting_line& line_of(const std::string& service);
+    waiting_line& line_of(const place_request& wanted);
 
     const clock& time;
     random_source& random;
--- a/src/gateway/tests/gateway_tests.cpp
+++ b/src/gateway/tests/gateway_tests.cpp
@@ -135,6 +135,23 @@
     int finished = 0;
 };
 
+// Counts what it was given.
+class place_counter final : public place_listener {
+public:
+    void on_place(const granted_place& /*place*/) override
+    {
+        ++this->places;
+    }
+
+    void on_no_place(placement_miss /*miss*/) override
+    {
+        ++this->misses;
+    }
+
+    int places = 0;
+    int misses = 0;
+};
+
 const http_headers own_answer{{"id", "r1"}, {"signed", "1"}};
 
 class gateway_tests : public CppUnit::TestFixture {
@@ -151,6 +168,7 @@
     CPPUNIT_TEST(resumes_a_stream);
     CPPUNIT_TEST(cuts_a_stream_that_may_not_be_resumed);
     CPPUNIT_TEST(reads_a_prompt_apart);
+    CPPUNIT_TEST(gives_a_long_output_its_place_in_a_burst);
     CPPUNIT_TEST(gives_every_place_back);
     CPPUNIT_TEST_SUITE_END();
 
@@ -455,6 +473,43 @@
         });
     }
 
+    // A burst of short prompts waits for places, and a long output of a lower priority comes.
+    void gives_a_long_output_its_place_in_a_burst()
+    {
+        section("an engine with two places, both taken", [] {
+            middle gateway;
+            gateway.add_server("d", engine_role::decode);
+            place_request check{"desk", true, {0, 0, 200, 10}, 0, gateway.time.now() + 1s, {}, 0, false, {}};
+            check.due = gateway.time.now() + 1s;
+            auto draft = check;
+            draft.prompt = {0, 0, 200, 6'000};
+            draft.priority = 1;
+            const auto first = std::make_shared<place_counter>();
+            gateway.desk.ask(check, first);
+            gateway.desk.ask(check, first);
+            CPPUNIT_ASSERT_EQUAL(2, first->places);
+            for (int count = 0; count < 10; ++count) {
+                gateway.desk.release(check, "d");
+                gateway.desk.ask(check, first);
+            }
+            const auto waiting_check = std::make_shared<place_counter>();
+            const auto waiting_draft = std::make_shared<place_counter>();
+            gateway.desk.ask(check, waiting_check);
+            gateway.desk.ask(check, waiting_check);
+            gateway.desk.ask(draft, waiting_draft);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{3}, gateway.desk.waiting());
+            section("the place that comes free is the long output's", [&] {
+                gateway.desk.release(check, "d");
+                CPPUNIT_ASSERT_EQUAL(1, waiting_draft->places);
+                CPPUNIT_ASSERT_EQUAL(0, waiting_check->places);
+            });
+            section("and the next one a short prompt's", [&] {
+                gateway.desk.release(check, "d");
+                CPPUNIT_ASSERT_EQUAL(1, waiting_check->places);
+            });
+        });
+    }
+
     void gives_every_place_back()
     {
         section("a thousand requests of all kinds end in all ways", [] {
