Gather changes of the store for a moment before watching on

Now a follower waits 200 ms after a change (1 s for other gateways) and hears in one answer what came meanwhile. The waiting bounds how late a change is known, a tenth of the users' 2 s.

--- a/src/gateway/gateway_setup.cpp
+++ b/src/gateway/gateway_setup.cpp
@@ -23,6 +23,9 @@
 // How long after SIGTERM new connections are still taken: the balancer asks once a second and needs two
 // misses.
 constexpr std::chrono::milliseconds accept_after_stop{2'500};
+// Changes of the configuration and of servers that come within this time are learned together; a tenth of the
+// shortest time in which the users want a change in force.
+constexpr std::chrono::milliseconds gather_changes{200};
 // What is left of the grace for the last answers to leave the process.
 constexpr std::chrono::milliseconds end_before_kill{400};
 constexpr std::chrono::milliseconds drain_check_interval{20};
@@ -97,9 +100,14 @@
                                                          *this->store,
                                                          this->random,
                                                          this->dialect.entries->configuration_prefix(),
-                                                         this->configuration)),
-          server_follower(object_follower::create(
-              loop, *this->store, this->random, this->dialect.entries->server_prefix(), this->servers)),
+                                                         this->configuration,
+                                                         {gather_changes})),
+          server_follower(object_follower::create(loop,
+                                                  *this->store,
+                                                  this->random,
+                                                  this->dialect.entries->server_prefix(),
+                                                  this->servers,
+                                                  {gather_changes})),
           pages(
               this->metrics,
               this->invariants,
--- a/src/peers/internal/peer_exchange.cpp
+++ b/src/peers/internal/peer_exchange.cpp
@@ -23,6 +23,8 @@
 // Five idle reports lost in a row: the peer has ended or is cut off.
 constexpr std::chrono::milliseconds silence_allowed{1'000};
 constexpr std::chrono::milliseconds register_retry{300};
+// Gateways that start together are learned together; one that is learned late only counts less exactly.
+constexpr std::chrono::milliseconds gather_peers{1'000};
 // Between data centres of one region.
 constexpr std::chrono::milliseconds transit_time{2};
 
@@ -42,7 +44,7 @@
           loads(std::move(loads)),
           heard(std::move(heard)),
           view(time, silence_allowed),
-          follower(object_follower::create(loop, store, random, gateway_prefix, *this))
+          follower(object_follower::create(loop, store, random, gateway_prefix, *this, {gather_peers}))
     {
     }
 
--- a/src/store/internal/object_follower.cpp
+++ b/src/store/internal/object_follower.cpp
@@ -20,8 +20,9 @@
                       object_store& store,
                       random_source& random,
                       std::string prefix,
-                      object_observer& observer)
-        : loop(loop), store(store), random(random), prefix(std::move(prefix)), observer(observer)
+                      object_observer& observer,
+                      const follow_pace& pace)
+        : loop(loop), store(store), random(random), prefix(std::move(prefix)), observer(observer), pace(pace)
     {
     }
 
@@ -82,7 +83,11 @@
             this->list();
             return;
         }
-        this->watch();
+        if (listing->objects.empty() || this->pace.gather.count() == 0) {
+            this->watch();
+            return;
+        }
+        this->retry = this->loop.run_after(this->pace.gather, [this] { this->watch(); });
     }
 
     void on_failure(const error& cause)
@@ -120,6 +125,7 @@
     random_source& random;
     std::string prefix;
     object_observer& observer;
+    follow_pace pace;
     bool running = false;
     bool is_away = false;
     bool has_listed = false;
@@ -134,9 +140,10 @@
                                                          object_store& store,
                                                          random_source& random,
                                                          std::string prefix,
-                                                         object_observer& observer)
+                                                         object_observer& observer,
+                                                         const follow_pace& pace)
 {
-    return std::make_shared<watching_follower>(loop, store, random, std::move(prefix), observer);
+    return std::make_shared<watching_follower>(loop, store, random, std::move(prefix), observer, pace);
 }
 
 } // namespace tanager
--- a/src/store/object_follower.h
+++ b/src/store/object_follower.h
@@ -37,6 +37,13 @@
     virtual void on_store_regained() = 0;
 };
 
+// How long a follower waits after a change before it watches on, so that changes that come together are told
+// by one answer: each of them would otherwise cost a call of every process. It bounds how late a change is
+// known.
+struct follow_pace {
+    std::chrono::milliseconds gather{0};
+};
+
 // Lists once, then holds one watch. While the store is away, tries again after a jittered exponential delay,
 // from the revision that is known; lists again when the store has dropped the history since then.
 class object_follower {
@@ -45,7 +52,8 @@
                                                    object_store& store,
                                                    random_source& random,
                                                    std::string prefix,
-                                                   object_observer& observer);
+                                                   object_observer& observer,
+                                                   const follow_pace& pace = {});
 
     object_follower() = default;
     object_follower(const object_follower&) = delete;
