Serve prompts that have missed their objective from idle room only

What a caller has spent before is read from its time left against what is usual on its route. Late prompts are served while less than 0.7 of the places are filled, and otherwise rejected at once. Long outputs are not held to it. The log line of a rejection now has the inputs: places, running, asked here and elsewhere, their age, time left. Also mended: the load of other gateways was added twice when a gateway weighed its share.

--- a/src/gateway/gateway_setup.cpp
+++ b/src/gateway/gateway_setup.cpp
@@ -248,7 +248,8 @@
                 this->desk,
                 this->retries,
                 this->demand,
-                this->link};
+                this->link,
+                this->patience};
     }
 
     bool is_informed() const
@@ -324,6 +325,7 @@
     route_directory routes;
     server_pool pool;
     uplink link;
+    std::map<std::string, usual_patience> patience; // by route
     place_desk desk;
     retry_budget retries;
     demand_meter demand;
--- a/src/gateway/internal/forward_run.cpp
+++ b/src/gateway/internal/forward_run.cpp
@@ -32,6 +32,8 @@
 constexpr std::chrono::milliseconds call_slack{1'000};
 // Bytes for a slow caller above which the server is not read from.
 constexpr std::size_t unsent_bound = std::size_t{128} * 1024;
+// A caller that has spent this part of the objective on earlier attempts has lost it.
+constexpr double lost_share = 1.0;
 // The head of a request as it is sent on.
 constexpr std::size_t typical_head_bytes = 500;
 // An engine preempts what is less urgent. A long output has the most to lose from that, and takes little
@@ -71,6 +73,9 @@
 void forward_run::start()
 {
     this->context.retries.record_request(this->routed.service);
+    if (this->routed.request.patience) {
+        this->context.patience[this->routed.chosen_route->name].record(*this->routed.request.patience);
+    }
     const auto& prompt = this->routed.request.prompt;
     if (this->routed.is_model && !prompt.has_long_output()) {
         this->context.demand.record_prompt(this->routed.service, prompt.own_tokens);
@@ -92,6 +97,18 @@
     this->seek_place();
 }
 
+// Only short prompts are held back: long outputs are few, and late ones still worth their place.
+bool forward_run::has_lost_objective() const
+{
+    const auto& request = this->routed.request;
+    if (!this->routed.is_model || request.prompt.has_long_output() || !request.patience) {
+        return false;
+    }
+    const auto spent =
+        this->context.patience[this->routed.chosen_route->name].spent_before(*request.patience);
+    return spent > lost_share * this->routed.chosen_route->latency_objective;
+}
+
 place_request forward_run::make_place_request(time_point now) const
 {
     const std::chrono::duration<double, std::milli> objective = this->routed.chosen_route->latency_objective;
@@ -104,6 +121,7 @@
             std::max(latest_start, now),
             this->routed.received + std::chrono::duration_cast<duration>(due_share * objective),
             this->routed.exchange->request().body.size() + typical_head_bytes,
+            this->has_lost_objective(),
             this->untaken_cache.has_value(),
             this->tried};
 }
@@ -571,10 +589,23 @@
 void forward_run::reject(const error& cause)
 {
     const auto retry_after = this->context.desk.advise_return(this->routed.service);
-    write_event(log_event::request_rejected,
-                {{"request", this->routed.request.id},
-                 {"cause", cause.detail},
-                 {"retry_after_ms", std::to_string(retry_after.count())}});
+    const auto use = this->context.desk.use_of(this->routed.service);
+    write_event(
+        log_event::request_rejected,
+        {{"request", this->routed.request.id},
+         {"cause", cause.detail},
+         {"configuration", std::to_string(this->routed.configuration_version)},
+         {"places", std::to_string(use.places)},
+         {"running_here", std::to_string(use.running_here)},
+         {"running_elsewhere", std::to_string(use.running_elsewhere)},
+         {"asked_here", std::to_string(use.asked_here)},
+         {"asked_elsewhere", std::to_string(use.asked_elsewhere)},
+         {"age_ms", to_milliseconds(use.age)},
+         {"time_left_ms",
+          std::to_string(this->routed.request.patience.value_or(std::chrono::milliseconds{0}).count())},
+         {"objective_lost", this->wanted.is_late ? "yes" : "no"},
+         {"waited_ms", to_milliseconds(this->waited)},
+         {"retry_after_ms", std::to_string(retry_after.count())}});
     this->context.metrics.count("tanager_requests_rejected_total",
                                 "code=\"" + std::to_string(static_cast<int>(cause.code)) + "\"");
     this->routed.exchange->reply(
--- a/src/gateway/internal/forward_run.h
+++ b/src/gateway/internal/forward_run.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/usual_patience.h"
 #include "answers/event_splitter.h"
 #include "gateway/internal/attempt_handler.h"
 #include "gateway/internal/prompt_reading.h"
@@ -14,6 +15,7 @@
 #include "routes/types/route_table.h"
 #include "uplink/uplink.h"
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -33,6 +35,7 @@
     retry_budget& retries;
     demand_meter& demand;
     uplink& link;
+    std::map<std::string, usual_patience>& patience; // by route
 };
 
 // A request that has a route.
@@ -105,6 +108,7 @@
     void fail_run(const error& cause);
     void finish(std::string_view outcome, int status);
     void log_end(std::string_view outcome, int status);
+    bool has_lost_objective() const;
     duration elapsed() const;
 
     forward_context context;
--- a/src/gateway/internal/place_desk.cpp
+++ b/src/gateway/internal/place_desk.cpp
@@ -1,12 +1,17 @@
 #include "gateway/place_desk.h"
 
-#include "admission/place_share.h"
-
 #include <algorithm>
 #include <limits>
 
 namespace tanager {
 
+namespace {
+
+// A request that has missed its objective is served while less than this part of the places is filled.
+constexpr double idle_room = 0.7;
+
+} // namespace
+
 place_desk::place_desk(const clock& time, random_source& random, server_pool& pool, const uplink& link)
     : time(time), random(random), pool(pool), link(link)
 {
@@ -29,19 +34,33 @@
     if (wanted.prompt.has_long_output() || wanted.is_read) {
         return true;
     }
+    const auto use = this->count_places(wanted.service, candidates);
+    if (wanted.is_late && use.running_here + use.running_elsewhere >= idle_room * use.places) {
+        return false;
+    }
+    return may_fill_place(use);
+}
+
+place_use place_desk::count_places(const std::string& service,
+                                   const std::vector<placement_candidate>& candidates)
+{
     place_use use;
     for (const auto& candidate : candidates) {
-        if (candidate.server->role == engine_role::decode && !candidate.is_aside) {
+        if (candidate.server->role != engine_role::prefill && !candidate.is_aside) {
             use.places += candidate.server->slots;
             use.running_here += candidate.running_here;
             use.running_elsewhere += candidate.running_elsewhere;
-            use.running_elsewhere += candidate.running_elsewhere;
         }
     }
-    use.asked_here = this->desk_of(wanted.service).prompts.last_second();
-    use.asked_elsewhere = this->pool.prompts_elsewhere(wanted.service);
+    use.asked_here = this->desk_of(service).prompts.last_second();
+    use.asked_elsewhere = this->pool.prompts_elsewhere(service);
     use.age = this->pool.elsewhere_age();
-    return may_fill_place(use);
+    return use;
+}
+
+place_use place_desk::use_of(const std::string& service)
+{
+    return this->count_places(service, this->pool.candidates(service, 0, {}));
 }
 
 placement_result place_desk::choose(const place_request& wanted, std::vector<placement_candidate>& candidates)
@@ -97,7 +116,7 @@
         this->grant(wanted, *chosen, candidates, *listener);
         return ticket;
     }
-    if (!line.join({ticket, wanted.priority, wanted.latest_start})) {
+    if (wanted.is_late || !line.join({ticket, wanted.priority, wanted.latest_start})) {
         listener->on_no_place(placement_miss::no_place);
         return ticket;
     }
--- a/src/gateway/place_desk.h
+++ b/src/gateway/place_desk.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "admission/arrival_meter.h"
+#include "admission/place_share.h"
 #include "admission/return_advice.h"
 #include "admission/waiting_line.h"
 #include "base/random_source.h"
@@ -27,6 +28,7 @@
     time_point latest_start; // a later start misses the objective
     time_point due;          // when the first event, or the answer, is to be there
     std::size_t bytes = 0;   // of the request as it is sent
+    bool is_late = false;    // its objective is lost, so it is served from idle room only
     bool is_read = false;    // the prompt lies in a KV cache that the server will take
     std::vector<std::string> tried;
 };
@@ -77,6 +79,9 @@
 
     std::size_t waiting() const;
 
+    // Returns what is known of the places of a service at this moment, for the log.
+    place_use use_of(const std::string& service);
+
     // Returns the prompts that came here in the last second, by service.
     std::map<std::string, std::uint32_t> asked_last_second() const;
 
@@ -90,6 +95,7 @@
     };
 
     bool has_share(const place_request& wanted, const std::vector<placement_candidate>& candidates);
+    place_use count_places(const std::string& service, const std::vector<placement_candidate>& candidates);
     placement_result choose(const place_request& wanted, std::vector<placement_candidate>& candidates);
     void grant(const place_request& wanted,
                const placement& chosen,
--- a/src/gateway/tests/gateway_tests.cpp
+++ b/src/gateway/tests/gateway_tests.cpp
@@ -87,7 +87,8 @@
                                                           this->desk,
                                                           this->retries,
                                                           this->demand,
-                                                          this->link},
+                                                          this->link,
+                                                          this->patience},
                                           routed_request{exchange,
                                                          request,
                                                          std::make_shared<const route>(this->route_in_force),
@@ -126,6 +127,7 @@
     nobody_else elsewhere;
     server_pool pool{time, "here", 2s, elsewhere};
     uplink link{time, 0};
+    std::map<std::string, usual_patience> patience;
     place_desk desk{time, random, pool, link};
     retry_budget retries{every_request, reserve};
     demand_meter demand{time};
@@ -169,6 +171,7 @@
     CPPUNIT_TEST(cuts_a_stream_that_may_not_be_resumed);
     CPPUNIT_TEST(reads_a_prompt_apart);
     CPPUNIT_TEST(gives_a_long_output_its_place_in_a_burst);
+    CPPUNIT_TEST(serves_late_prompts_from_idle_room);
     CPPUNIT_TEST(gives_every_place_back);
     CPPUNIT_TEST_SUITE_END();
 
@@ -479,7 +482,8 @@
         section("an engine with two places, both taken", [] {
             middle gateway;
             gateway.add_server("d", engine_role::decode);
-            place_request check{"desk", true, {0, 0, 200, 10}, 0, gateway.time.now() + 1s, {}, 0, false, {}};
+            place_request check{
+                "desk", true, {0, 0, 200, 10}, 0, gateway.time.now() + 1s, {}, 0, false, false, {}};
             check.due = gateway.time.now() + 1s;
             auto draft = check;
             draft.prompt = {0, 0, 200, 6'000};
@@ -510,6 +514,44 @@
         });
     }
 
+    // An overload: callers that were rejected come back after their objective has passed, among first
+    // attempts.
+    void serves_late_prompts_from_idle_room()
+    {
+        // Two plain servers with two places each belong to the same service here.
+        section("a service with twenty places, sixteen of them on one engine", [] {
+            middle gateway;
+            backend_server engine;
+            engine.id = "d";
+            engine.service = "desk";
+            engine.slots = 16;
+            engine.role = engine_role::decode;
+            gateway.pool.list().apply({"d", engine});
+            place_request first{
+                "desk", true, {0, 0, 200, 10}, 0, gateway.time.now() + 1s, {}, 0, false, false, {}};
+            first.due = gateway.time.now() + 1s;
+            auto late = first;
+            late.is_late = true;
+            const auto given = std::make_shared<place_counter>();
+            section("both are served until fourteen are filled", [&] {
+                for (int count = 0; count < 7; ++count) {
+                    gateway.desk.ask(first, given);
+                    gateway.desk.ask(late, given);
+                }
+                CPPUNIT_ASSERT_EQUAL(14, given->places);
+            });
+            section("beyond that a late one is rejected at once, and does not wait", [&] {
+                gateway.desk.ask(late, given);
+                CPPUNIT_ASSERT_EQUAL(1, given->misses);
+                CPPUNIT_ASSERT_EQUAL(std::size_t{0}, gateway.desk.waiting());
+            });
+            section("and a first attempt is served", [&] {
+                gateway.desk.ask(first, given);
+                CPPUNIT_ASSERT_EQUAL(15, given->places);
+            });
+        });
+    }
+
     void gives_every_place_back()
     {
         section("a thousand requests of all kinds end in all ways", [] {
