--- a/soak/site.cpp
+++ b/soak/site.cpp
@@ -129,7 +129,7 @@
     std::vector<std::string> lines;
     const auto add = [&](const std::string& host, testing::child_process& process) {
         for (const auto& line : process.lines_with(text)) {
-            lines.push_back(host + " " + line);
+            lines.push_back(std::string{host}.append(" ").append(line));
         }
     };
     for (const auto& [host, row] : this->gateways) {
@@ -168,7 +168,7 @@
     row.proxy = start_proxy(row.direct);
     row.control = row.proxy->address("http");
     const auto address = row.proxy->address("proxy");
-    const auto id = row.id;
+    auto id = row.id;
     this->backends.emplace(id, std::move(row));
     this->write_object("servers/" + id, [&](json& spec) {
         spec = {{"service", "desk"},
--- a/src/apps/tanagerctl/request_story.cpp
+++ b/src/apps/tanagerctl/request_story.cpp
@@ -58,7 +58,7 @@
     std::string text = "  " + line.time + "  " + line.gateway + "  " + line.event;
     for (const auto& [name, value] : line.fields) {
         if (name != "request") {
-            text += "  " + name + "=" + value;
+            text.append("  ").append(name).append("=").append(value);
         }
     }
     return text;
--- a/src/settings/internal/settings_reader.cpp
+++ b/src/settings/internal/settings_reader.cpp
@@ -135,9 +135,9 @@
         return fallback;
     }
     double number = 0;
-    const auto* const end = value->data() + value->size();
-    const auto parsed = std::from_chars(value->data(), end, number);
-    if (parsed.ec != std::errc{} || parsed.ptr != end || !(number >= 0 && number <= highest)) {
+    std::istringstream text(*value);
+    const bool is_number = static_cast<bool>(text >> number) && text.eof();
+    if (!is_number || number < 0 || number > highest) {
         this->add_problem(key, "'" + *value + "' is not a number from 0 to " + std::to_string(highest));
         return fallback;
     }
--- a/src/settings/tests/settings_tests.cpp
+++ b/src/settings/tests/settings_tests.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(good_file_is_read);
     CPPUNIT_TEST(ten_problems_are_reported_at_once);
     CPPUNIT_TEST(missing_file_is_reported);
+    CPPUNIT_TEST(decimals_are_checked);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -74,6 +75,22 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{10}, problems.size());
     }
 
+    void decimals_are_checked()
+    {
+        constexpr double highest = 1'000;
+        const auto read = [&](const std::string& value) {
+            auto reader = settings_reader::parse("f", "[s]\nk = " + value + "\n");
+            const double number = reader.read_decimal({"s", "k"}, -1, highest);
+            return reader.problems().empty() ? number : -1;
+        };
+        for (const auto* const good : {"10", "10.0", "1e1"}) {
+            CPPUNIT_ASSERT_EQUAL(10.0, read(good));
+        }
+        for (const auto* const bad : {"ten", "10 megabits", "-1", "1000.1", "nan"}) {
+            CPPUNIT_ASSERT_EQUAL(-1.0, read(bad));
+        }
+    }
+
     void missing_file_is_reported()
     {
         const auto reader = settings_reader::open("no-such-file.ini");
