--- a/soak/types.h
+++ b/soak/types.h
@@ -45,7 +45,7 @@
     time_point asked;
 };
 
-// A backend server said that it leaves, and what callers sent it later all the same.
+// A backend server that has said that it leaves.
 struct leaving_server {
     std::string id;
     time_point told; // when the store had accepted its state
