Take only a served answer as a sign that a gateway knew a route

Trace: the earlier answer that was to show the route was a 503 with the cause 'no configuration is known yet', which a starting gateway is to give. The report names the answer that it rests on.

--- a/soak/verdict.cpp
+++ b/soak/verdict.cpp
@@ -142,34 +142,35 @@
         }
     }
 
-    // Within one life of a gateway, a route that was served is not unknown later.
+    // Within one life of a gateway, a route that was served is not unknown later, nor is an older one.
     void check_configuration()
     {
-        std::map<std::pair<std::string, unsigned>, time_point> served;
-        for (const auto& request : this->record.requests) {
-            if (request->kind == request_kind::extra && request->reply &&
-                request->reply->status != status_not_found) {
-                auto& first = served.try_emplace({request->gateway, request->extra_route}, time_point::max())
-                                  .first->second;
-                first = std::min(first, request->settled);
-            }
-        }
         for (const auto& request : this->record.requests) {
             const bool is_unknown = request->kind == request_kind::extra && request->reply &&
                                     request->reply->status == status_not_found;
-            // A route that has been added since is known with all older ones.
-            const auto newer = std::ranges::find_if(served, [&](const auto& row) {
-                return row.first.first == request->gateway && row.first.second >= request->extra_route &&
-                       row.second < request->sent;
-            });
-            if (is_unknown && newer != served.end()) {
+            if (!is_unknown) {
+                continue;
+            }
+            const auto witness = std::ranges::find_if(
+                this->record.requests, [&](const auto& earlier) { return shows_route(*earlier, *request); });
+            if (witness != this->record.requests.end()) {
                 this->report("configuration never reverts",
                              *request,
-                             "route " + std::to_string(request->extra_route) + " was known before");
+                             "route " + std::to_string(request->extra_route) + " was known before, " +
+                                 (*witness)->id + " got status " + std::to_string((*witness)->reply->status));
             }
         }
     }
 
+    // Returns whether an earlier answer shows that the gateway knew a request's route. A 503 does not: a
+    // gateway answers so before it knows any configuration.
+    static bool shows_route(const sent_request& earlier, const sent_request& request)
+    {
+        return earlier.kind == request_kind::extra && earlier.gateway == request.gateway &&
+               earlier.extra_route >= request.extra_route && earlier.settled < request.sent &&
+               earlier.reply && earlier.reply->status == status_ok;
+    }
+
     const soak_record& record;
     std::vector<std::string> broken;
 };
