Mend what a reading of the whole change found in the gateway

- Prompts were counted twice over: demand_meter counted whole seconds and multiplied them by the number of gateways, and the place desk had a meter of its own that also counted retries.
One meter remains, in demand_meter, once a request; roles are planned from what all gateways say they were asked.
- A request that may have run was held to the share of places and to the rule for late prompts like a new one, so a stream that broke in an overload was cut where another server had room.
It is not held to them any more; its story in gateway_tests failed before (1 call instead of 2).
- usual_patience was a bare map in the set-up with a row for every route that ever was; it holds its routes itself and forgets those that have gone.
- The log lines of a run moved into run_log; forward_run names 'may have run' once, and the time of a call without its way out of the host, which could have been negative, once.

--- a/src/admission/internal/usual_patience.cpp
+++ b/src/admission/internal/usual_patience.cpp
@@ -13,26 +13,35 @@
 
 } // namespace
 
-void usual_patience::record(std::chrono::milliseconds patience)
+void usual_patience::record(const std::string& route, std::chrono::milliseconds patience)
 {
-    if (this->recent.size() < remembered) {
-        this->recent.push_back(patience);
+    auto& row = this->routes[route];
+    if (row.recent.size() < remembered) {
+        row.recent.push_back(patience);
     } else {
-        this->recent[this->next] = patience;
-        this->next = (this->next + 1) % remembered;
+        row.recent[row.next] = patience;
+        row.next = (row.next + 1) % remembered;
     }
-    if (this->recent.size() < remembered) {
+    if (row.recent.size() < remembered) {
         return;
     }
-    auto sorted = this->recent;
-    const auto middle = sorted.begin() + usual_rank;
-    std::ranges::nth_element(sorted, middle);
-    this->usual = *middle;
+    auto sorted = row.recent;
+    const auto at_rank = sorted.begin() + usual_rank;
+    std::ranges::nth_element(sorted, at_rank);
+    row.usual = *at_rank;
 }
 
-std::chrono::milliseconds usual_patience::spent_before(std::chrono::milliseconds patience) const
+std::chrono::milliseconds usual_patience::spent_before(const std::string& route,
+                                                       std::chrono::milliseconds patience) const
 {
-    return std::max(this->usual - patience, std::chrono::milliseconds{0});
+    const auto row = this->routes.find(route);
+    const auto usual = row == this->routes.end() ? std::chrono::milliseconds{0} : row->second.usual;
+    return std::max(usual - patience, std::chrono::milliseconds{0});
+}
+
+void usual_patience::keep_only(const std::set<std::string>& routes)
+{
+    std::erase_if(this->routes, [&](const auto& row) { return !routes.contains(row.first); });
 }
 
 } // namespace tanager
--- a/src/admission/tests/admission_tests.cpp
+++ b/src/admission/tests/admission_tests.cpp
@@ -1,4 +1,3 @@
-#include "admission/arrival_meter.h"
 #include "admission/place_share.h"
 #include "admission/return_advice.h"
 #include "admission/usual_patience.h"
@@ -30,7 +29,6 @@
     CPPUNIT_TEST(leaves_no_dead_work_after_a_burst);
     CPPUNIT_TEST(sends_callers_back_after_the_burst);
     CPPUNIT_TEST(gateways_share_places_that_they_see_late);
-    CPPUNIT_TEST(counts_the_last_second);
     CPPUNIT_TEST(tells_second_attempts_from_first_ones);
     CPPUNIT_TEST_SUITE_END();
 
@@ -84,40 +82,33 @@
         });
     }
 
-    void counts_the_last_second()
-    {
-        manual_clock time;
-        arrival_meter meter(time);
-        for (int count = 0; count < 20; ++count) {
-            meter.record();
-            time.advance(100ms);
-        }
-        CPPUNIT_ASSERT_EQUAL(10U, meter.last_second());
-        time.advance(2s);
-        CPPUNIT_ASSERT_EQUAL(0U, meter.last_second());
-    }
-
     // An overload in which nearly half of the requests are second attempts of callers that were told to
     // return.
     void tells_second_attempts_from_first_ones()
     {
         usual_patience patience;
         section("nothing is known of the first callers",
-                [&] { CPPUNIT_ASSERT(patience.spent_before(500ms) == 0ms); });
+                [&] { CPPUNIT_ASSERT(patience.spent_before("checks", 500ms) == 0ms); });
         for (int count = 0; count < 200; ++count) {
-            patience.record(count % 9 < 4 ? 1'350ms : 2'000ms);
+            patience.record("checks", count % 9 < 4 ? 1'350ms : 2'000ms);
         }
         section("a first attempt has spent nothing",
-                [&] { CPPUNIT_ASSERT(patience.spent_before(2'000ms) == 0ms); });
+                [&] { CPPUNIT_ASSERT(patience.spent_before("checks", 2'000ms) == 0ms); });
         section("a second one has spent what its caller waited",
-                [&] { CPPUNIT_ASSERT(patience.spent_before(1'350ms) == 650ms); });
+                [&] { CPPUNIT_ASSERT(patience.spent_before("checks", 1'350ms) == 650ms); });
         section("a caller with more time than others has spent nothing",
-                [&] { CPPUNIT_ASSERT(patience.spent_before(9'000ms) == 0ms); });
+                [&] { CPPUNIT_ASSERT(patience.spent_before("checks", 9'000ms) == 0ms); });
         section("after a change of the callers' time the new one is usual", [&] {
             for (int count = 0; count < 64; ++count) {
-                patience.record(1'000ms);
+                patience.record("checks", 1'000ms);
             }
-            CPPUNIT_ASSERT(patience.spent_before(1'000ms) == 0ms);
+            CPPUNIT_ASSERT(patience.spent_before("checks", 1'000ms) == 0ms);
+        });
+        section("each route has its own usual time",
+                [&] { CPPUNIT_ASSERT(patience.spent_before("drafts", 500ms) == 0ms); });
+        section("a route that has gone is forgotten", [&] {
+            patience.keep_only({"drafts"});
+            CPPUNIT_ASSERT(patience.spent_before("checks", 500ms) == 0ms);
         });
     }
 
--- a/src/admission/usual_patience.h
+++ b/src/admission/usual_patience.h
@@ -1,10 +1,11 @@
 // Tells callers that have been rejected before from those that come for the first time.
 #pragma once
 
-#include "base/clock.h"
-
 #include <chrono>
 #include <cstddef>
+#include <map>
+#include <set>
+#include <string>
 #include <vector>
 
 namespace tanager {
@@ -14,15 +15,23 @@
 // may be lost already.
 class usual_patience {
 public:
-    void record(std::chrono::milliseconds patience);
+    void record(const std::string& route, std::chrono::milliseconds patience);
 
     // Returns what a caller with that patience has spent before.
-    std::chrono::milliseconds spent_before(std::chrono::milliseconds patience) const;
+    std::chrono::milliseconds spent_before(const std::string& route,
+                                           std::chrono::milliseconds patience) const;
+
+    // Forgets the routes that are not in force any more.
+    void keep_only(const std::set<std::string>& routes);
 
 private:
-    std::vector<std::chrono::milliseconds> recent; // a ring of the last requests
-    std::size_t next = 0;
-    std::chrono::milliseconds usual{0};
+    struct route_row {
+        std::vector<std::chrono::milliseconds> recent; // a ring of the last requests
+        std::size_t next = 0;
+        std::chrono::milliseconds usual{0};
+    };
+
+    std::map<std::string, route_row> routes;
 };
 
 } // namespace tanager
--- a/src/gateway/gateway_setup.cpp
+++ b/src/gateway/gateway_setup.cpp
@@ -91,9 +91,9 @@
           store(this->dialect.make_store(*this->store_client, store_address)),
           pool(this->time, settings.data_centre, settings.return_grace, this->elsewhere),
           link(this->time, settings.link_megabits),
-          desk(this->time, this->random, this->pool, this->link),
-          retries(settings.retry_share, retry_reserve),
           demand(this->time),
+          desk(this->time, this->random, this->pool, this->link, this->demand),
+          retries(settings.retry_share, retry_reserve),
           configuration(*this->dialect.entries, this->routes),
           servers(*this->dialect.entries, this->pool.list()),
           configuration_follower(object_follower::create(loop,
@@ -121,7 +121,7 @@
         this->last_turn = this->time.now();
         this->review_timer = loop.run_every(review_interval, [this] { this->desk.review(); });
         this->housekeeping = loop.run_every(housekeeping_interval, [this] { this->keep_house(); });
-        this->cleaning = loop.run_every(cleaning_interval, [this] { this->pool.forget_gone(); });
+        this->cleaning = loop.run_every(cleaning_interval, [this] { this->forget_gone(); });
         this->configuration_follower->start();
         this->server_follower->start();
     }
@@ -231,7 +231,7 @@
         for (const auto& [id, own] : this->pool.loads()) {
             report.loads.push_back({short_key(id), own.running, own.unread_tokens, own.long_outputs});
         }
-        for (const auto& [service, prompts] : this->desk.asked_last_second()) {
+        for (const auto& [service, prompts] : this->demand.prompts_last_second()) {
             report.demands.push_back({short_key(service), prompts});
         }
         return report;
@@ -283,6 +283,13 @@
         }
     }
 
+    // Drops what was learned of servers and routes that have gone.
+    void forget_gone()
+    {
+        this->pool.forget_gone();
+        this->patience.keep_only(this->routes.route_names());
+    }
+
     void refresh_gauges()
     {
         this->metrics.set_gauge("tanager_requests_open", static_cast<double>(this->gate->open()));
@@ -325,10 +332,10 @@
     route_directory routes;
     server_pool pool;
     uplink link;
-    std::map<std::string, usual_patience> patience; // by route
+    usual_patience patience;
+    demand_meter demand;
     place_desk desk;
     retry_budget retries;
-    demand_meter demand;
     configuration_observer configuration;
     server_observer servers;
     std::shared_ptr<object_follower> configuration_follower;
--- a/src/gateway/internal/forward_run.cpp
+++ b/src/gateway/internal/forward_run.cpp
@@ -1,7 +1,5 @@
 #include "gateway/internal/forward_run.h"
 
-#include "logging/event_log.h"
-
 #include <algorithm>
 
 namespace tanager {
@@ -48,11 +46,6 @@
 // A request that may run once only prefers a new connection to one that the server may be closing.
 constexpr std::chrono::milliseconds single_run_idle{700};
 
-std::string to_milliseconds(duration span)
-{
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
-}
-
 bool is_success(int status)
 {
     return status >= status_first_success && status <= status_last_success;
@@ -61,7 +54,7 @@
 } // namespace
 
 forward_run::forward_run(const forward_context& context, routed_request routed, std::function<void()> done)
-    : context(context), routed(std::move(routed)), done(std::move(done))
+    : context(context), routed(std::move(routed)), done(std::move(done)), log(this->routed.request.id)
 {
 }
 
@@ -74,7 +67,7 @@
 {
     this->context.retries.record_request(this->routed.service);
     if (this->routed.request.patience) {
-        this->context.patience[this->routed.chosen_route->name].record(*this->routed.request.patience);
+        this->context.patience.record(this->routed.chosen_route->name, *this->routed.request.patience);
     }
     const auto& prompt = this->routed.request.prompt;
     if (this->routed.is_model && !prompt.has_long_output()) {
@@ -105,7 +98,7 @@
         return false;
     }
     const auto spent =
-        this->context.patience[this->routed.chosen_route->name].spent_before(*request.patience);
+        this->context.patience.spent_before(this->routed.chosen_route->name, *request.patience);
     return spent > lost_share * this->routed.chosen_route->latency_objective;
 }
 
@@ -114,16 +107,25 @@
     const std::chrono::duration<double, std::milli> objective = this->routed.chosen_route->latency_objective;
     const auto patience = std::chrono::duration_cast<duration>(waiting_share * objective);
     const auto latest_start = std::min(this->routed.received + patience, this->routed.deadline);
-    return {this->routed.service,
-            this->routed.is_model,
-            this->routed.request.prompt,
-            this->routed.chosen_route->priority,
-            std::max(latest_start, now),
-            this->routed.received + std::chrono::duration_cast<duration>(due_share * objective),
-            this->routed.exchange->request().body.size() + typical_head_bytes,
-            this->has_lost_objective(),
-            this->untaken_cache.has_value(),
-            this->tried};
+    place_request wanted;
+    wanted.service = this->routed.service;
+    wanted.is_model = this->routed.is_model;
+    wanted.prompt = this->routed.request.prompt;
+    wanted.priority = this->routed.chosen_route->priority;
+    wanted.latest_start = std::max(latest_start, now);
+    wanted.due = this->routed.received + std::chrono::duration_cast<duration>(due_share * objective);
+    wanted.bytes = this->routed.exchange->request().body.size() + typical_head_bytes;
+    wanted.has_begun = this->has_begun();
+    wanted.is_late = !wanted.has_begun && this->has_lost_objective();
+    wanted.is_read = this->untaken_cache.has_value();
+    wanted.tried = this->tried;
+    return wanted;
+}
+
+// Returns whether a server may have run a part of it.
+bool forward_run::has_begun() const
+{
+    return this->runs > 0 || this->state == run_state::answering;
 }
 
 void forward_run::seek_place()
@@ -138,6 +140,7 @@
 {
     this->place = granted;
     this->server = granted.server;
+    this->log.use_server(granted.server->id);
     this->reading_since = this->context.time.now();
     this->waited += this->reading_since - this->asked;
     if (granted.reader != nullptr) {
@@ -175,6 +178,12 @@
     return encoded;
 }
 
+// Returns what a server took for the last call, without the time that the call needed to leave this host.
+duration forward_run::time_since(time_point began) const
+{
+    return std::max(this->context.time.now() - began - this->sending, duration{0});
+}
+
 // The prompt is read by another engine than the one that generates. Whatever goes wrong here, the request has
 // not run, and the generating engine can still read the prompt itself.
 void forward_run::read_prompt()
@@ -185,12 +194,7 @@
     auto order = this->make_order(*this->place.reader);
     order.only_read = true;
     http_call_options options{order.time_left + call_slack, true, true, repeatable_idle};
-    write_event(log_event::request_placed,
-                {{"request", this->routed.request.id},
-                 {"reader", this->place.reader->id},
-                 {"server", this->server->id},
-                 {"tokens_before", std::to_string(this->place.tokens_before)},
-                 {"waited_ms", to_milliseconds(this->waited)}});
+    this->log.write_reading(this->place, this->waited);
     this->reading = std::make_shared<prompt_reading>(
         this->context.codec, this->context.pool, this->place.reader, this->routed.request);
     this->reading->start(this->context.client,
@@ -222,13 +226,13 @@
 void forward_run::send_unread(const std::string& cause)
 {
     this->context.metrics.count("tanager_prompts_not_read_total");
-    write_event(log_event::request_retried, {{"request", this->routed.request.id}, {"cause", cause}});
+    this->log.write_retry(cause, this->runs);
     if (this->context.retries.try_spend(this->routed.service)) {
         this->send({});
         return;
     }
     this->context.desk.release(this->wanted, this->server->id);
-    if (this->runs > 0 || this->state == run_state::answering) {
+    if (this->has_begun()) {
         this->settle_broken({result_code::outcome_unknown, cause});
         return;
     }
@@ -241,9 +245,7 @@
     const auto reader = this->place.reader == nullptr ? this->place.server : this->place.reader;
     if (is_measured) {
         this->context.pool.record_reading(
-            *reader,
-            this->place.tokens_before,
-            std::max(this->context.time.now() - this->reading_since - this->sending, duration{0}));
+            *reader, this->place.tokens_before, this->time_since(this->reading_since));
     }
     const auto tokens = std::exchange(this->place.unread_tokens, 0);
     this->place.tokens_before = 0;
@@ -279,7 +281,7 @@
 void forward_run::on_no_place(placement_miss miss)
 {
     this->waited += this->context.time.now() - this->asked;
-    if (this->runs > 0 || this->state == run_state::answering) {
+    if (this->has_begun()) {
         this->settle_broken({result_code::outcome_unknown, "no other server for a second attempt"});
         return;
     }
@@ -303,12 +305,7 @@
     const bool repeatable = this->routed.chosen_route->is_repeatable();
     const http_call_options options{
         order.time_left + call_slack, true, true, repeatable ? repeatable_idle : single_run_idle};
-    write_event(log_event::request_placed,
-                {{"request", this->routed.request.id},
-                 {"server", target.id},
-                 {"with_cache", cache ? "yes" : "no"},
-                 {"tokens_before", std::to_string(this->place.tokens_before)},
-                 {"waited_ms", to_milliseconds(this->waited)}});
+    this->log.write_sent(this->place, cache.has_value(), this->waited);
     this->call = this->context.client.start(target.address, this->encode_for(order), options, this->handler);
     this->watch_connecting();
     this->watch_silence();
@@ -365,11 +362,7 @@
     }
     ++this->runs;
     this->break_attempt(server_sign::refused);
-    write_event(log_event::request_retried,
-                {{"request", this->routed.request.id},
-                 {"server", this->server->id},
-                 {"cause", "silent"},
-                 {"runs", std::to_string(this->runs)}});
+    this->log.write_retry("silent", this->runs);
     this->tried.push_back(this->server->id);
     this->seek_place();
 }
@@ -454,8 +447,8 @@
     }
     this->end_attempt(server_sign::answered);
     if (this->generating_since != time_point{}) {
-        this->context.demand.record_generation(
-            this->routed.service, this->context.time.now() - this->generating_since - this->sending);
+        this->context.demand.record_generation(this->routed.service,
+                                               this->time_since(this->generating_since));
     }
     if (this->state != run_state::answering) {
         this->deliver_whole();
@@ -482,7 +475,7 @@
     if (this->try_again(cause, false)) {
         return;
     }
-    if (this->runs > 0 || this->state == run_state::answering) {
+    if (this->has_begun()) {
         this->settle_broken(cause);
         return;
     }
@@ -519,7 +512,7 @@
     if (this->try_again(failure.cause, was_sent)) {
         return;
     }
-    if (was_sent || this->runs > 0 || this->state == run_state::answering) {
+    if (was_sent || this->has_begun()) {
         this->settle_broken(failure.cause);
         return;
     }
@@ -539,9 +532,7 @@
 bool forward_run::try_again(const error& cause, bool may_have_run)
 {
     const bool is_connect_failure = cause.code == result_code::connect_failed && !may_have_run;
-    const bool may_run_again = may_have_run || this->runs > 0 || this->state == run_state::answering
-                                   ? this->may_go_on_elsewhere()
-                                   : true;
+    const bool may_run_again = may_have_run || this->has_begun() ? this->may_go_on_elsewhere() : true;
     if (!may_run_again || this->connect_failures >= most_connect_failures ||
         this->context.time.now() >= this->routed.deadline) {
         return false;
@@ -549,11 +540,7 @@
     if (!is_connect_failure && !this->context.retries.try_spend(this->routed.service)) {
         return false;
     }
-    write_event(log_event::request_retried,
-                {{"request", this->routed.request.id},
-                 {"server", this->server->id},
-                 {"cause", cause.detail},
-                 {"runs", std::to_string(this->runs)}});
+    this->log.write_retry(cause.detail, this->runs);
     this->context.metrics.count("tanager_requests_retried_total");
     this->tried.push_back(this->server->id);
     static_cast<void>(this->events.take_rest());
@@ -565,8 +552,7 @@
 {
     if (this->state == run_state::answering) {
         this->routed.exchange->abort();
-        write_event(log_event::request_broken,
-                    {{"request", this->routed.request.id}, {"cause", cause.detail}, {"outcome", "cut"}});
+        this->log.write_broken(cause, "cut");
         this->finish("cut", 0);
         return;
     }
@@ -576,11 +562,7 @@
 void forward_run::fail_run(const error& cause)
 {
     const int status = cause.code == result_code::timed_out ? status_gateway_timeout : status_bad_gateway;
-    write_event(log_event::request_broken,
-                {{"request", this->routed.request.id},
-                 {"cause", cause.detail},
-                 {"server", this->server == nullptr ? "-" : this->server->id},
-                 {"outcome", "unknown"}});
+    this->log.write_broken(cause, "unknown");
     this->routed.exchange->reply(this->context.codec.encode_failure(
         this->routed.request, status, cause, std::chrono::milliseconds{0}));
     this->finish("unknown", status);
@@ -589,23 +571,13 @@
 void forward_run::reject(const error& cause)
 {
     const auto retry_after = this->context.desk.advise_return(this->routed.service);
-    const auto use = this->context.desk.use_of(this->routed.service);
-    write_event(
-        log_event::request_rejected,
-        {{"request", this->routed.request.id},
-         {"cause", cause.detail},
-         {"configuration", std::to_string(this->routed.configuration_version)},
-         {"places", std::to_string(use.places)},
-         {"running_here", std::to_string(use.running_here)},
-         {"running_elsewhere", std::to_string(use.running_elsewhere)},
-         {"asked_here", std::to_string(use.asked_here)},
-         {"asked_elsewhere", std::to_string(use.asked_elsewhere)},
-         {"age_ms", to_milliseconds(use.age)},
-         {"time_left_ms",
-          std::to_string(this->routed.request.patience.value_or(std::chrono::milliseconds{0}).count())},
-         {"objective_lost", this->wanted.is_late ? "yes" : "no"},
-         {"waited_ms", to_milliseconds(this->waited)},
-         {"retry_after_ms", std::to_string(retry_after.count())}});
+    this->log.write_rejection(cause,
+                              {this->routed.configuration_version,
+                               this->context.desk.use_of(this->routed.service),
+                               this->routed.request.patience.value_or(std::chrono::milliseconds{0}),
+                               this->wanted.is_late,
+                               this->waited,
+                               retry_after});
     this->context.metrics.count("tanager_requests_rejected_total",
                                 "code=\"" + std::to_string(static_cast<int>(cause.code)) + "\"");
     this->routed.exchange->reply(
@@ -669,7 +641,7 @@
         this->context.desk.withdraw(this->ticket);
     }
     const error cause{result_code::timed_out, "deadline of the request"};
-    if (!was_sent && this->runs == 0 && this->state != run_state::answering) {
+    if (!was_sent && !this->has_begun()) {
         this->reject(cause);
         return;
     }
@@ -687,8 +659,7 @@
     } else {
         this->context.desk.withdraw(this->ticket);
     }
-    write_event(log_event::request_abandoned,
-                {{"request", this->routed.request.id}, {"elapsed_ms", to_milliseconds(this->elapsed())}});
+    this->log.write_abandoned(this->elapsed());
     this->routed.exchange->abort();
     this->finish("abandoned", 0);
 }
@@ -705,24 +676,16 @@
         "tanager_request_seconds", {this->routed.service, this->routed.chosen_route->name}, this->elapsed());
     this->context.metrics.count("tanager_requests_finished_total",
                                 "outcome=\"" + std::string{outcome} + "\"");
-    this->log_end(outcome, status);
+    this->log.write_end({this->routed.chosen_route->name,
+                         this->routed.configuration_version,
+                         std::string{outcome},
+                         status,
+                         this->runs,
+                         this->waited,
+                         this->first_event,
+                         this->elapsed()});
     const auto finished = std::exchange(this->done, nullptr);
     finished();
 }
 
-void forward_run::log_end(std::string_view outcome, int status)
-{
-    write_event(log_event::request_finished,
-                {{"request", this->routed.request.id},
-                 {"route", this->routed.chosen_route->name},
-                 {"configuration", std::to_string(this->routed.configuration_version)},
-                 {"server", this->server == nullptr ? "-" : this->server->id},
-                 {"outcome", std::string{outcome}},
-                 {"status", std::to_string(status)},
-                 {"runs", std::to_string(this->runs)},
-                 {"waited_ms", to_milliseconds(this->waited)},
-                 {"first_ms", to_milliseconds(this->first_event)},
-                 {"total_ms", to_milliseconds(this->elapsed())}});
-}
-
 } // namespace tanager
--- a/src/gateway/internal/forward_run.h
+++ b/src/gateway/internal/forward_run.h
@@ -4,6 +4,7 @@
 #include "answers/event_splitter.h"
 #include "gateway/internal/attempt_handler.h"
 #include "gateway/internal/prompt_reading.h"
+#include "gateway/internal/run_log.h"
 #include "gateway/place_desk.h"
 #include "gateway/types/caller_request.h"
 #include "gateway/wire_codec.h"
@@ -15,7 +16,6 @@
 #include "routes/types/route_table.h"
 #include "uplink/uplink.h"
 
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -35,7 +35,7 @@
     retry_budget& retries;
     demand_meter& demand;
     uplink& link;
-    std::map<std::string, usual_patience>& patience; // by route
+    usual_patience& patience;
 };
 
 // A request that has a route.
@@ -107,13 +107,15 @@
     void reject(const error& cause);
     void fail_run(const error& cause);
     void finish(std::string_view outcome, int status);
-    void log_end(std::string_view outcome, int status);
+    bool has_begun() const;
     bool has_lost_objective() const;
     duration elapsed() const;
+    duration time_since(time_point began) const;
 
     forward_context context;
     routed_request routed;
     std::function<void()> done;
+    run_log log;
     run_state state = run_state::waiting;
     std::uint64_t ticket = 0;
     std::shared_ptr<http_call> call;
--- a/src/gateway/internal/place_desk.cpp
+++ b/src/gateway/internal/place_desk.cpp
@@ -12,8 +12,12 @@
 
 } // namespace
 
-place_desk::place_desk(const clock& time, random_source& random, server_pool& pool, const uplink& link)
-    : time(time), random(random), pool(pool), link(link)
+place_desk::place_desk(const clock& time,
+                       random_source& random,
+                       server_pool& pool,
+                       const uplink& link,
+                       const demand_meter& demand)
+    : time(time), random(random), pool(pool), link(link), demand(demand)
 {
 }
 
@@ -28,10 +32,11 @@
     return wanted.prompt.has_long_output() ? desk.long_outputs : desk.line;
 }
 
-// Long outputs are few and hold their places for seconds, so they are not held to a share.
+// Long outputs are few and hold their places for seconds, and what has begun would be lost, so neither is
+// held to a share.
 bool place_desk::has_share(const place_request& wanted, const std::vector<placement_candidate>& candidates)
 {
-    if (wanted.prompt.has_long_output() || wanted.is_read) {
+    if (wanted.prompt.has_long_output() || wanted.is_read || wanted.has_begun) {
         return true;
     }
     const auto use = this->count_places(wanted.service, candidates);
@@ -52,7 +57,7 @@
             use.running_elsewhere += candidate.running_elsewhere;
         }
     }
-    use.asked_here = this->desk_of(service).prompts.last_second();
+    use.asked_here = this->demand.prompts_last_second(service);
     use.asked_elsewhere = this->pool.prompts_elsewhere(service);
     use.age = this->pool.elsewhere_age();
     return use;
@@ -100,9 +105,6 @@
 std::uint64_t place_desk::ask(const place_request& wanted, const std::shared_ptr<place_listener>& listener)
 {
     const std::uint64_t ticket = ++this->last_ticket;
-    if (wanted.is_model && !wanted.prompt.has_long_output()) {
-        this->desk_of(wanted.service).prompts.record();
-    }
     auto& line = this->line_of(wanted);
     const auto first = line.next();
     const bool goes_first = !first || first->priority > wanted.priority;
@@ -206,17 +208,6 @@
     return this->kept.size();
 }
 
-std::map<std::string, std::uint32_t> place_desk::asked_last_second() const
-{
-    std::map<std::string, std::uint32_t> asked;
-    for (const auto& [service, desk] : this->desks) {
-        if (const auto prompts = desk.prompts.last_second(); prompts > 0) {
-            asked.emplace(service, prompts);
-        }
-    }
-    return asked;
-}
-
 std::chrono::milliseconds place_desk::advise_return(const std::string& service)
 {
     auto& desk = this->desk_of(service);
--- a/src/gateway/internal/role_keeper.cpp
+++ b/src/gateway/internal/role_keeper.cpp
@@ -112,7 +112,7 @@
     }
     this->demand.record_long_outputs(service, long_outputs);
     const auto token_time = this->pool.prefill_token_milliseconds(service, prefill_speed_up);
-    const auto asked = this->demand.measure(service, this->peers.known().heard() + 1, token_time);
+    const auto asked = this->demand.measure(service, this->pool.prompts_elsewhere(service), token_time);
     const auto change = plan_role_change(engines, asked, this->policy);
     if (!change) {
         this->wanted.reset();
--- a/src/gateway/place_desk.h
+++ b/src/gateway/place_desk.h
@@ -1,7 +1,6 @@
 // Gives requests their places on backend servers, now or when one comes free.
 #pragma once
 
-#include "admission/arrival_meter.h"
 #include "admission/place_share.h"
 #include "admission/return_advice.h"
 #include "admission/waiting_line.h"
@@ -9,6 +8,7 @@
 #include "gateway/server_pool.h"
 #include "gateway/types/caller_request.h"
 #include "placement/server_choice.h"
+#include "roles/demand_meter.h"
 #include "uplink/uplink.h"
 
 #include <cstdint>
@@ -28,6 +28,7 @@
     time_point latest_start; // a later start misses the objective
     time_point due;          // when the first event, or the answer, is to be there
     std::size_t bytes = 0;   // of the request as it is sent
+    bool has_begun = false;  // may have run already, so that another place is its only chance
     bool is_late = false;    // its objective is lost, so it is served from idle room only
     bool is_read = false;    // the prompt lies in a KV cache that the server will take
     std::vector<std::string> tried;
@@ -59,7 +60,11 @@
 
 class place_desk {
 public:
-    place_desk(const clock& time, random_source& random, server_pool& pool, const uplink& link);
+    place_desk(const clock& time,
+               random_source& random,
+               server_pool& pool,
+               const uplink& link,
+               const demand_meter& demand);
 
     // Answers the listener at once, or keeps it until a place comes free or the latest start has passed.
     // Returns a ticket for `withdraw`.
@@ -82,9 +87,6 @@
     // Returns what is known of the places of a service at this moment, for the log.
     place_use use_of(const std::string& service);
 
-    // Returns the prompts that came here in the last second, by service.
-    std::map<std::string, std::uint32_t> asked_last_second() const;
-
     // Returns when a caller whose request is rejected now should come back.
     std::chrono::milliseconds advise_return(const std::string& service);
 
@@ -103,13 +105,10 @@
                place_listener& listener);
     // What is kept for each service.
     struct service_desk {
-        explicit service_desk(const clock& time) : line(time), long_outputs(time), prompts(time), advice(time)
-        {
-        }
+        explicit service_desk(const clock& time) : line(time), long_outputs(time), advice(time) {}
 
         waiting_line line;
         waiting_line long_outputs; // few, and each worth many others: a burst of those is not before them
-        arrival_meter prompts;     // those with short outputs
         return_advice advice;
     };
 
@@ -122,6 +121,7 @@
     random_source& random;
     server_pool& pool;
     const uplink& link;
+    const demand_meter& demand;
     std::uint64_t last_ticket = 0;
     std::map<std::string, service_desk> desks;
     std::map<std::uint64_t, kept_request> kept;
--- a/src/gateway/tests/gateway_tests.cpp
+++ b/src/gateway/tests/gateway_tests.cpp
@@ -59,23 +59,41 @@
         this->add_server("b", engine_role::none);
     }
 
-    void add_server(const std::string& id, engine_role role)
+    void add_server(const std::string& id, engine_role role, std::uint32_t slots = 2)
     {
         backend_server server;
         server.id = id;
         server.service = "desk";
         server.address = {"10.0.0." + std::to_string(id.front()), 80};
-        server.slots = 2;
+        server.slots = slots;
         server.role = role;
         this->pool.list().apply({id, server});
     }
 
-    std::shared_ptr<fake_exchange> send(duration time_left = 10s)
+    void remove_server(const std::string& id)
+    {
+        this->pool.list().apply({id, std::nullopt});
+    }
+
+    place_request short_prompt() const
+    {
+        place_request wanted;
+        wanted.service = "desk";
+        wanted.is_model = true;
+        wanted.prompt = {0, 0, 200, 10};
+        wanted.latest_start = this->time.now() + 1s;
+        wanted.due = this->time.now() + 1s;
+        return wanted;
+    }
+
+    std::shared_ptr<fake_exchange> send(duration time_left = 10s,
+                                        std::optional<std::chrono::milliseconds> said_left = {})
     {
         auto exchange = std::make_shared<fake_exchange>(http_request{"POST", "/x", {{"id", "r1"}}, "body"});
         caller_request request;
         request.id = "r1";
         request.prompt = this->prompt;
+        request.patience = said_left;
         const auto now = this->time.now();
         const auto run =
             std::make_shared<forward_run>(forward_context{this->loop_ref(),
@@ -127,10 +145,10 @@
     nobody_else elsewhere;
     server_pool pool{time, "here", 2s, elsewhere};
     uplink link{time, 0};
-    std::map<std::string, usual_patience> patience;
-    place_desk desk{time, random, pool, link};
-    retry_budget retries{every_request, reserve};
+    usual_patience patience;
     demand_meter demand{time};
+    place_desk desk{time, random, pool, link, demand};
+    retry_budget retries{every_request, reserve};
     route route_in_force;
     prompt_shape prompt;
     bool is_model = false;
@@ -172,6 +190,7 @@
     CPPUNIT_TEST(reads_a_prompt_apart);
     CPPUNIT_TEST(gives_a_long_output_its_place_in_a_burst);
     CPPUNIT_TEST(serves_late_prompts_from_idle_room);
+    CPPUNIT_TEST(continues_a_late_stream_in_an_overload);
     CPPUNIT_TEST(gives_every_place_back);
     CPPUNIT_TEST_SUITE_END();
 
@@ -482,9 +501,7 @@
         section("an engine with two places, both taken", [] {
             middle gateway;
             gateway.add_server("d", engine_role::decode);
-            place_request check{
-                "desk", true, {0, 0, 200, 10}, 0, gateway.time.now() + 1s, {}, 0, false, false, {}};
-            check.due = gateway.time.now() + 1s;
+            auto check = gateway.short_prompt();
             auto draft = check;
             draft.prompt = {0, 0, 200, 6'000};
             draft.priority = 1;
@@ -527,9 +544,7 @@
             engine.slots = 16;
             engine.role = engine_role::decode;
             gateway.pool.list().apply({"d", engine});
-            place_request first{
-                "desk", true, {0, 0, 200, 10}, 0, gateway.time.now() + 1s, {}, 0, false, false, {}};
-            first.due = gateway.time.now() + 1s;
+            auto first = gateway.short_prompt();
             auto late = first;
             late.is_late = true;
             const auto given = std::make_shared<place_counter>();
@@ -552,6 +567,43 @@
         });
     }
 
+    // A server breaks off while callers ask for more than there are places: what has begun goes before what
+    // has not.
+    void continues_a_late_stream_in_an_overload()
+    {
+        section("a second attempt whose objective is lost has begun on one of two engines", [] {
+            middle gateway;
+            gateway.remove_server("a");
+            gateway.remove_server("b");
+            gateway.add_server("d", engine_role::decode, 10);
+            gateway.add_server("e", engine_role::decode, 10);
+            gateway.is_model = true;
+            gateway.prompt = {0, 0, 200, 10};
+            gateway.route_in_force.kind = route_kind::streaming;
+            gateway.route_in_force.is_resumable = true;
+            for (int count = 0; count < 100; ++count) {
+                gateway.patience.record("orders", 2'000ms);
+            }
+            const auto exchange = gateway.send(10s, 500ms);
+            gateway.call(0).handler->on_head(200, own_answer);
+            gateway.call(0).handler->on_data("id: 1\ndata: a\n\n");
+            section("and breaks off when most of the places are filled", [&] {
+                const auto others = std::make_shared<place_counter>();
+                auto other = gateway.short_prompt();
+                for (int count = 0; count < 16; ++count) {
+                    gateway.desk.ask(other, others);
+                }
+                CPPUNIT_ASSERT_EQUAL(16, others->places);
+                gateway.call(0).fail(call_progress::maybe_sent);
+                section("it goes on at the other engine", [&] {
+                    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, gateway.client.calls.size());
+                    gateway.call(1).answer(200, own_answer, "id: 2\ndata: b\n\n");
+                    CPPUNIT_ASSERT(exchange->is_finished);
+                });
+            });
+        });
+    }
+
     void gives_every_place_back()
     {
         section("a thousand requests of all kinds end in all ways", [] {
--- a/src/roles/demand_meter.h
+++ b/src/roles/demand_meter.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "roles/arrival_meter.h"
 #include "roles/types/role_types.h"
 
 #include <cstdint>
@@ -24,22 +25,29 @@
     // Records how many long outputs run at the moment, on all gateways.
     void record_long_outputs(const std::string& service, std::uint32_t running);
 
-    // Returns the demand on all gateways, of which this is one in `gateways`; `token_milliseconds` is what a
-    // prefill engine takes for a prompt token.
-    role_demand measure(const std::string& service, std::size_t gateways, double token_milliseconds) const;
+    // Returns the prompts that came here in the last second; by service, those of which any came.
+    std::uint32_t prompts_last_second(const std::string& service) const;
+    std::map<std::string, std::uint32_t> prompts_last_second() const;
+
+    // Returns the demand on all gateways: `prompts_elsewhere` came to the others in the last second, and
+    // `token_milliseconds` is what a prefill engine takes for a prompt token.
+    role_demand
+    measure(const std::string& service, std::uint32_t prompts_elsewhere, double token_milliseconds) const;
 
 private:
     struct service_row {
+        explicit service_row(const clock& time) : arrivals(time) {}
+
+        arrival_meter arrivals;
         std::uint32_t prompts = 0;
         std::uint32_t generations = 0;
         double own_tokens = 0;
         double held_milliseconds = 0;
         double peak_long_outputs = 0;
-        std::uint32_t last_second = 0;
-        time_point second_began;
-        std::uint32_t in_second = 0;
     };
 
+    service_row& row_of(const std::string& service);
+
     const clock& time;
     std::map<std::string, service_row> services;
 };
--- a/src/admission/internal/arrival_meter.cpp
+++ b/src/roles/internal/arrival_meter.cpp
@@ -1,4 +1,4 @@
-#include "admission/arrival_meter.h"
+#include "roles/arrival_meter.h"
 
 namespace tanager {
 
--- a/src/roles/internal/demand_meter.cpp
+++ b/src/roles/internal/demand_meter.cpp
@@ -23,23 +23,22 @@
 
 demand_meter::demand_meter(const clock& time) : time(time) {}
 
+demand_meter::service_row& demand_meter::row_of(const std::string& service)
+{
+    return this->services.try_emplace(service, this->time).first->second;
+}
+
 void demand_meter::record_prompt(const std::string& service, std::uint32_t own_tokens)
 {
-    auto& row = this->services[service];
+    auto& row = this->row_of(service);
     ++row.prompts;
     row.own_tokens += weight_of(row.prompts) * (own_tokens - row.own_tokens);
-    const auto now = this->time.now();
-    if (now - row.second_began >= std::chrono::seconds{1}) {
-        row.last_second = row.in_second;
-        row.second_began = now;
-        row.in_second = 0;
-    }
-    ++row.in_second;
+    row.arrivals.record();
 }
 
 void demand_meter::record_generation(const std::string& service, duration held)
 {
-    auto& row = this->services[service];
+    auto& row = this->row_of(service);
     ++row.generations;
     const double milliseconds = std::chrono::duration<double, std::milli>(held).count();
     row.held_milliseconds += weight_of(row.generations) * (milliseconds - row.held_milliseconds);
@@ -47,24 +46,39 @@
 
 void demand_meter::record_long_outputs(const std::string& service, std::uint32_t running)
 {
-    auto& row = this->services[service];
+    auto& row = this->row_of(service);
     row.peak_long_outputs = std::max(row.peak_long_outputs * peak_fading, static_cast<double>(running));
 }
 
-role_demand
-demand_meter::measure(const std::string& service, std::size_t gateways, double token_milliseconds) const
+std::uint32_t demand_meter::prompts_last_second(const std::string& service) const
 {
     const auto found = this->services.find(service);
-    if (found == this->services.end()) {
-        return {};
+    return found == this->services.end() ? 0 : found->second.arrivals.last_second();
+}
+
+std::map<std::string, std::uint32_t> demand_meter::prompts_last_second() const
+{
+    std::map<std::string, std::uint32_t> prompts;
+    for (const auto& [service, row] : this->services) {
+        if (const auto count = row.arrivals.last_second(); count > 0) {
+            prompts.emplace(service, count);
+        }
     }
-    const auto& row = found->second;
-    if (row.generations < telling_samples) {
+    return prompts;
+}
+
+role_demand demand_meter::measure(const std::string& service,
+                                  std::uint32_t prompts_elsewhere,
+                                  double token_milliseconds) const
+{
+    const auto found = this->services.find(service);
+    if (found == this->services.end() || found->second.generations < telling_samples) {
         return {};
     }
+    const auto& row = found->second;
     return {row.own_tokens * token_milliseconds,
             row.held_milliseconds,
-            static_cast<double>(std::max(row.last_second, row.in_second)) * static_cast<double>(gateways),
+            static_cast<double>(row.arrivals.last_second()) + prompts_elsewhere,
             row.peak_long_outputs};
 }
 
--- a/src/roles/tests/roles_tests.cpp
+++ b/src/roles/tests/roles_tests.cpp
@@ -88,6 +88,7 @@
     CPPUNIT_TEST(balances_readers_and_generators);
     CPPUNIT_TEST(leaves_a_balanced_split_alone);
     CPPUNIT_TEST(measures_demand);
+    CPPUNIT_TEST(counts_the_last_second);
     CPPUNIT_TEST(sends_an_order_with_authority);
     CPPUNIT_TEST(sends_nothing_after_losing_authority);
     CPPUNIT_TEST(settles_an_unanswered_order);
@@ -161,18 +162,38 @@
             meter.record_long_outputs("s", 12);
             for (int count = 0; count < 200; ++count) {
                 meter.record_prompt("s", 3'000);
-                CPPUNIT_ASSERT(meter.measure("s", 4, 0.002) == role_demand{});
+                CPPUNIT_ASSERT(meter.measure("s", 300, 0.002) == role_demand{});
                 meter.record_generation("s", 60ms);
                 time.advance(10ms);
             }
-            const auto demand = meter.measure("s", 4, 0.002);
+            const auto demand = meter.measure("s", 300, 0.002);
             CPPUNIT_ASSERT_DOUBLES_EQUAL(6, demand.reading_milliseconds, 0.01);
             CPPUNIT_ASSERT_DOUBLES_EQUAL(60, demand.generating_milliseconds, 0.01);
             CPPUNIT_ASSERT_DOUBLES_EQUAL(400, demand.prompts_per_second, 20);
             CPPUNIT_ASSERT_DOUBLES_EQUAL(12, demand.long_outputs, 0.01);
+            section("and tells what came here in the last second", [&] {
+                CPPUNIT_ASSERT_EQUAL(100U, meter.prompts_last_second("s"));
+                CPPUNIT_ASSERT_EQUAL(std::size_t{1}, meter.prompts_last_second().size());
+                CPPUNIT_ASSERT_EQUAL(0U, meter.prompts_last_second("another"));
+                time.advance(2s);
+                CPPUNIT_ASSERT(meter.prompts_last_second().empty());
+            });
         });
     }
 
+    void counts_the_last_second()
+    {
+        manual_clock time;
+        arrival_meter meter(time);
+        for (int count = 0; count < 20; ++count) {
+            meter.record();
+            time.advance(100ms);
+        }
+        CPPUNIT_ASSERT_EQUAL(10U, meter.last_second());
+        time.advance(2s);
+        CPPUNIT_ASSERT_EQUAL(0U, meter.last_second());
+    }
+
     void sends_an_order_with_authority()
     {
         section("a process takes over", [] {
--- a/src/routes/internal/route_directory.cpp
+++ b/src/routes/internal/route_directory.cpp
@@ -80,6 +80,17 @@
     return names;
 }
 
+std::set<std::string> route_directory::route_names() const
+{
+    std::set<std::string> names;
+    for (const auto& [host, prefixes] : this->by_host) {
+        for (const auto& [prefix, chosen] : prefixes) {
+            names.insert(chosen->name);
+        }
+    }
+    return names;
+}
+
 const service_entry* route_directory::find_service(const std::string& name) const
 {
     const auto found = this->services.find(name);
--- a/src/routes/route_directory.h
+++ b/src/routes/route_directory.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -24,6 +25,9 @@
 
     std::vector<std::string> model_services() const;
 
+    // Returns the names of the routes in force.
+    std::set<std::string> route_names() const;
+
     const service_entry* find_service(const std::string& name) const;
 
 private:
--- a/tests/tests/gateway_path_tests.cpp
+++ b/tests/tests/gateway_path_tests.cpp
@@ -300,12 +300,18 @@
     {
         const gateway_site place;
         section("gateways are asked to stop as soon as they listen", [&] {
+            std::vector<std::unique_ptr<child_process>> started;
             for (int count = 0; count < 20; ++count) {
-                child_process started("tanager-gateway", {"--config", place.settings_path});
-                started.wait_for_line("program_listening");
-                started.send_signal(SIGTERM);
-                CPPUNIT_ASSERT_EQUAL(0, started.wait());
+                started.push_back(std::make_unique<child_process>(
+                    "tanager-gateway", std::vector<std::string>{"--config", place.settings_path}));
+                started.back()->wait_for_line("program_listening");
+                started.back()->send_signal(SIGTERM);
             }
+            section("and each ends in order", [&] {
+                for (const auto& process : started) {
+                    CPPUNIT_ASSERT_EQUAL(0, process->wait());
+                }
+            });
         });
     }
 
