Test the soak's verdict, and what it must not report

The story of gathered changes waited for the very number that it asserts; it waits for a follower that knows everything and watches on. Both pass; no check or bound has changed.

--- /dev/null
+++ b/soak/tests/verdict_tests.cpp
@@ -0,0 +1,225 @@
+#include "soak/verdict.h"
+#include "testing/story.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace tanager::soak {
+
+namespace {
+
+using namespace std::chrono_literals;
+using testing::section;
+
+const time_point start = time_point{} + 1h;
+
+// A run in which each request is answered as it should be, to be spoilt by one thing at a time.
+class clean_run {
+public:
+    std::shared_ptr<sent_request> add(request_kind kind, duration sent = 10s)
+    {
+        const auto request = std::make_shared<sent_request>();
+        request->id = "r" + std::to_string(this->record.requests.size() + 1);
+        request->body = "body";
+        request->kind = kind;
+        request->events = 2;
+        request->gateway = "g0#1";
+        request->sent = start + sent;
+        request->settled = request->sent + 100ms;
+        const auto body =
+            kind == request_kind::stream ? "id: 1\ndata: body\n\nid: 2\ndata: body\n\n" : "answer to body";
+        request->reply =
+            http_reply{200, {{"Attempt-Id", request->id}, {"Response-Seal", "seal-of-" + request->id}}, body};
+        this->record.requests.push_back(request);
+        this->record.runs["s1-0"][request->id] = 1;
+        return request;
+    }
+
+    // Returns how many promises are broken, and checks that each is the one named.
+    std::size_t broken(const std::string& promise) const
+    {
+        const auto lines = find_broken_promises(this->record);
+        for (const auto& line : lines) {
+            CPPUNIT_ASSERT_MESSAGE(line, line.starts_with(promise + ":"));
+        }
+        return lines.size();
+    }
+
+    void disturb(duration began, duration ended)
+    {
+        this->record.disturbances.push_back({start + began, start + ended});
+    }
+
+    soak_record record;
+};
+
+void fail(sent_request& request, call_progress progress, result_code code = result_code::connection_lost)
+{
+    request.reply.reset();
+    request.failure = http_failure{{code, "broken"}, progress};
+}
+
+class verdict_tests : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(verdict_tests);
+    CPPUNIT_TEST(finds_nothing_in_a_clean_run);
+    CPPUNIT_TEST(sees_requests_that_ran_wrongly);
+    CPPUNIT_TEST(sees_wrong_answers);
+    CPPUNIT_TEST(sees_requests_without_an_answer);
+    CPPUNIT_TEST(sees_stops_that_cut_requests);
+    CPPUNIT_TEST(sees_work_for_leaving_servers);
+    CPPUNIT_TEST(sees_a_configuration_that_goes_back);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void finds_nothing_in_a_clean_run()
+    {
+        clean_run run;
+        for (const auto kind :
+             {request_kind::order, request_kind::read, request_kind::stream, request_kind::extra}) {
+            run.add(kind);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, run.broken("nothing"));
+    }
+
+    void sees_requests_that_ran_wrongly()
+    {
+        section("an order that ran twice, on two servers", [] {
+            clean_run run;
+            const auto order = run.add(request_kind::order);
+            run.record.runs["s2-0"][order->id] = 1;
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, run.broken("at most once"));
+            section("a read may", [&] {
+                order->kind = request_kind::read;
+                CPPUNIT_ASSERT_EQUAL(std::size_t{0}, run.broken("nothing"));
+            });
+        });
+        section("an order that was answered as not run", [] {
+            clean_run run;
+            const auto order = run.add(request_kind::order);
+            order->reply = http_reply{503, {}, {}};
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, run.broken("not run is true"));
+            section("a 502 promises nothing", [&] {
+                order->reply->status = 502;
+                CPPUNIT_ASSERT_EQUAL(std::size_t{0}, run.broken("nothing"));
+            });
+        });
+    }
+
+    void sees_wrong_answers()
+    {
+        clean_run run;
+        section("the body of another request", [&] {
+            run.add(request_kind::read)->reply->body = "answer to another";
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, run.broken("own whole answer"));
+        });
+        section("a stream that lacks its last event", [&] {
+            run.add(request_kind::stream)->reply->body = "id: 1\ndata: body\n\n";
+            CPPUNIT_ASSERT_EQUAL(std::size_t{2}, run.broken("own whole answer"));
+        });
+        section("the id, or the signature, of another request", [&] {
+            run.add(request_kind::read)->reply->headers[0].value = "another";
+            run.add(request_kind::read)->reply->headers[1].value = "seal-of-another";
+            CPPUNIT_ASSERT_EQUAL(std::size_t{4}, run.broken("own whole answer"));
+        });
+    }
+
+    void sees_requests_without_an_answer()
+    {
+        clean_run run;
+        section("one that was never settled, and one that its caller gave up", [&] {
+            run.add(request_kind::read)->reply.reset();
+            fail(*run.add(request_kind::read), call_progress::maybe_sent, result_code::timed_out);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{2}, run.broken("answered"));
+        });
+    }
+
+    void sees_stops_that_cut_requests()
+    {
+        section("a gateway is asked to stop while a request is under way", [] {
+            clean_run run;
+            const auto cut = run.add(request_kind::read);
+            run.record.stops.push_back({"g0#1", cut->sent + 50ms});
+            fail(*cut, call_progress::maybe_sent);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, run.broken("graceful stop"));
+            section("one that came later and was passed on counts, too", [&] {
+                cut->sent = run.record.stops.front().asked + 1ms;
+                CPPUNIT_ASSERT_EQUAL(std::size_t{1}, run.broken("graceful stop"));
+                section("but not one that crossed the close", [&] {
+                    run.record.runs.clear();
+                    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, run.broken("nothing"));
+                });
+            });
+        });
+        section("a disturbance shortly before the stop excuses it", [] {
+            clean_run run;
+            const auto cut = run.add(request_kind::read);
+            run.record.stops.push_back({"g0#1", cut->sent + 50ms});
+            fail(*cut, call_progress::maybe_sent);
+            run.disturb(5s, 8s);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, run.broken("nothing"));
+            section("one that ended long before does not", [&] {
+                run.record.disturbances.front().ended = start + 6s;
+                CPPUNIT_ASSERT_EQUAL(std::size_t{1}, run.broken("graceful stop"));
+            });
+        });
+        section("a gateway that ended by itself", [] {
+            clean_run run;
+            run.record.unexpected_ends.emplace_back("g0#1 ended by itself with -11");
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, run.broken("runs on"));
+        });
+    }
+
+    void sees_work_for_leaving_servers()
+    {
+        clean_run run;
+        const auto late = run.add(request_kind::read);
+        run.record.leavers.push_back({"s1-0", late->sent - 3s});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, run.broken("leaving servers get no work"));
+        section("within the bound it may", [&] {
+            run.record.leavers.front().told = late->sent - 2s;
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, run.broken("nothing"));
+        });
+    }
+
+    void sees_a_configuration_that_goes_back()
+    {
+        section("a route is served by a gateway and unknown to it later", [] {
+            clean_run run;
+            const auto before = run.add(request_kind::extra);
+            const auto after = run.add(request_kind::extra, 12s);
+            before->extra_route = after->extra_route = 3;
+            after->reply = http_reply{404, {}, {}};
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, run.broken("configuration never reverts"));
+            section("so is an older route than the one that was served", [&] {
+                after->extra_route = 2;
+                CPPUNIT_ASSERT_EQUAL(std::size_t{1}, run.broken("configuration never reverts"));
+            });
+            section("a newer one, another process, or an answer that came later shows nothing", [&] {
+                after->extra_route = 4;
+                CPPUNIT_ASSERT_EQUAL(std::size_t{0}, run.broken("nothing"));
+                after->extra_route = 3;
+                after->gateway = "g0#2";
+                CPPUNIT_ASSERT_EQUAL(std::size_t{0}, run.broken("nothing"));
+                after->gateway = "g0#1";
+                after->sent = before->sent;
+                CPPUNIT_ASSERT_EQUAL(std::size_t{0}, run.broken("nothing"));
+            });
+            section("nor does a gateway that knew no configuration yet (seeds 203 and 213)", [&] {
+                after->sent = start + 12s;
+                before->reply = http_reply{503, {}, {}};
+                CPPUNIT_ASSERT_EQUAL(std::size_t{0}, run.broken("nothing"));
+            });
+        });
+        section("a standing route is unknown", [] {
+            clean_run run;
+            run.add(request_kind::order)->reply = http_reply{404, {}, {}};
+            run.record.runs.clear();
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, run.broken("configuration"));
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(verdict_tests);
+
+} // namespace
+
+} // namespace tanager::soak
--- a/src/store/tests/store_tests.cpp
+++ b/src/store/tests/store_tests.cpp
@@ -53,6 +53,12 @@
         this->tell();
     }
 
+    // Returns whether a watch waits for the next change.
+    bool is_watched() const
+    {
+        return this->waiting != nullptr;
+    }
+
     int watches = 0;
 
 private:
@@ -127,8 +133,7 @@
         for (std::size_t count = 0; count < changes; ++count) {
             store.change();
         }
-        const int watches_before_last = pace.gather.count() == 0 ? 31 : 3;
-        while (observer.objects < changes || store.watches < watches_before_last) {
+        while (observer.objects < changes || !store.is_watched()) {
             loop->run_once();
         }
         return store.watches;
