Let the soak's callers use the tests' collector of answers

The soak had written site_caller's collector and its client again. site_caller takes options and an answer to fill, and notes when it was settled; a request of the soak is such an answer.

--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -14,37 +14,6 @@
 constexpr unsigned longest_event_ms = 25;
 constexpr unsigned of_each_twenty = 20;
 
-class answer_recorder final : public http_reply_handler {
-public:
-    explicit answer_recorder(std::shared_ptr<sent_request> request) : request(std::move(request)) {}
-
-    void on_head(int status, const http_headers& headers) override
-    {
-        this->head = {status, headers, {}};
-    }
-
-    void on_data(std::string_view data) override
-    {
-        this->head.body += data;
-    }
-
-    void on_end() override
-    {
-        this->request->settled = std::chrono::steady_clock::now();
-        this->request->reply = std::move(this->head);
-    }
-
-    void on_failure(const http_failure& failure) override
-    {
-        this->request->settled = std::chrono::steady_clock::now();
-        this->request->failure = failure;
-    }
-
-private:
-    std::shared_ptr<sent_request> request;
-    http_reply head;
-};
-
 request_kind draw_kind(unsigned draw, bool has_extra)
 {
     if (draw < 8) { // NOLINT(*-magic-numbers)
@@ -58,12 +27,8 @@
 
 } // namespace
 
-callers::callers(event_loop& loop, unsigned seed, soak_record& record, gateways_source gateways)
-    : loop(loop),
-      random(seed),
-      record(record),
-      gateways(std::move(gateways)),
-      client(http_client::create(loop))
+callers::callers(testing::site_caller& caller, unsigned seed, soak_record& record, gateways_source gateways)
+    : caller(caller), random(seed), record(record), gateways(std::move(gateways))
 {
 }
 
@@ -71,7 +36,7 @@
 {
     const std::chrono::microseconds interval{std::chrono::microseconds{std::chrono::seconds{1}} /
                                              requests_per_second};
-    this->ticks = this->loop.run_every(interval, [this] { this->send_one(); });
+    this->ticks = this->caller.loop().run_every(interval, [this] { this->send_one(); });
 }
 
 void callers::stop()
@@ -135,10 +100,7 @@
     request->gateway = gateway.name;
     request->sent = std::chrono::steady_clock::now();
     this->record.requests.push_back(request);
-    this->client->start(*parse_address(gateway.address),
-                        this->make_request(*request),
-                        {patience, true},
-                        std::make_shared<answer_recorder>(request));
+    this->caller.start_into(request, gateway.address, this->make_request(*request), {patience, true});
 }
 
 } // namespace tanager::soak
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include "soak/types.h"
-#include "tests/support/site_caller.h"
 
 #include <functional>
 #include <random>
@@ -19,7 +18,7 @@
 public:
     using gateways_source = std::function<std::vector<reached_gateway>()>;
 
-    callers(event_loop& loop, unsigned seed, soak_record& record, gateways_source gateways);
+    callers(testing::site_caller& caller, unsigned seed, soak_record& record, gateways_source gateways);
 
     // Sends requests at this rate until `stop`.
     void start(unsigned requests_per_second);
@@ -35,11 +34,10 @@
     void send_one();
     http_request make_request(const sent_request& request);
 
-    event_loop& loop;
+    testing::site_caller& caller;
     std::mt19937 random;
     soak_record& record;
     gateways_source gateways;
-    std::unique_ptr<http_client> client;
     std::unique_ptr<loop_timer> ticks;
     std::uint64_t last_id = 0;
     unsigned newest_extra = 0;
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -73,7 +73,7 @@
 void run(const soak_options& options, soak_record& record, soak_site& site)
 {
     auto& loop = site.platform().loop();
-    callers traffic(loop, options.seed, record, [&site] { return site.running_gateways(); });
+    callers traffic(site.platform(), options.seed, record, [&site] { return site.running_gateways(); });
     fault_plan plan(options.seed, site, traffic, record);
     const auto turns = loop.run_every(std::chrono::milliseconds{10}, [] {}); // NOLINT(*-magic-numbers)
     const auto until = std::chrono::steady_clock::now() + std::chrono::seconds{options.seconds};
--- a/soak/types.h
+++ b/soak/types.h
@@ -2,11 +2,10 @@
 #pragma once
 
 #include "base/clock.h"
-#include "net/http_client.h"
+#include "tests/support/site_caller.h"
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -15,7 +14,7 @@
 enum class request_kind { order, read, stream, extra };
 
 // One request of a caller and what became of it. Callers do not repeat requests.
-struct sent_request {
+struct sent_request : testing::pending_answer {
     std::string id;
     std::string body;
     request_kind kind = request_kind::order;
@@ -23,14 +22,6 @@
     unsigned extra_route = 0; // number of the route that a change of the configuration has added
     std::string gateway;      // its host and the number of its start
     time_point sent;
-    time_point settled;
-    std::optional<http_reply> reply;
-    std::optional<http_failure> failure;
-
-    bool is_settled() const
-    {
-        return this->reply.has_value() || this->failure.has_value();
-    }
 };
 
 // A span in which something unplanned was wrong.
--- a/tests/support/site_caller.cpp
+++ b/tests/support/site_caller.cpp
@@ -28,11 +28,13 @@
     void on_end() override
     {
         this->head.body = this->answer->partial;
+        this->answer->settled = std::chrono::steady_clock::now();
         this->answer->reply = this->head;
     }
 
     void on_failure(const http_failure& failure) override
     {
+        this->answer->settled = std::chrono::steady_clock::now();
         this->answer->failure = failure;
     }
 
@@ -71,11 +73,19 @@
 std::shared_ptr<pending_answer> site_caller::start(const std::string& address, const http_request& request)
 {
     auto answer = std::make_shared<pending_answer>();
-    answer->call = this->client->start(
-        *parse_address(address), request, {call_timeout, false}, std::make_shared<answer_collector>(answer));
+    this->start_into(answer, address, request, {call_timeout, false});
     return answer;
 }
 
+void site_caller::start_into(const std::shared_ptr<pending_answer>& answer,
+                             const std::string& address,
+                             const http_request& request,
+                             const http_call_options& options)
+{
+    answer->call = this->client->start(
+        *parse_address(address), request, options, std::make_shared<answer_collector>(answer));
+}
+
 void site_caller::run_until(const std::function<bool()>& condition)
 {
     const auto deadline = std::chrono::steady_clock::now() + longest_wait;
--- a/tests/support/site_caller.h
+++ b/tests/support/site_caller.h
@@ -16,6 +16,7 @@
     std::optional<http_reply> reply;
     std::optional<http_failure> failure;
     std::string partial; // the body so far
+    std::chrono::steady_clock::time_point settled;
     std::shared_ptr<http_call> call;
 
     bool is_settled() const;
@@ -25,9 +26,15 @@
 public:
     site_caller();
 
-    // Starts a call.
+    // Starts a call on a connection of its own.
     std::shared_ptr<pending_answer> start(const std::string& address, const http_request& request);
 
+    // Starts a call whose answer goes into `answer`.
+    void start_into(const std::shared_ptr<pending_answer>& answer,
+                    const std::string& address,
+                    const http_request& request,
+                    const http_call_options& options);
+
     // Serves events until a condition holds; throws after a minute.
     void run_until(const std::function<bool()>& condition);
 
