--- a/soak/tests/verdict_tests.cpp
+++ b/soak/tests/verdict_tests.cpp
@@ -17,7 +17,7 @@
 public:
     std::shared_ptr<sent_request> add(request_kind kind, duration sent = 10s)
     {
-        const auto request = std::make_shared<sent_request>();
+        auto request = std::make_shared<sent_request>();
         request->id = "r" + std::to_string(this->record.requests.size() + 1);
         request->body = "body";
         request->kind = kind;
--- a/src/apps/tanagerctl/request_story.cpp
+++ b/src/apps/tanagerctl/request_story.cpp
@@ -1,6 +1,9 @@
 #include "apps/tanagerctl/request_story.h"
 
+#include "logging/types/log_event.h"
+
 #include <algorithm>
+#include <array>
 #include <istream>
 #include <ostream>
 #include <set>
@@ -39,18 +42,19 @@
 // Events that change what a gateway believes of servers or of the configuration.
 bool is_belief(const std::string& event)
 {
-    static const std::set<std::string> beliefs{"configuration_applied",
-                                               "configuration_rejected",
-                                               "server_listed",
-                                               "server_unlisted",
-                                               "server_suspected",
-                                               "server_trusted",
-                                               "store_unavailable",
-                                               "store_recovered",
-                                               "store_history_lost",
-                                               "peer_silent",
-                                               "loop_gap"};
-    return beliefs.contains(event);
+    using enum log_event;
+    constexpr std::array beliefs{configuration_applied,
+                                 configuration_rejected,
+                                 server_listed,
+                                 server_unlisted,
+                                 server_suspected,
+                                 server_trusted,
+                                 store_unavailable,
+                                 store_recovered,
+                                 store_history_lost,
+                                 peer_silent,
+                                 loop_gap};
+    return std::ranges::any_of(beliefs, [&](auto belief) { return name_of(belief) == event; });
 }
 
 std::string describe(const log_line& line)
@@ -64,10 +68,10 @@
     return text;
 }
 
-const log_line* last_of(const std::vector<log_line>& lines, const std::string& event)
+const log_line* last_of(const std::vector<log_line>& lines, log_event event)
 {
-    const auto found =
-        std::find_if(lines.rbegin(), lines.rend(), [&](const auto& line) { return line.event == event; });
+    const auto found = std::find_if(
+        lines.rbegin(), lines.rend(), [&](const auto& line) { return line.event == name_of(event); });
     return found == lines.rend() ? nullptr : &*found;
 }
 
@@ -148,15 +152,15 @@
 
 std::string request_story::cause() const
 {
-    const auto* const finished = last_of(this->steps, "request_finished");
-    if (const auto* const broken = last_of(this->steps, "request_broken")) {
+    const auto* const finished = last_of(this->steps, log_event::request_finished);
+    if (const auto* const broken = last_of(this->steps, log_event::request_broken)) {
         return describe_unanswered(*broken, finished);
     }
-    if (const auto* const rejected = last_of(this->steps, "request_rejected")) {
+    if (const auto* const rejected = last_of(this->steps, log_event::request_rejected)) {
         return "it was rejected and has not run: " + rejected->field("cause") +
                "; the caller was told to return in " + rejected->field("retry_after_ms") + " ms";
     }
-    if (last_of(this->steps, "request_abandoned") != nullptr) {
+    if (last_of(this->steps, log_event::request_abandoned) != nullptr) {
         return "its caller left before the answer was complete";
     }
     if (finished != nullptr) {
