Log what a stream was given and what stood beside it

The lines of a request did not tell how many events went to the caller, how long the longest pause was, how many output tokens it asked for, and what else its server had to do when it was placed and at the end.

3020 request_placed now has running= and long_outputs= of the server, 3021 request_finished has output_tokens=, events=, longest_pause_ms= and the server's company at the end.

No logic is changed.

--- a/src/answers/event_splitter.h
+++ b/src/answers/event_splitter.h
@@ -21,11 +21,15 @@
     // Returns the id of the last whole event, where events carry numbers.
     std::optional<std::uint64_t> last_id() const;
 
+    // Returns how many whole events have come out.
+    std::uint64_t count() const;
+
 private:
     void read_event(std::string_view event);
 
     std::string pending;
     std::optional<std::uint64_t> last;
+    std::uint64_t whole_events = 0;
 };
 
 } // namespace tanager
--- a/src/answers/internal/event_splitter.cpp
+++ b/src/answers/internal/event_splitter.cpp
@@ -50,6 +50,7 @@
 
 void event_splitter::read_event(std::string_view event)
 {
+    ++this->whole_events;
     while (!event.empty()) {
         const auto line = event.substr(0, event.find('\n'));
         event.remove_prefix(line.size() + (line.size() < event.size() ? 1 : 0));
@@ -76,4 +77,9 @@
     return this->last;
 }
 
+std::uint64_t event_splitter::count() const
+{
+    return this->whole_events;
+}
+
 } // namespace tanager
--- a/src/gateway/internal/forward_run.cpp
+++ b/src/gateway/internal/forward_run.cpp
@@ -305,7 +305,8 @@
     const bool repeatable = this->routed.chosen_route->is_repeatable();
     const http_call_options options{
         order.time_left + call_slack, true, true, repeatable ? repeatable_idle : single_run_idle};
-    this->log.write_sent(this->place, cache.has_value(), this->waited);
+    this->log.write_sent(
+        this->place, cache.has_value(), this->waited, this->context.pool.load_of(target.id));
     this->call = this->context.client.start(target.address, this->encode_for(order), options, this->handler);
     this->watch_connecting();
     this->watch_silence();
@@ -411,8 +412,11 @@
 {
     const auto now = this->context.time.now();
     const std::chrono::duration<double> allowed = this->routed.chosen_route->gap_objective;
-    if (this->state == run_state::answering && allowed.count() > 0) {
-        this->context.pool.record_pause(*this->server, (now - this->last_event) / allowed);
+    if (this->state == run_state::answering) {
+        this->longest_pause = std::max(this->longest_pause, now - this->last_event);
+        if (allowed.count() > 0) {
+            this->context.pool.record_pause(*this->server, (now - this->last_event) / allowed);
+        }
     }
     this->last_event = now;
     if (this->state != run_state::answering) {
@@ -669,6 +673,9 @@
     if (this->state == run_state::finished) {
         return;
     }
+    if (this->state == run_state::answering) {
+        this->longest_pause = std::max(this->longest_pause, this->context.time.now() - this->last_event);
+    }
     this->state = run_state::finished;
     this->deadline_timer.reset();
     this->release_cache();
@@ -683,7 +690,12 @@
                          this->runs,
                          this->waited,
                          this->first_event,
-                         this->elapsed()});
+                         this->elapsed(),
+                         this->routed.request.prompt.output_tokens,
+                         this->events.count(),
+                         this->longest_pause,
+                         this->server == nullptr ? own_load{}
+                                                 : this->context.pool.load_of(this->server->id)});
     const auto finished = std::exchange(this->done, nullptr);
     finished();
 }
--- a/src/gateway/internal/forward_run.h
+++ b/src/gateway/internal/forward_run.h
@@ -138,6 +138,7 @@
     duration waited{0};
     duration first_event{0};
     time_point last_event;
+    duration longest_pause{0};
     time_point generating_since;
     time_point asked;
     std::unique_ptr<loop_timer> deadline_timer;
--- a/src/gateway/internal/run_log.cpp
+++ b/src/gateway/internal/run_log.cpp
@@ -32,13 +32,18 @@
                  {"waited_ms", to_milliseconds(waited)}});
 }
 
-void run_log::write_sent(const granted_place& place, bool with_cache, duration waited) const
+void run_log::write_sent(const granted_place& place,
+                         bool with_cache,
+                         duration waited,
+                         const own_load& company) const
 {
     write_event(log_event::request_placed,
                 {{"request", this->request_id},
                  {"server", this->server},
                  {"with_cache", with_cache ? "yes" : "no"},
                  {"tokens_before", std::to_string(place.tokens_before)},
+                 {"running", std::to_string(company.running)},
+                 {"long_outputs", std::to_string(company.long_outputs)},
                  {"waited_ms", to_milliseconds(waited)}});
 }
 
@@ -96,7 +101,13 @@
                  {"runs", std::to_string(summary.runs)},
                  {"waited_ms", to_milliseconds(summary.waited)},
                  {"first_ms", to_milliseconds(summary.first_event)},
-                 {"total_ms", to_milliseconds(summary.total)}});
+                 {"total_ms", to_milliseconds(summary.total)},
+                 {"output_tokens", std::to_string(summary.output_tokens)},
+                 {"events", std::to_string(summary.events)},
+                 {"longest_pause_ms", to_milliseconds(summary.longest_pause)},
+                 {"running", std::to_string(summary.company.running)},
+                 {"unread_tokens", std::to_string(summary.company.unread_tokens)},
+                 {"long_outputs", std::to_string(summary.company.long_outputs)}});
 }
 
 } // namespace tanager
--- a/src/gateway/internal/run_log.h
+++ b/src/gateway/internal/run_log.h
@@ -30,6 +30,10 @@
     duration waited{0};
     duration first_event{0};
     duration total{0};
+    std::uint32_t output_tokens = 0; // at most, as asked for; 0 for plain services
+    std::uint64_t events = 0;        // that went to the caller
+    duration longest_pause{0};       // between two of them
+    own_load company;                // what all gateways had on the server at the end
 };
 
 class run_log {
@@ -39,8 +43,11 @@
     // The prompt goes to the place's reader.
     void write_reading(const granted_place& place, duration waited) const;
 
-    // The request goes to the place's server.
-    void write_sent(const granted_place& place, bool with_cache, duration waited) const;
+    // The request goes to the place's server, which has `company` to serve, this request included.
+    void write_sent(const granted_place& place,
+                    bool with_cache,
+                    duration waited,
+                    const own_load& company) const;
 
     // It goes to another server, or to this one in another way.
     void write_retry(const std::string& cause, std::uint32_t runs) const;
--- a/src/gateway/internal/server_pool.cpp
+++ b/src/gateway/internal/server_pool.cpp
@@ -80,6 +80,16 @@
     return this->elsewhere.age();
 }
 
+own_load server_pool::load_of(const std::string& server_id) const
+{
+    const auto here = this->own_loads.find(server_id);
+    const auto own = here == this->own_loads.end() ? own_load{} : here->second;
+    const auto others = this->elsewhere.on_server(server_id);
+    return {own.running + others.running,
+            own.unread_tokens + others.unread_tokens,
+            own.long_outputs + others.long_outputs};
+}
+
 void server_pool::begin(const std::string& server_id, bool has_long_output)
 {
     auto& own = this->own_loads[server_id];
--- a/src/gateway/server_pool.h
+++ b/src/gateway/server_pool.h
@@ -67,6 +67,9 @@
     // Returns how old what the other gateways said may be.
     duration elsewhere_age() const;
 
+    // Returns what all gateways have on a server, as far as this one knows.
+    own_load load_of(const std::string& server_id) const;
+
     // Counts a request on a server, and takes it off.
     void begin(const std::string& server_id, bool has_long_output);
     void end(const std::string& server_id, bool has_long_output);
