Cut servers off that send bytes without end

What callers would see: a server in trouble that sends a head, a body or the framing of one without end holds its request until the deadline, while the gateway collects up to 64 MB of it; a few such servers end the process, and with it everything that it serves. A head had no bound at all.

Cause: only a body's length was bounded; what evhttp cannot read any further (a first line, a field, the size of a chunk) grew with what came, refusals' bodies were kept though nobody gets them, an event had no longest length, and the time-out counted from the last byte, so a trickle never ended.

Now: a head has 64 KB, unread framing 128 KB, a body 8 MB, an event 256 KB; what all requests collect together has 32 MB; a call takes at most twice its time-out. Beyond that the call ends as malformed (or timed out), the connection is closed, and the request goes on as after any broken answer: elsewhere if it may run again, else 502.

Test: endless_reply_tests, a server that repeats a piece for ever in nine places; gateway_tests, collects_an_answer_without_end.

--- a/src/answers/event_splitter.h
+++ b/src/answers/event_splitter.h
@@ -21,6 +21,9 @@
     // Returns the id of the last whole event, where events carry numbers.
     std::optional<std::uint64_t> last_id() const;
 
+    // Returns how much of an event that is not whole yet has come.
+    std::size_t pending_bytes() const;
+
     // Returns how many whole events have come out.
     std::uint64_t count() const;
 
--- a/src/answers/internal/event_splitter.cpp
+++ b/src/answers/internal/event_splitter.cpp
@@ -77,6 +77,11 @@
     return this->last;
 }
 
+std::size_t event_splitter::pending_bytes() const
+{
+    return this->pending.size();
+}
+
 std::uint64_t event_splitter::count() const
 {
     return this->whole_events;
--- a/src/gateway/gateway_setup.cpp
+++ b/src/gateway/gateway_setup.cpp
@@ -39,6 +39,8 @@
 constexpr std::chrono::milliseconds gap_bound{400};
 // Descriptors that callers do not get: connections to servers, the store and operators, and files.
 constexpr int kept_descriptors = 800;
+// Of answers that are being collected, on hosts with 160 MB and more; an answer is some kilobytes.
+constexpr std::size_t most_answer_bytes = std::size_t{32} * 1024 * 1024;
 // Retries that a quiet service may spend at once; small, since each gateway has as many.
 constexpr double retry_reserve = 3;
 // What the other gateways have running, once the exchange with them has been set up.
@@ -238,8 +240,7 @@
             report.loads.push_back({short_key(id), own.running, own.unread_tokens, own.long_outputs});
         }
         for (const auto& [service, prompts] : this->demand.prompts_last_second()) {
-            report.demands.push_back(
-                {short_key(service), prompts, this->pool.spares_long_outputs(service)});
+            report.demands.push_back({short_key(service), prompts, this->pool.spares_long_outputs(service)});
         }
         return report;
     }
@@ -256,7 +257,8 @@
                 this->retries,
                 this->demand,
                 this->link,
-                this->patience};
+                this->patience,
+                this->answer_bytes};
     }
 
     bool is_informed() const
@@ -340,6 +342,7 @@
     server_pool pool;
     uplink link;
     usual_patience patience;
+    byte_budget answer_bytes{most_answer_bytes};
     demand_meter demand;
     place_desk desk;
     retry_budget retries;
--- a/src/gateway/internal/forward_run.cpp
+++ b/src/gateway/internal/forward_run.cpp
@@ -30,6 +30,8 @@
 constexpr std::chrono::milliseconds call_slack{1'000};
 // Bytes for a slow caller above which the server is not read from.
 constexpr std::size_t unsent_bound = std::size_t{128} * 1024;
+// Events are some hundred bytes.
+constexpr std::size_t longest_event = std::size_t{256} * 1024;
 // A caller that has spent this part of the objective on earlier attempts has lost it.
 constexpr double lost_share = 1.0;
 // The head of a request as it is sent on.
@@ -54,7 +56,11 @@
 } // namespace
 
 forward_run::forward_run(const forward_context& context, routed_request routed, std::function<void()> done)
-    : context(context), routed(std::move(routed)), done(std::move(done)), log(this->routed.request.id)
+    : context(context),
+      routed(std::move(routed)),
+      done(std::move(done)),
+      log(this->routed.request.id),
+      collected(context.answer_bytes)
 {
 }
 
@@ -386,14 +392,9 @@
         return;
     }
     if (!this->head.is_own || (is_success(status) && !this->head.is_signed)) {
-        ++this->runs;
         const auto code =
             this->head.is_own ? result_code::backend_answer_malformed : result_code::backend_answer_foreign;
-        this->break_attempt(server_sign::failed);
-        const error cause{code, std::string{name_of(code)} + " from " + this->server->id};
-        if (!this->try_again(cause, true)) {
-            this->settle_broken(cause);
-        }
+        this->give_up_answer({code, std::string{name_of(code)} + " from " + this->server->id});
         return;
     }
     if (this->state != run_state::answering) {
@@ -401,18 +402,38 @@
     }
 }
 
+// Turns away from an answer that cannot be passed on.
+void forward_run::give_up_answer(const error& cause)
+{
+    ++this->runs;
+    this->break_attempt(server_sign::failed);
+    if (!this->try_again(cause, true)) {
+        this->settle_broken(cause);
+    }
+}
+
 void forward_run::on_answer_data(std::string_view data)
 {
-    const bool is_stream = this->routed.chosen_route->kind == route_kind::streaming &&
-                           is_success(this->head.status) && !this->head.not_run;
+    if (this->head.not_run) {
+        return; // a refusal's body goes nowhere
+    }
+    const bool is_stream =
+        this->routed.chosen_route->kind == route_kind::streaming && is_success(this->head.status);
     if (!is_stream) {
-        this->collected += data;
+        if (!this->collected.append(data)) {
+            this->give_up_answer({result_code::backend_answer_malformed,
+                                  "answers hold too much memory, one of them from " + this->server->id});
+        }
         return;
     }
     const auto whole = this->events.feed(data);
     if (!whole.empty()) {
         this->forward_events(whole);
     }
+    if (this->events.pending_bytes() > longest_event && this->call != nullptr) {
+        this->give_up_answer(
+            {result_code::backend_answer_malformed, "an event without end from " + this->server->id});
+    }
 }
 
 void forward_run::forward_events(const std::string& whole)
@@ -463,7 +484,7 @@
                                                this->time_since(this->generating_since));
     }
     if (this->state != run_state::answering) {
-        this->deliver_whole();
+        this->deliver_whole(this->collected.text());
         return;
     }
     this->routed.exchange->write(this->events.take_rest());
@@ -499,7 +520,7 @@
     const auto status = this->head.status;
     this->end_attempt(server_sign::failed);
     const auto kept_headers = this->answer_headers;
-    const auto kept_body = this->collected;
+    const std::string kept_body = this->collected.text();
     const error cause{result_code::backend_failed,
                       this->server->id + " answered with status " + std::to_string(status)};
     if (this->try_again(cause, true)) {
@@ -507,8 +528,7 @@
     }
     this->head.status = status;
     this->answer_headers = kept_headers;
-    this->collected = kept_body;
-    this->deliver_whole();
+    this->deliver_whole(kept_body);
 }
 
 void forward_run::on_attempt_failure(const http_failure& failure)
@@ -597,10 +617,10 @@
     this->finish("not-run", status_unavailable);
 }
 
-void forward_run::deliver_whole()
+void forward_run::deliver_whole(const std::string& body)
 {
-    this->context.link.record(this->collected.size());
-    this->routed.exchange->reply({this->head.status, this->answer_headers, this->collected});
+    this->context.link.record(body.size());
+    this->routed.exchange->reply({this->head.status, this->answer_headers, body});
     this->finish("complete", this->head.status);
 }
 
@@ -691,19 +711,19 @@
         "tanager_request_seconds", {this->routed.service, this->routed.chosen_route->name}, this->elapsed());
     this->context.metrics.count("tanager_requests_finished_total",
                                 "outcome=\"" + std::string{outcome} + "\"");
-    this->log.write_end({this->routed.chosen_route->name,
-                         this->routed.configuration_version,
-                         std::string{outcome},
-                         status,
-                         this->runs,
-                         this->waited,
-                         this->first_event,
-                         this->elapsed(),
-                         this->routed.request.prompt.output_tokens,
-                         this->events.count(),
-                         this->longest_pause,
-                         this->server == nullptr ? own_load{}
-                                                 : this->context.pool.load_of(this->server->id)});
+    this->log.write_end(
+        {this->routed.chosen_route->name,
+         this->routed.configuration_version,
+         std::string{outcome},
+         status,
+         this->runs,
+         this->waited,
+         this->first_event,
+         this->elapsed(),
+         this->routed.request.prompt.output_tokens,
+         this->events.count(),
+         this->longest_pause,
+         this->server == nullptr ? own_load{} : this->context.pool.load_of(this->server->id)});
     const auto finished = std::exchange(this->done, nullptr);
     finished();
 }
--- a/src/gateway/internal/forward_run.h
+++ b/src/gateway/internal/forward_run.h
@@ -8,6 +8,7 @@
 #include "gateway/place_desk.h"
 #include "gateway/types/caller_request.h"
 #include "gateway/wire_codec.h"
+#include "limits/bounded_text.h"
 #include "limits/retry_budget.h"
 #include "metrics/metrics_registry.h"
 #include "net/http_client.h"
@@ -36,6 +37,7 @@
     demand_meter& demand;
     uplink& link;
     usual_patience& patience;
+    byte_budget& answer_bytes;
 };
 
 // A request that has a route.
@@ -98,12 +100,13 @@
     void forward_events(const std::string& events);
     void end_attempt(server_sign sign);
     void break_attempt(server_sign sign);
+    void give_up_answer(const error& cause);
     bool try_again(const error& cause, bool may_have_run);
     bool may_go_on_elsewhere() const;
     void settle_refusal();
     void settle_server_failure();
     void settle_broken(const error& cause);
-    void deliver_whole();
+    void deliver_whole(const std::string& body);
     void reject(const error& cause);
     void fail_run(const error& cause);
     void finish(std::string_view outcome, int status);
@@ -133,7 +136,7 @@
     std::uint32_t refusals_of_cache = 0;
     answer_head head;
     http_headers answer_headers;
-    std::string collected;
+    bounded_text collected;
     event_splitter events;
     duration sending{0}; // what the last call needed to leave this host
     duration waited{0};
--- a/src/gateway/tests/gateway_tests.cpp
+++ b/src/gateway/tests/gateway_tests.cpp
@@ -18,6 +18,7 @@
 using namespace std::chrono_literals;
 using testing::section;
 
+constexpr std::size_t answer_bound = 1'000'000;
 constexpr double every_request = 1.0;
 constexpr double reserve = 3;
 constexpr std::uint64_t gateway_seed = 7;
@@ -82,7 +83,8 @@
                                                           this->retries,
                                                           this->demand,
                                                           this->link,
-                                                          this->patience},
+                                                          this->patience,
+                                                          this->answer_bytes},
                                           routed_request{exchange,
                                                          request,
                                                          std::make_shared<const route>(this->route_in_force),
@@ -122,6 +124,7 @@
     server_pool pool{time, "here", 2s, elsewhere};
     uplink link{time, 0};
     usual_patience patience;
+    byte_budget answer_bytes{answer_bound};
     demand_meter demand{time};
     place_desk desk{time, random, pool, link, demand};
     retry_budget retries{every_request, reserve};
@@ -168,6 +171,7 @@
     CPPUNIT_TEST(serves_late_prompts_from_idle_room);
     CPPUNIT_TEST(continues_a_late_stream_in_an_overload);
     CPPUNIT_TEST(gives_every_place_back);
+    CPPUNIT_TEST(collects_an_answer_without_end);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -580,6 +584,47 @@
         });
     }
 
+    void collects_an_answer_without_end()
+    {
+        const std::string piece(10'000, 'x');
+        const auto send_without_end = [&](middle& site) {
+            const auto receiver = site.call(0).handler;
+            receiver->on_head(200, own_answer);
+            for (int count = 0; count < 200 && !site.call(0).is_cancelled; ++count) {
+                receiver->on_data(piece);
+            }
+        };
+        section("a body that never ends", [&] {
+            middle site;
+            const auto exchange = site.send();
+            send_without_end(site);
+            CPPUNIT_ASSERT(site.call(0).is_cancelled);
+            CPPUNIT_ASSERT_EQUAL(502, exchange->sent.status);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, site.answer_bytes.held());
+        });
+        section("an event that never ends", [&] {
+            middle site;
+            site.route_in_force.kind = route_kind::streaming;
+            const auto exchange = site.send();
+            send_without_end(site);
+            CPPUNIT_ASSERT(site.call(0).is_cancelled);
+            CPPUNIT_ASSERT_EQUAL(502, exchange->sent.status);
+        });
+        section("the body of a refusal is not kept, and the request goes on elsewhere", [&] {
+            middle site;
+            const auto exchange = site.send();
+            const auto receiver = site.call(0).handler;
+            auto refusal = own_answer;
+            refusal.push_back({"not-run", "1"});
+            receiver->on_head(503, refusal);
+            receiver->on_data(piece);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, site.answer_bytes.held());
+            receiver->on_end();
+            site.call(1).answer(200, own_answer, "ok");
+            CPPUNIT_ASSERT_EQUAL(200, exchange->sent.status);
+        });
+    }
+
     void gives_every_place_back()
     {
         section("a thousand requests of all kinds end in all ways", [] {
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -24,7 +24,8 @@
     friend bool operator==(const http_failure&, const http_failure&) = default;
 };
 
-// Receives the parts of one reply, in order; exactly one of `on_end` and `on_failure` comes last.
+// Receives the parts of one reply, in order; exactly one of `on_end` and `on_failure` comes last. A peer that
+// sends a head, a body or a part of its framing without end is cut off with reply_malformed.
 class http_reply_handler {
 public:
     http_reply_handler() = default;
@@ -62,12 +63,15 @@
 };
 
 struct http_call_options {
+    // Without any byte; the whole call may take twice as long, so that a trickle ends, too.
     std::chrono::milliseconds timeout{30'000};
     bool reuse_connection = true;
     // Accepts a reply that ends with its connection; a reset is still told from an orderly end.
     bool accept_unframed = false;
     // Only connections that were idle for less than this are used again.
     std::chrono::milliseconds longest_idle{30'000};
+    // A longer reply is malformed. The store's largest object has a megabyte, and its pages a little more.
+    std::size_t longest_reply = std::size_t{8} * 1024 * 1024;
 
     friend bool operator==(const http_call_options&, const http_call_options&) = default;
 };
--- a/src/net/internal/http_client.cpp
+++ b/src/net/internal/http_client.cpp
@@ -15,7 +15,12 @@
 
 constexpr int status_no_content = 204;
 constexpr int status_not_modified = 304;
-constexpr ev_ssize_t longest_reply_bytes = std::size_t{64} * 1024 * 1024;
+// Heads are some hundred bytes.
+constexpr ev_ssize_t longest_head_bytes = 64 * 1024;
+// What evhttp has not been able to read any further; it takes a body from there as it comes, so that only
+// framing without end grows to this.
+constexpr std::size_t longest_unread_bytes = std::size_t{128} * 1024;
+constexpr int timeouts_per_call = 2;
 
 evhttp_cmd_type to_command(const std::string& method)
 {
@@ -65,8 +70,14 @@
         this->accept_unframed = options.accept_unframed;
         this->keeps_connection = options.reuse_connection;
         this->set_timeout(options.timeout);
-        evhttp_connection_set_max_body_size(this->connection, longest_reply_bytes);
+        evhttp_connection_set_max_headers_size(this->connection, longest_head_bytes);
+        evhttp_connection_set_max_body_size(this->connection, static_cast<ev_ssize_t>(options.longest_reply));
         this->output_watch = evbuffer_add_cb(this->output(), &evhttp_call::on_output_changed, this);
+        this->input_watch = evbuffer_add_cb(this->input(), &evhttp_call::on_input_changed, this);
+        this->whole_timer = this->loop.run_after(options.timeout * timeouts_per_call, [this] {
+            this->failure_code = result_code::timed_out;
+            this->give_up();
+        });
         this->native = evhttp_request_new(&evhttp_call::on_complete, this);
         evhttp_request_set_header_cb(this->native, &evhttp_call::on_header);
         evhttp_request_set_chunked_cb(this->native, &evhttp_call::on_chunk);
@@ -114,6 +125,19 @@
     }
 
 private:
+    // Fails the call, whatever evhttp is waiting for.
+    void give_up()
+    {
+        if (this->done) {
+            return;
+        }
+        const auto keep_alive = this->shared_from_this();
+        const auto receiver = this->handler;
+        const bool never_sent = !this->head_seen && !this->sent;
+        this->cancel();
+        receiver->on_failure(this->describe_failure(never_sent));
+    }
+
     void take_down()
     {
         if (this->native != nullptr) {
@@ -147,6 +171,11 @@
             evhttp_request_get_output_buffer(this->native), request.body.data(), request.body.size());
     }
 
+    evbuffer* input() const
+    {
+        return bufferevent_get_input(evhttp_connection_get_bufferevent(this->connection));
+    }
+
     evbuffer* output() const
     {
         return bufferevent_get_output(evhttp_connection_get_bufferevent(this->connection));
@@ -160,6 +189,19 @@
         }
     }
 
+    static void on_input_changed(evbuffer* buffer, const evbuffer_cb_info* /*info*/, void* self)
+    {
+        auto& call = *static_cast<evhttp_call*>(self);
+        if (call.done || call.is_endless || evbuffer_get_length(buffer) <= longest_unread_bytes) {
+            return;
+        }
+        call.is_endless = true;
+        call.loop.post([alive = call.shared_from_this()] {
+            alive->failure_code = result_code::reply_malformed;
+            alive->give_up();
+        });
+    }
+
     static int on_header(evhttp_request* request, void* self)
     {
         auto& call = *static_cast<evhttp_call*>(self);
@@ -252,19 +294,26 @@
         const auto receiver = this->handler;
         this->release();
         this->pool.discard(broken);
+        receiver->on_failure(this->describe_failure(never_sent));
+    }
+
+    http_failure describe_failure(bool never_sent) const
+    {
         const auto code = never_sent && this->failure_code == result_code::connection_lost
                               ? result_code::connect_failed
                               : this->failure_code;
         const auto progress = never_sent ? call_progress::not_sent : call_progress::maybe_sent;
-        receiver->on_failure({{code, std::string{name_of(code)} + " at " + to_text(this->peer)}, progress});
+        return {{code, std::string{name_of(code)} + " at " + to_text(this->peer)}, progress};
     }
 
     void release()
     {
         if (this->connection != nullptr) {
             evbuffer_remove_cb_entry(this->output(), this->output_watch);
+            evbuffer_remove_cb_entry(this->input(), this->input_watch);
             this->connection = nullptr;
         }
+        this->whole_timer.reset();
         this->handler.reset();
         this->self_reference.reset();
     }
@@ -276,6 +325,9 @@
     evhttp_connection* connection = nullptr;
     evhttp_request* native = nullptr;
     evbuffer_cb_entry* output_watch = nullptr;
+    evbuffer_cb_entry* input_watch = nullptr;
+    std::unique_ptr<loop_timer> whole_timer;
+    bool is_endless = false;
     bool keeps_connection = true;
     bool accept_unframed = false;
     bool head_seen = false;
--- /dev/null
+++ b/src/net/tests/endless_reply_tests.cpp
@@ -0,0 +1,173 @@
+#include "net/http_client.h"
+#include "testing/story.h"
+
+#include <arpa/inet.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <optional>
+#include <set>
+
+namespace tanager {
+
+namespace {
+
+using namespace std::chrono_literals;
+using testing::section;
+
+constexpr std::size_t piece_bytes = 16 * 1024;
+// What a call may take in, and as much again for the buffers of the two sockets.
+constexpr std::size_t most_bytes = 16 * 1024 * 1024;
+
+// Sends a beginning and then the same piece again and again, until its caller closes.
+class endless_server {
+public:
+    endless_server(event_loop& loop, std::string beginning, const std::string& repeated)
+        : beginning(std::move(beginning))
+    {
+        while (this->piece.size() < piece_bytes) {
+            this->piece += repeated;
+        }
+        sockaddr_in any{};
+        any.sin_family = AF_INET;
+        any.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        const unsigned flags = LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE;
+        this->listener = evconnlistener_new_bind(loop.native(),
+                                                 &endless_server::on_accepted,
+                                                 this,
+                                                 flags,
+                                                 -1,
+                                                 reinterpret_cast<const sockaddr*>(&any), // NOLINT(*-cast)
+                                                 sizeof any);
+        socklen_t size = sizeof any;
+        getsockname(evconnlistener_get_fd(this->listener),
+                    reinterpret_cast<sockaddr*>(&any), // NOLINT(*-cast)
+                    &size);
+        this->address = {"127.0.0.1", ntohs(any.sin_port)};
+    }
+
+    ~endless_server()
+    {
+        for (auto* const connection : this->connections) {
+            bufferevent_free(connection);
+        }
+        evconnlistener_free(this->listener);
+    }
+
+    endless_server(const endless_server&) = delete;
+    endless_server& operator=(const endless_server&) = delete;
+    endless_server(endless_server&&) = delete;
+    endless_server& operator=(endless_server&&) = delete;
+
+    bool is_left() const
+    {
+        return this->connections.empty();
+    }
+
+    socket_address address;
+    std::size_t sent = 0;
+
+private:
+    static void on_accepted(evconnlistener* listener, evutil_socket_t peer, sockaddr*, int, void* self)
+    {
+        auto& server = *static_cast<endless_server*>(self);
+        auto* const connection =
+            bufferevent_socket_new(evconnlistener_get_base(listener), peer, BEV_OPT_CLOSE_ON_FREE);
+        server.connections.insert(connection);
+        bufferevent_setcb(connection,
+                          &endless_server::on_request,
+                          &endless_server::on_sent,
+                          &endless_server::on_closed,
+                          self);
+        bufferevent_enable(connection, EV_READ | EV_WRITE);
+    }
+
+    static void on_request(bufferevent* connection, void* self)
+    {
+        evbuffer_drain(bufferevent_get_input(connection), piece_bytes);
+        bufferevent_write(connection,
+                          static_cast<endless_server*>(self)->beginning.data(),
+                          static_cast<endless_server*>(self)->beginning.size());
+        static_cast<endless_server*>(self)->is_asked = true;
+    }
+
+    static void on_sent(bufferevent* connection, void* self)
+    {
+        auto& server = *static_cast<endless_server*>(self);
+        if (server.is_asked) {
+            server.sent += server.piece.size();
+            bufferevent_write(connection, server.piece.data(), server.piece.size());
+        }
+    }
+
+    static void on_closed(bufferevent* connection, short what, void* self) // NOLINT(*-runtime-int)
+    {
+        if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+            static_cast<endless_server*>(self)->connections.erase(connection);
+            bufferevent_free(connection);
+        }
+    }
+
+    std::string beginning;
+    std::string piece;
+    evconnlistener* listener = nullptr;
+    std::set<bufferevent*> connections;
+    bool is_asked = false;
+};
+
+class endless_reply_tests : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(endless_reply_tests);
+    CPPUNIT_TEST(reads_bytes_that_are_no_answer_without_end);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void reads_bytes_that_are_no_answer_without_end()
+    {
+        const std::string head = "HTTP/1.1 200 OK\r\n";
+        section("a first line", [&] { cuts_off("HTTP", "x", result_code::reply_malformed); });
+        section("header fields", [&] { cuts_off(head, "A: b\r\n", result_code::reply_malformed); });
+        section("one header field", [&] { cuts_off(head + "A: ", "b", result_code::reply_malformed); });
+        section("a body that ends with its connection",
+                [&] { cuts_off(head + "\r\n", "x", result_code::reply_malformed); });
+        section("a body with a length beyond reason", [&] {
+            cuts_off(head + "Content-Length: 99999999999\r\n\r\n", "x", result_code::reply_malformed);
+        });
+        const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+        section("chunks", [&] {
+            cuts_off(chunked, "400\r\n" + std::string(1'024, 'x') + "\r\n", result_code::reply_malformed);
+        });
+        section("the size of a chunk", [&] { cuts_off(chunked, "1", result_code::reply_malformed); });
+        section("fields behind the last chunk",
+                [&] { cuts_off(chunked + "0\r\n", "A: b\r\n", result_code::reply_malformed); });
+        section("heads that announce another one",
+                [&] { cuts_off("", "HTTP/1.1 100 Continue\r\n\r\n", result_code::timed_out); });
+    }
+
+private:
+    static void cuts_off(const std::string& beginning, const std::string& repeated, result_code expected)
+    {
+        const auto loop = std::move(*event_loop::create());
+        endless_server server(*loop, beginning, repeated);
+        const auto client = http_client::create(*loop);
+        std::optional<tl::expected<http_reply, http_failure>> outcome;
+        http_call_options options;
+        options.timeout = 300ms;
+        options.accept_unframed = true;
+        client->fetch(
+            server.address, {"GET", "/", {}, {}}, options, [&](const auto& reply) { outcome = reply; });
+        while (!outcome || !server.is_left()) {
+            loop->run_once();
+        }
+        CPPUNIT_ASSERT(!outcome->has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string{name_of(expected)},
+                             std::string{name_of(outcome->error().cause.code)});
+        CPPUNIT_ASSERT(expected == result_code::timed_out || server.sent < most_bytes);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(endless_reply_tests);
+
+} // namespace
+
+} // namespace tanager
