Count a request's attempts in one place, the one under way included

What callers saw: a stream that fell silent twice was cut after a second by its last allowed server, too, and went on at a third; prompts and lookups likewise after 0.3 s.

Cause: attempts were counted when they ended, at six places. The check on silence was made while one was under way and so not counted: one server too many, each time. Besides, a prompt that was read a second time, after its cache had been refused, was a further attempt that nobody counted.

Now: attempt_limit is the only count. An attempt counts from the moment it is sent and is taken back when the server states that it did not run or was never reached; a further reading counts like a run, and a prompt that may not be read again goes to an engine that reads it itself. A request that has used its attempts stays where it is while its engine may still answer.

--- a/src/gateway/internal/forward_run.cpp
+++ b/src/gateway/internal/forward_run.cpp
@@ -60,6 +60,7 @@
       routed(std::move(routed)),
       done(std::move(done)),
       log(this->routed.request.id),
+      attempts(this->routed.chosen_route->servers_per_request, this->routed.chosen_route->is_repeatable()),
       collected(context.answer_bytes)
 {
 }
@@ -124,6 +125,7 @@
     wanted.has_begun = this->has_begun();
     wanted.is_late = !wanted.has_begun && this->has_lost_objective();
     wanted.is_read = this->untaken_cache.has_value();
+    wanted.may_be_read_apart = this->attempts.may_read_and_run();
     wanted.tried = this->tried;
     return wanted;
 }
@@ -131,7 +133,7 @@
 // Returns whether a server may have run a part of it.
 bool forward_run::has_begun() const
 {
-    return this->runs > 0 || this->state == run_state::answering;
+    return this->attempts.runs() > 0 || this->state == run_state::answering;
 }
 
 void forward_run::seek_place()
@@ -208,6 +210,7 @@
     auto order = this->make_order(*this->place.reader);
     order.only_read = true;
     http_call_options options{order.time_left + call_slack, true, true, repeatable_idle};
+    this->attempts.begin_reading();
     this->log.write_reading(this->place, this->waited);
     this->reading = std::make_shared<prompt_reading>(
         this->context.codec, this->context.pool, this->place.reader, this->routed.request);
@@ -228,6 +231,10 @@
     this->silence_timer.reset();
     this->end_reading(cache.has_value());
     if (!cache) {
+        if (cache.error().code == result_code::backend_refused ||
+            cache.error().code == result_code::connect_failed) {
+            this->attempts.take_back_reading();
+        }
         this->send_unread(cache.error().detail);
         return;
     }
@@ -240,8 +247,8 @@
 void forward_run::send_unread(const std::string& cause)
 {
     this->context.metrics.count("tanager_prompts_not_read_total");
-    this->log.write_retry(cause, this->runs);
-    if (this->context.retries.try_spend(this->routed.service)) {
+    this->log.write_retry(cause, this->attempts.runs());
+    if (this->attempts.may_run() && this->context.retries.try_spend(this->routed.service)) {
         this->send({});
         return;
     }
@@ -319,6 +326,7 @@
     const bool repeatable = this->routed.chosen_route->is_repeatable();
     const http_call_options options{
         order.time_left + call_slack, true, true, repeatable ? repeatable_idle : single_run_idle};
+    this->attempts.begin_run();
     this->log.write_sent(this->place, cache.has_value(), this->waited, this->context.pool.load_of(target.id));
     this->call = this->context.client.start(target.address, this->encode_for(order), options, this->handler);
     this->watch_connecting();
@@ -374,9 +382,8 @@
         !this->context.retries.try_spend(this->routed.service)) {
         return;
     }
-    ++this->runs;
     this->break_attempt(server_sign::refused);
-    this->log.write_retry("silent", this->runs);
+    this->log.write_retry("silent", this->attempts.runs());
     this->tried.push_back(this->server->id);
     this->seek_place();
 }
@@ -405,7 +412,6 @@
 // Turns away from an answer that cannot be passed on.
 void forward_run::give_up_answer(const error& cause)
 {
-    ++this->runs;
     this->break_attempt(server_sign::failed);
     if (!this->try_again(cause, true)) {
         this->settle_broken(cause);
@@ -470,10 +476,10 @@
 void forward_run::on_answer_end()
 {
     if (this->head.not_run) {
+        this->attempts.take_back_run();
         this->settle_refusal();
         return;
     }
-    ++this->runs;
     if (this->head.status >= status_first_failure && this->state != run_state::answering) {
         this->settle_server_failure();
         return;
@@ -534,9 +540,8 @@
 void forward_run::on_attempt_failure(const http_failure& failure)
 {
     const bool was_sent = failure.progress == call_progress::maybe_sent;
-    if (was_sent) {
-        ++this->runs;
-    } else {
+    if (!was_sent) {
+        this->attempts.take_back_run();
         ++this->connect_failures;
     }
     const bool is_malformed = failure.cause.code == result_code::reply_malformed;
@@ -554,7 +559,7 @@
 bool forward_run::may_go_on_elsewhere() const
 {
     const auto& chosen_route = *this->routed.chosen_route;
-    if (!chosen_route.is_repeatable() || this->runs >= chosen_route.servers_per_request) {
+    if (!chosen_route.is_repeatable() || !this->attempts.may_run()) {
         return false;
     }
     // What was delivered can only be continued behind an event that has a number.
@@ -572,7 +577,7 @@
     if (!is_connect_failure && !this->context.retries.try_spend(this->routed.service)) {
         return false;
     }
-    this->log.write_retry(cause.detail, this->runs);
+    this->log.write_retry(cause.detail, this->attempts.runs());
     this->context.metrics.count("tanager_requests_retried_total");
     this->tried.push_back(this->server->id);
     static_cast<void>(this->events.take_rest());
@@ -667,7 +672,6 @@
     const auto keep_alive = this->shared_from_this();
     const bool was_sent = this->call != nullptr;
     if (this->is_under_way()) {
-        this->runs += was_sent ? 1 : 0;
         this->break_off();
     } else {
         this->context.desk.withdraw(this->ticket);
@@ -716,7 +720,7 @@
          this->routed.configuration_version,
          std::string{outcome},
          status,
-         this->runs,
+         this->attempts.runs(),
          this->waited,
          this->first_event,
          this->elapsed(),
--- a/src/gateway/internal/forward_run.h
+++ b/src/gateway/internal/forward_run.h
@@ -8,6 +8,7 @@
 #include "gateway/place_desk.h"
 #include "gateway/types/caller_request.h"
 #include "gateway/wire_codec.h"
+#include "limits/attempt_limit.h"
 #include "limits/bounded_text.h"
 #include "limits/retry_budget.h"
 #include "metrics/metrics_registry.h"
@@ -131,7 +132,7 @@
     time_point reading_since;
     std::optional<cache_handle> untaken_cache;
     std::vector<std::string> tried;
-    std::uint32_t runs = 0; // attempts that a server may have run
+    attempt_limit attempts;
     std::uint32_t connect_failures = 0;
     std::uint32_t refusals_of_cache = 0;
     answer_head head;
--- a/src/gateway/internal/place_desk.cpp
+++ b/src/gateway/internal/place_desk.cpp
@@ -80,6 +80,10 @@
     if (!this->has_share(wanted, candidates)) {
         return tl::make_unexpected(placement_miss::no_place);
     }
+    if (!wanted.may_be_read_apart) {
+        std::erase_if(candidates,
+                      [](const auto& candidate) { return candidate.server->role == engine_role::prefill; });
+    }
     const auto left = std::chrono::floor<std::chrono::milliseconds>(wanted.due - this->time.now());
     return choose_engines(wanted.prompt, left, candidates, this->random, this->link.expect(wanted.bytes));
 }
--- a/src/gateway/internal/prompt_reading.cpp
+++ b/src/gateway/internal/prompt_reading.cpp
@@ -52,10 +52,12 @@
     }
     if (reply->status != status_ok) {
         this->pool.record(this->reader->id, server_sign::refused);
-        if (this->codec.decode_answer(this->request, reply->status, reply->headers).other_server) {
+        const auto head = this->codec.decode_answer(this->request, reply->status, reply->headers);
+        if (head.other_server) {
             this->pool.list().note_leaving(this->reader->id);
         }
-        return fail(result_code::backend_refused, "prompt not read by " + this->reader->id);
+        const auto code = head.not_run ? result_code::backend_refused : result_code::backend_failed;
+        return fail(code, "prompt not read by " + this->reader->id);
     }
     this->pool.record(this->reader->id, server_sign::answered);
     return this->codec.decode_cache(this->reader->address, reply->body);
--- a/src/gateway/internal/prompt_reading.h
+++ b/src/gateway/internal/prompt_reading.h
@@ -14,7 +14,8 @@
 // run.
 class prompt_reading final : public std::enable_shared_from_this<prompt_reading> {
 public:
-    // Hears the KV cache that holds the prompt, or why there is none.
+    // Hears the KV cache that holds the prompt, or why there is none: backend_refused and connect_failed say
+    // that the reader has not worked on it.
     using outcome = std::function<void(const result<cache_handle>&)>;
 
     prompt_reading(const wire_codec& codec,
--- /dev/null
+++ b/src/gateway/mocks/middle.h
@@ -0,0 +1,133 @@
+// A gateway's middle for tests, between fake callers and fake servers.
+#pragma once
+
+#include "base/mocks/manual_clock.h"
+#include "base/mocks/seeded_random.h"
+#include "gateway/internal/forward_run.h"
+#include "gateway/mocks/nobody_else.h"
+#include "gateway/mocks/plain_codec.h"
+#include "net/mocks/fake_client.h"
+#include "net/mocks/fake_exchange.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace tanager {
+
+// Everything between a routed request and the calls to backend servers.
+class middle {
+public:
+    static constexpr std::size_t answer_bound = 1'000'000;
+    static constexpr double every_request = 1.0;
+    static constexpr double reserve = 3;
+    static constexpr std::uint64_t gateway_seed = 7;
+
+    middle() : loop(std::move(*event_loop::create()))
+    {
+        this->route_in_force.name = "orders";
+        this->route_in_force.services = {{"desk", 1}};
+        this->route_in_force.latency_objective = std::chrono::milliseconds{300};
+        this->route_in_force.servers_per_request = 2;
+        this->add_server("a", engine_role::none);
+        this->add_server("b", engine_role::none);
+    }
+
+    void add_server(const std::string& id, engine_role role, std::uint32_t slots = 2)
+    {
+        backend_server server;
+        server.id = id;
+        server.service = "desk";
+        server.address = {"10.0.0." + std::to_string(id.front()), 80};
+        server.slots = slots;
+        server.role = role;
+        this->pool.list().apply({id, server});
+    }
+
+    void remove_server(const std::string& id)
+    {
+        this->pool.list().apply({id, std::nullopt});
+    }
+
+    place_request short_prompt() const
+    {
+        place_request wanted;
+        wanted.service = "desk";
+        wanted.is_model = true;
+        wanted.prompt = {0, 0, 200, 10};
+        wanted.latest_start = this->time.now() + std::chrono::seconds{1};
+        wanted.due = this->time.now() + std::chrono::seconds{1};
+        return wanted;
+    }
+
+    std::shared_ptr<fake_exchange> send(duration time_left = std::chrono::seconds{10},
+                                        std::optional<std::chrono::milliseconds> said_left = {},
+                                        const std::string& id = "r1")
+    {
+        auto exchange = std::make_shared<fake_exchange>(http_request{"POST", "/x", {{"id", id}}, "body"});
+        caller_request request;
+        request.id = id;
+        request.prompt = this->prompt;
+        request.patience = said_left;
+        const auto now = this->time.now();
+        const auto run =
+            std::make_shared<forward_run>(forward_context{this->loop_ref(),
+                                                          this->time,
+                                                          this->metrics,
+                                                          this->codec,
+                                                          this->client,
+                                                          this->pool,
+                                                          this->desk,
+                                                          this->retries,
+                                                          this->demand,
+                                                          this->link,
+                                                          this->patience,
+                                                          this->answer_bytes},
+                                          routed_request{exchange,
+                                                         request,
+                                                         std::make_shared<const route>(this->route_in_force),
+                                                         "desk",
+                                                         this->is_model,
+                                                         1,
+                                                         now,
+                                                         now + time_left},
+                                          [this] { ++this->finished; });
+        run->start();
+        return exchange;
+    }
+
+    event_loop& loop_ref() const
+    {
+        return *this->loop;
+    }
+
+    fake_client::fake_call& call(std::size_t index)
+    {
+        CPPUNIT_ASSERT(index < this->client.calls.size());
+        return *this->client.calls[index];
+    }
+
+    static std::string server_of(const fake_client::fake_call& call)
+    {
+        return find_header(call.request.headers, "server");
+    }
+
+    std::unique_ptr<event_loop> loop;
+    manual_clock time;
+    seeded_random random{gateway_seed};
+    metrics_registry metrics;
+    plain_codec codec;
+    fake_client client;
+    nobody_else elsewhere;
+    server_pool pool{time, "here", std::chrono::seconds{2}, elsewhere};
+    uplink link{time, 0};
+    usual_patience patience;
+    byte_budget answer_bytes{answer_bound};
+    demand_meter demand{time};
+    place_desk desk{time, random, pool, link, demand};
+    retry_budget retries{every_request, reserve};
+    route route_in_force;
+    prompt_shape prompt;
+    bool is_model = false;
+    int finished = 0;
+};
+
+} // namespace tanager
--- a/src/gateway/place_desk.h
+++ b/src/gateway/place_desk.h
@@ -31,6 +31,7 @@
     bool has_begun = false;  // may have run already, so that another place is its only chance
     bool is_late = false;    // its objective is lost, so it is served from idle room only
     bool is_read = false;    // the prompt lies in a KV cache that the server will take
+    bool may_be_read_apart = true;
     std::vector<std::string> tried;
 };
 
--- /dev/null
+++ b/src/limits/attempt_limit.h
@@ -0,0 +1,35 @@
+// Bounds how many servers one request may reach.
+#pragma once
+
+#include <cstdint>
+
+namespace tanager {
+
+// The only count of a request's attempts; whoever sends asks it first. An attempt counts from the moment it
+// is sent, and is taken back when the server has stated that it did not run, or was never reached. Reading a
+// prompt apart is free once; a further reading counts like a run.
+class attempt_limit {
+public:
+    // `most` is the limit of the request's route; what is not repeatable has one attempt.
+    attempt_limit(std::uint32_t most, bool is_repeatable);
+
+    bool may_run() const;
+
+    // Returns whether the prompt may be read apart and the request then run.
+    bool may_read_and_run() const;
+
+    void begin_run();
+    void take_back_run();
+    void begin_reading();
+    void take_back_reading();
+
+    // Returns the attempts that a server may have run, the one under way included.
+    std::uint32_t runs() const;
+
+private:
+    std::uint32_t most;
+    std::uint32_t counted = 0;
+    std::uint32_t readings = 0;
+};
+
+} // namespace tanager
