Give streams longer where their engine still sends

What callers saw: a resumable stream that had no event for a second went to another engine, also when its engine was only slow, or busy reading for others. Moving costs one of two attempts and another reading of all that had been generated, and the second engine may be as slow.

Cause: the bound on silence asked only how long, not whether the engine was gone.

Now: an engine that has sent an event of any stream here since the last one of this stream is slow, not gone, and the stream stays for 1.6 s. Callers give up after 2 s, so the rest is for the next engine's first event.

Test: gateway_tests, moves_a_stream_off_an_engine_that_is_only_slow; its middle section fails without the change.

--- a/src/fleet/internal/pause_watch.cpp
+++ b/src/fleet/internal/pause_watch.cpp
@@ -70,6 +70,12 @@
     return found != this->mean_pauses.end() && this->faded(found->second, mean_half_life) > slow_share;
 }
 
+bool pause_watch::has_sent_since(const std::string& server, time_point moment) const
+{
+    const auto found = this->mean_pauses.find(server);
+    return found != this->mean_pauses.end() && found->second.since > moment;
+}
+
 void pause_watch::keep_only(const std::set<std::string>& listed)
 {
     std::erase_if(this->mean_pauses, [&](const auto& row) { return !listed.contains(row.first); });
--- a/src/fleet/pause_watch.h
+++ b/src/fleet/pause_watch.h
@@ -41,6 +41,9 @@
     // Returns whether the streams of an engine have been slow lately, whatever it reads.
     bool is_slow(const std::string& server) const;
 
+    // Returns whether an engine has sent an event of any stream after this moment.
+    bool has_sent_since(const std::string& server, time_point moment) const;
+
     // Drops what was learned of servers that are not listed.
     void keep_only(const std::set<std::string>& listed);
 
--- a/src/gateway/internal/forward_run.cpp
+++ b/src/gateway/internal/forward_run.cpp
@@ -24,6 +24,9 @@
 constexpr std::chrono::milliseconds shortest_silence{300};
 // A resumable stream goes on elsewhere after this pause; callers give a stream up after two seconds.
 constexpr std::chrono::milliseconds stalled_stream{1'000};
+// An engine that sends to other streams meanwhile is slow and not gone. Moving a stream costs an attempt and
+// another reading, so it gets longer; what is left is for the next engine's first event.
+constexpr std::chrono::milliseconds stalled_stream_of_live_engine{1'600};
 // Waiting may use up this part of the objective; the rest is for the server's own work.
 constexpr double waiting_share = 0.4;
 // A server gets a little less than the caller's time, so that its own answer at the deadline still arrives.
@@ -347,14 +350,18 @@
 }
 
 void forward_run::watch_silence()
+{
+    const auto objective = this->routed.chosen_route->latency_objective;
+    this->check_silence_after(this->state == run_state::answering
+                                  ? stalled_stream
+                                  : std::max(objective * silent_objectives, shortest_silence));
+}
+
+void forward_run::check_silence_after(std::chrono::milliseconds bound)
 {
     if (!this->routed.chosen_route->is_repeatable()) {
         return;
     }
-    const auto objective = this->routed.chosen_route->latency_objective;
-    const auto bound = this->state == run_state::answering
-                           ? stalled_stream
-                           : std::max(objective * silent_objectives, shortest_silence);
     this->silence_timer = this->context.loop.run_after(bound, [weak = this->weak_from_this()] {
         if (const auto alive = weak.lock()) {
             alive->on_silence();
@@ -373,6 +380,13 @@
         this->send_unread("reader is silent");
         return;
     }
+    const auto stalled = this->context.time.now() - this->last_event;
+    if (this->state == run_state::answering && stalled < stalled_stream_of_live_engine &&
+        this->context.pool.has_sent_since(this->server->id, this->last_event)) {
+        this->check_silence_after(
+            std::chrono::ceil<std::chrono::milliseconds>(stalled_stream_of_live_engine - stalled));
+        return;
+    }
     this->context.pool.record(this->server->id, server_sign::silent);
     auto elsewhere = this->make_place_request(this->context.time.now());
     elsewhere.tried.push_back(this->server->id);
--- a/src/gateway/internal/forward_run.h
+++ b/src/gateway/internal/forward_run.h
@@ -91,6 +91,7 @@
     void send(const std::optional<cache_handle>& cache);
     void watch_connecting();
     void watch_silence();
+    void check_silence_after(std::chrono::milliseconds bound);
 
     void on_silence();
     void on_deadline();
--- a/src/gateway/internal/server_pool.cpp
+++ b/src/gateway/internal/server_pool.cpp
@@ -163,6 +163,11 @@
     }
 }
 
+bool server_pool::has_sent_since(const std::string& server_id, time_point moment) const
+{
+    return this->pauses.has_sent_since(server_id, moment);
+}
+
 bool server_pool::spares_long_outputs(const std::string& service) const
 {
     return this->pauses.should_spare(service);
--- a/src/gateway/server_pool.h
+++ b/src/gateway/server_pool.h
@@ -93,6 +93,9 @@
     // used `time_used` of its route's time.
     void record_pause(const backend_server& server, double share_of_objective, double time_used);
 
+    // Returns whether an engine has sent an event of any stream here after this moment.
+    bool has_sent_since(const std::string& server_id, time_point moment) const;
+
     // Returns whether the streams that came through here paused too long beside prompts.
     bool spares_long_outputs(const std::string& service) const;
 
--- a/src/gateway/tests/gateway_tests.cpp
+++ b/src/gateway/tests/gateway_tests.cpp
@@ -52,6 +52,7 @@
     CPPUNIT_TEST(continues_a_late_stream_in_an_overload);
     CPPUNIT_TEST(gives_every_place_back);
     CPPUNIT_TEST(collects_an_answer_without_end);
+    CPPUNIT_TEST(moves_a_stream_off_an_engine_that_is_only_slow);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -464,6 +465,42 @@
         });
     }
 
+    void moves_a_stream_off_an_engine_that_is_only_slow()
+    {
+        for (const bool has_company : {false, true}) {
+            middle gateway;
+            gateway.route_in_force.kind = route_kind::streaming;
+            gateway.route_in_force.is_resumable = true;
+            gateway.route_in_force.gap_objective = 200ms;
+            gateway.remove_server("b");
+            const auto stalled = gateway.send();
+            const auto lively = gateway.send();
+            gateway.add_server("b", engine_role::none);
+            for (const std::size_t index : {0U, 1U}) {
+                gateway.call(index).handler->on_head(200, own_answer);
+                gateway.call(index).handler->on_data("id: 1\ndata: x\n\n");
+            }
+            const auto wait = [&](std::chrono::milliseconds span) {
+                gateway.time.advance(span);
+                bool is_over = false;
+                const auto timer = gateway.loop->run_after(span, [&] { is_over = true; });
+                while (!is_over) {
+                    gateway.loop->run_once();
+                }
+            };
+            wait(500ms);
+            if (has_company) {
+                gateway.call(1).handler->on_data("id: 2\ndata: x\n\n");
+            }
+            wait(650ms);
+            section(has_company ? "its engine sends to another stream, so it stays" : "its engine is gone",
+                    [&] { CPPUNIT_ASSERT_EQUAL(!has_company, gateway.call(0).is_cancelled); });
+            wait(700ms);
+            section("in the end it goes on elsewhere, before its caller gives up",
+                    [&] { CPPUNIT_ASSERT(gateway.call(0).is_cancelled); });
+        }
+    }
+
     void collects_an_answer_without_end()
     {
         const std::string piece(10'000, 'x');
