--- a/src/net/internal/http_client.cpp
+++ b/src/net/internal/http_client.cpp
@@ -16,7 +16,7 @@
 constexpr int status_no_content = 204;
 constexpr int status_not_modified = 304;
 // Heads are some hundred bytes.
-constexpr ev_ssize_t longest_head_bytes = 64 * 1024;
+constexpr ev_ssize_t longest_head_bytes = ev_ssize_t{64} * 1024;
 // What evhttp has not been able to read any further; it takes a body from there as it comes, so that only
 // framing without end grows to this.
 constexpr std::size_t longest_unread_bytes = std::size_t{128} * 1024;
--- a/src/net/tests/endless_reply_tests.cpp
+++ b/src/net/tests/endless_reply_tests.cpp
@@ -16,9 +16,9 @@
 using namespace std::chrono_literals;
 using testing::section;
 
-constexpr std::size_t piece_bytes = 16 * 1024;
+constexpr std::size_t piece_bytes = 16'384;
 // What a call may take in, and as much again for the buffers of the two sockets.
-constexpr std::size_t most_bytes = 16 * 1024 * 1024;
+constexpr std::size_t most_bytes = std::size_t{16} * 1024 * 1024;
 
 // Sends a beginning and then the same piece again and again, until its caller closes.
 class endless_server {
