Bound collected replies only, not those that are passed on

Cause: the new bound was set for each call, collected or not. A handler that cancels its call from within a notice is kept until that notice has returned.

--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -25,7 +25,8 @@
 };
 
 // Receives the parts of one reply, in order; exactly one of `on_end` and `on_failure` comes last. A peer that
-// sends a head, a body or a part of its framing without end is cut off with reply_malformed.
+// sends a head or a part of its framing without end is cut off with reply_malformed; so is a body, but long
+// after, since whoever passes it on does not hold it.
 class http_reply_handler {
 public:
     http_reply_handler() = default;
@@ -70,8 +71,6 @@
     bool accept_unframed = false;
     // Only connections that were idle for less than this are used again.
     std::chrono::milliseconds longest_idle{30'000};
-    // A longer reply is malformed. The store's largest object has a megabyte, and its pages a little more.
-    std::size_t longest_reply = std::size_t{8} * 1024 * 1024;
 
     friend bool operator==(const http_call_options&, const http_call_options&) = default;
 };
@@ -95,7 +94,7 @@
 
     using whole_reply_callback = std::function<void(const tl::expected<http_reply, http_failure>&)>;
 
-    // Starts a call whose reply is collected in memory.
+    // Starts a call whose reply is collected in memory; one of more than 8 MB is malformed.
     std::shared_ptr<http_call> fetch(const socket_address& peer,
                                      const http_request& request,
                                      const http_call_options& options,
--- a/src/net/internal/http_client.cpp
+++ b/src/net/internal/http_client.cpp
@@ -15,6 +15,9 @@
 
 constexpr int status_no_content = 204;
 constexpr int status_not_modified = 304;
+constexpr ev_ssize_t longest_reply_bytes = std::size_t{64} * 1024 * 1024;
+// The store's largest object has a megabyte, and its pages a little more.
+constexpr std::size_t longest_collected_bytes = std::size_t{8} * 1024 * 1024;
 // Heads are some hundred bytes.
 constexpr ev_ssize_t longest_head_bytes = ev_ssize_t{64} * 1024;
 // What evhttp has not been able to read any further; it takes a body from there as it comes, so that only
@@ -71,7 +74,7 @@
         this->keeps_connection = options.reuse_connection;
         this->set_timeout(options.timeout);
         evhttp_connection_set_max_headers_size(this->connection, longest_head_bytes);
-        evhttp_connection_set_max_body_size(this->connection, static_cast<ev_ssize_t>(options.longest_reply));
+        evhttp_connection_set_max_body_size(this->connection, longest_reply_bytes);
         this->output_watch = evbuffer_add_cb(this->output(), &evhttp_call::on_output_changed, this);
         this->input_watch = evbuffer_add_cb(this->input(), &evhttp_call::on_input_changed, this);
         this->whole_timer = this->loop.run_after(options.timeout * timeouts_per_call, [this] {
@@ -219,7 +222,8 @@
             call.failure_code = result_code::reply_malformed;
             return -1;
         }
-        call.handler->on_head(status, headers);
+        const auto receiver = call.handler;
+        receiver->on_head(status, headers);
         return 0;
     }
 
@@ -233,7 +237,8 @@
             return;
         }
         const auto* const bytes = evbuffer_pullup(input, -1);
-        call.handler->on_data({reinterpret_cast<const char*>(bytes), length}); // NOLINT(*-reinterpret-cast)
+        const auto receiver = call.handler; // may cancel the call, which lets go of it
+        receiver->on_data({reinterpret_cast<const char*>(bytes), length}); // NOLINT(*-reinterpret-cast)
     }
 
     static void on_error(evhttp_request_error cause, void* self)
@@ -367,9 +372,21 @@
         this->whole.headers = headers;
     }
 
+    void use_call(const std::shared_ptr<http_call>& started)
+    {
+        this->call = started;
+    }
+
     void on_data(std::string_view data) override
     {
-        this->whole.body += data;
+        if (this->whole.body.size() + data.size() <= longest_collected_bytes) {
+            this->whole.body += data;
+            return;
+        }
+        if (const auto alive = this->call.lock()) {
+            alive->cancel();
+        }
+        this->on_failure({{result_code::reply_malformed, "a reply without end"}, call_progress::maybe_sent});
     }
 
     void on_end() override
@@ -385,6 +402,7 @@
 private:
     http_client::whole_reply_callback callback;
     http_reply whole;
+    std::weak_ptr<http_call> call;
 };
 
 } // namespace
@@ -399,7 +417,10 @@
                                               const http_call_options& options,
                                               whole_reply_callback callback)
 {
-    return this->start(peer, request, options, std::make_shared<collecting_handler>(std::move(callback)));
+    const auto collector = std::make_shared<collecting_handler>(std::move(callback));
+    auto call = this->start(peer, request, options, collector);
+    collector->use_call(call);
+    return call;
 }
 
 } // namespace tanager
