End a call in order when no descriptor is left for it

Cause: under a burst of callers the process had used its descriptors ("Error from accept() call: Too many open files" is its last line). evhttp then reports the failure from within the start of the call: the connection was released there, and used right after. The handler was also told before its call had been returned, which nobody expects.

Now a failure while the call is being started is told in the next turn of the loop, as one that never left this host.

Test: descriptor_tests; on the code before it ends in the same crash.

--- a/src/net/internal/http_client.cpp
+++ b/src/net/internal/http_client.cpp
@@ -87,9 +87,12 @@
         evhttp_request_set_error_cb(this->native, &evhttp_call::on_error);
         this->fill(request);
         // evhttp owns the request from here on, also when this fails.
+        this->is_starting = true;
         const int made = evhttp_make_request(
             this->connection, this->native, to_command(request.method), request.path.c_str());
-        if (made != 0 && !this->done) {
+        this->is_starting = false;
+        // Without a descriptor evhttp says so in its return value or by a notice from within.
+        if (made != 0 || this->native == nullptr) {
             this->native = nullptr;
             this->loop.post([self = this->shared_from_this()] { self->end_with_failure(); });
             return;
@@ -256,7 +259,7 @@
         auto& call = *static_cast<evhttp_call*>(self);
         // evhttp frees the request after this notice.
         call.native = nullptr;
-        if (call.done) {
+        if (call.done || call.is_starting) {
             return;
         }
         const bool is_whole = request != nullptr && evhttp_request_get_response_code(request) != 0 &&
@@ -333,6 +336,7 @@
     evbuffer_cb_entry* input_watch = nullptr;
     std::unique_ptr<loop_timer> whole_timer;
     bool is_endless = false;
+    bool is_starting = false;
     bool keeps_connection = true;
     bool accept_unframed = false;
     bool head_seen = false;
