Name a request's content in its log lines

The fingerprint covers what a caller repeats: method, host, path, body and the caller's key. Ruled out: the prompt's parts, since the users promise path, caller and body only.

--- a/src/gateway/internal/request_forwarder.cpp
+++ b/src/gateway/internal/request_forwarder.cpp
@@ -67,7 +67,7 @@
     : context(context),
       routed(std::move(routed)),
       done(std::move(done)),
-      log(this->routed.request.id),
+      log(this->routed.request.id, this->routed.request.fingerprint),
       attempts(this->routed.chosen_route->max_attempts, this->routed.chosen_route->is_repeatable()),
       buffered_body(context.response_buffer_budget)
 {
--- a/src/gateway/internal/request_log.cpp
+++ b/src/gateway/internal/request_log.cpp
@@ -1,5 +1,6 @@
 #include "gateway/internal/request_log.h"
 
+#include "base/text.h"
 #include "logging/event_log.h"
 
 #include <utility>
@@ -39,7 +40,10 @@
 
 } // namespace
 
-request_log::request_log(std::string request_id) : request_id(std::move(request_id)) {}
+request_log::request_log(std::string request_id, std::uint64_t fingerprint)
+    : request_id(std::move(request_id)), fingerprint(to_hex(fingerprint))
+{
+}
 
 void request_log::set_server(const std::string& id)
 {
@@ -77,6 +81,7 @@
 {
     write_event(log_event::request_retried,
                 {{"request", this->request_id},
+                 {"content", this->fingerprint},
                  {"server", this->server},
                  {"cause", cause},
                  {"runs", std::to_string(executions)}});
@@ -86,6 +91,7 @@
 {
     write_event(log_event::request_broken,
                 {{"request", this->request_id},
+                 {"content", this->fingerprint},
                  {"cause", cause.detail},
                  {"server", this->server},
                  {"outcome", outcome}});
@@ -95,6 +101,7 @@
 {
     write_event(log_event::request_rejected,
                 {{"request", this->request_id},
+                 {"content", this->fingerprint},
                  {"cause", cause.detail},
                  {"configuration", std::to_string(details.configuration_version)},
                  {"lacking", name_of_lacking(details.denial_reason)},
@@ -120,6 +127,7 @@
 {
     write_event(log_event::request_finished,
                 {{"request", this->request_id},
+                 {"content", this->fingerprint},
                  {"route", summary.route},
                  {"configuration", std::to_string(summary.configuration_version)},
                  {"server", this->server},
--- a/src/gateway/internal/request_log.h
+++ b/src/gateway/internal/request_log.h
@@ -40,7 +40,8 @@
 
 class request_log {
 public:
-    explicit request_log(std::string request_id);
+    // `fingerprint` is that of the request's content, so that the lines of repeated requests can be matched.
+    request_log(std::string request_id, std::uint64_t fingerprint);
 
     // Logs that the prompt was sent to the prefill engine of `grant`.
     void write_prefill_sent(const slot_grant& grant, duration queue_time) const;
@@ -67,6 +68,7 @@
 
 private:
     std::string request_id;
+    std::string fingerprint;
     std::string server = "-";
 };
 
