--- /dev/null
+++ b/tests/tests/crashing_request_tests.cpp
@@ -0,0 +1,279 @@
+// A request that ends each backend server that begins to run it comes again and again at all gateways. Guards
+// against gateways that forget it when it ends: it then takes down server after server, and with each of them
+// the requests that run beside it.
+#include "testing/section.h"
+#include "tests/support/gateway_group.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace tanager::testing {
+
+namespace {
+
+using namespace std::chrono_literals;
+using std::chrono::steady_clock;
+
+// What the users' rule allows after the third server has ended.
+constexpr auto knowledge_delay = 3s;
+constexpr std::size_t max_late_crashes = 3;
+// A crashed server is back after this, with a new id and address.
+constexpr auto restart_delay = 1'500ms;
+constexpr int server_count = 6;
+constexpr std::size_t slots_per_server = 6;
+constexpr auto culprit_interval = 400ms;
+constexpr auto innocent_interval = 25ms;
+// Enough for several waves of crashes after the delay.
+constexpr auto observation_time = 4s;
+
+// Backend servers as processes. They are started again after a crash, and entered in the store.
+class crashing_fleet {
+public:
+    crashing_fleet(gateway_group& group, std::string mode) : group(group), mode(std::move(mode))
+    {
+        for (int index = 0; index < server_count; ++index) {
+            this->start();
+        }
+    }
+
+    // Notices crashes and starts crashed servers again.
+    void supervise()
+    {
+        const auto now = steady_clock::now();
+        std::size_t servers_to_start = 0;
+        for (auto server = this->servers.begin(); server != this->servers.end();) {
+            if (!server->crashed_at && has_crashed(*server->process)) {
+                server->crashed_at = now;
+                this->crashes.push_back(now);
+            }
+            if (server->crashed_at && now - *server->crashed_at >= restart_delay) {
+                this->call("DELETE", "/objects/servers/" + server->id, {});
+                server = this->servers.erase(server);
+                ++servers_to_start;
+            } else {
+                ++server;
+            }
+        }
+        for (; servers_to_start > 0; --servers_to_start) {
+            this->start();
+        }
+    }
+
+    // Returns whether a moment is later than the delay after the third crash.
+    bool is_late(steady_clock::time_point moment) const
+    {
+        return this->crashes.size() >= 3 && moment > this->crashes[2] + knowledge_delay;
+    }
+
+    std::vector<steady_clock::time_point> crashes;
+
+private:
+    struct running_server {
+        std::string id;
+        std::unique_ptr<child_process> process;
+        std::optional<steady_clock::time_point> crashed_at;
+    };
+
+    // A silent server is a stopped process.
+    static bool has_crashed(child_process& process)
+    {
+        if (!process.is_running()) {
+            return true;
+        }
+        std::ifstream status("/proc/" + std::to_string(process.id()) + "/stat");
+        const std::string text{std::istreambuf_iterator<char>(status), {}};
+        const auto name_end = text.rfind(')');
+        return name_end != std::string::npos && name_end + 2 < text.size() && text[name_end + 2] == 'T';
+    }
+
+    void start()
+    {
+        const auto id = "s" + std::to_string(++this->started_count);
+        auto process = std::make_unique<child_process>(
+            "standin-server", std::vector<std::string>{"--id", id, "--crash-mode", this->mode});
+        const nlohmann::json spec{{"service", "desk"},
+                                  {"address", process->address("http")},
+                                  {"zone", "here"},
+                                  {"slots", slots_per_server},
+                                  {"state", "ready"},
+                                  {"born", this->started_count}};
+        this->call("POST", "/objects/servers", {{"metadata", {{"name", id}}}, {"spec", spec}});
+        this->servers.push_back({id, std::move(process), std::nullopt});
+    }
+
+    void call(const std::string& method, const std::string& path, const nlohmann::json& body)
+    {
+        // Not the group's client, whose loop runs the supervision.
+        test_client client;
+        static_cast<void>(
+            client.fetch(this->group.store_address, {method, path, {}, body.is_null() ? "" : body.dump()}));
+    }
+
+    gateway_group& group;
+    std::string mode;
+    std::vector<running_server> servers;
+    int started_count = 0;
+};
+
+// A request of which only the body tells whether it is the culprit.
+struct repeated_request {
+    std::string method = "POST";
+    std::string path;
+    std::string body;
+};
+
+struct observed_result {
+    std::size_t crashes = 0;
+    std::size_t late_crashes = 0;
+    std::size_t innocent_requests = 0;
+    std::size_t unserved_innocents = 0;
+    std::size_t late_unserved_innocents = 0; // sent later than the delay after the third crash
+
+    std::string to_text() const
+    {
+        return std::to_string(this->crashes) + " servers ended, " + std::to_string(this->late_crashes) +
+               " of them late; of " + std::to_string(this->innocent_requests) + " innocent requests " +
+               std::to_string(this->unserved_innocents) + " were not served, " +
+               std::to_string(this->late_unserved_innocents) + " of them late";
+    }
+};
+
+// Sends the culprit and innocent requests to all gateways in turn, until some seconds after the moment from
+// which the culprit may reach no more servers.
+class request_sender {
+public:
+    request_sender(int gateway_count, const std::string& crash_mode, repeated_request culprit)
+        : group(gateway_count, {"--servers", "0", "--timeout-ms", "3000"}),
+          fleet(group, crash_mode),
+          culprit(std::move(culprit))
+    {
+        for (const auto& [host, each] : this->group.members) {
+            this->gateways.push_back(each.address);
+            this->group.wait_for_metric(host, "tanager_servers_taking_work", server_count);
+            this->group.wait_for_metric(host, "tanager_peers_heard", gateway_count - 1);
+        }
+    }
+
+    observed_result run()
+    {
+        auto& loop = this->group.caller.loop();
+        const auto supervision = loop.run_every(20ms, [this] { this->fleet.supervise(); });
+        const auto culprits = loop.run_every(culprit_interval, [this] {
+            for (int caller = 0; caller < 2; ++caller) {
+                this->send(this->culprit);
+            }
+        });
+        const auto innocents = loop.run_every(innocent_interval, [this] {
+            const auto now = steady_clock::now();
+            this->innocents.emplace_back(
+                now,
+                this->send({"POST", "/read/1?work_ms=20", "innocent " + std::to_string(this->sent_count)}));
+        });
+        const auto begun_at = steady_clock::now();
+        this->group.caller.run_until([&] {
+            const auto& crashes = this->fleet.crashes;
+            const auto observed_from = crashes.size() < 3 ? begun_at + knowledge_delay : crashes[2];
+            return steady_clock::now() > observed_from + knowledge_delay + observation_time;
+        });
+        this->group.caller.run_until([this] {
+            return std::ranges::all_of(this->innocents,
+                                       [](const auto& innocent) { return innocent.second->is_finished(); });
+        });
+        return this->collect_result();
+    }
+
+private:
+    observed_result collect_result() const
+    {
+        observed_result result;
+        result.crashes = this->fleet.crashes.size();
+        result.late_crashes = static_cast<std::size_t>(std::ranges::count_if(
+            this->fleet.crashes, [this](auto crash) { return this->fleet.is_late(crash); }));
+        for (const auto& [sent_at, innocent] : this->innocents) {
+            const bool is_served = innocent->response && innocent->response->status == 200;
+            ++result.innocent_requests;
+            result.unserved_innocents += is_served ? 0 : 1;
+            result.late_unserved_innocents += !is_served && this->fleet.is_late(sent_at) ? 1 : 0;
+        }
+        return result;
+    }
+
+    std::shared_ptr<async_response> send(const repeated_request& request)
+    {
+        const auto& gateway = this->gateways[this->sent_count % this->gateways.size()];
+        ++this->sent_count;
+        return this->group.caller.start(gateway,
+                                        {request.method,
+                                         request.path,
+                                         {{"Host", "shop.example"},
+                                          {"Attempt-Id", "r" + std::to_string(this->sent_count)},
+                                          {"Deadline-Ms", "3000"}},
+                                         request.body});
+    }
+
+    gateway_group group;
+    crashing_fleet fleet;
+    repeated_request culprit;
+    std::vector<std::string> gateways;
+    std::vector<std::pair<steady_clock::time_point, std::shared_ptr<async_response>>> innocents;
+    std::size_t sent_count = 0;
+};
+
+class crashing_request_tests : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(crashing_request_tests);
+    CPPUNIT_TEST(a_request_that_ended_three_servers_ends_no_more_when_they_reset_connections);
+    CPPUNIT_TEST(a_request_that_ended_three_servers_ends_no_more_when_they_close_connections);
+    CPPUNIT_TEST(a_request_that_ended_three_servers_ends_no_more_when_they_fall_silent);
+    CPPUNIT_TEST(a_request_that_ended_three_servers_ends_no_more_when_it_may_not_be_retried);
+    CPPUNIT_TEST(a_request_that_ended_three_servers_ends_no_more_when_it_has_no_body);
+    CPPUNIT_TEST(a_request_that_ended_three_servers_ends_no_more_with_one_gateway);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    static void check(int gateway_count, const std::string& crash_mode, const repeated_request& culprit)
+    {
+        const auto result = request_sender(gateway_count, crash_mode, culprit).run();
+        section("it ends at most three servers once all gateways can know",
+                [&] { CPPUNIT_ASSERT_MESSAGE(result.to_text(), result.late_crashes <= max_late_crashes); });
+        section("it is found out", [&] { CPPUNIT_ASSERT_MESSAGE(result.to_text(), result.crashes >= 2); });
+        section("from then on, innocent requests fail only beside it", [&] {
+            CPPUNIT_ASSERT_MESSAGE(result.to_text(),
+                                   result.late_unserved_innocents <= result.late_crashes * slots_per_server);
+        });
+    }
+
+    void a_request_that_ended_three_servers_ends_no_more_when_they_reset_connections()
+    {
+        check(4, "reset", {"POST", "/read/1", "crash"});
+    }
+
+    void a_request_that_ended_three_servers_ends_no_more_when_they_close_connections()
+    {
+        check(4, "close", {"POST", "/read/1", "crash"});
+    }
+
+    void a_request_that_ended_three_servers_ends_no_more_when_they_fall_silent()
+    {
+        check(4, "silent", {"POST", "/read/1", "crash"});
+    }
+
+    void a_request_that_ended_three_servers_ends_no_more_when_it_may_not_be_retried()
+    {
+        check(4, "reset", {"POST", "/order/1", "crash"});
+    }
+
+    void a_request_that_ended_three_servers_ends_no_more_when_it_has_no_body()
+    {
+        check(4, "reset", {"GET", "/read/crash", ""});
+    }
+
+    void a_request_that_ended_three_servers_ends_no_more_with_one_gateway()
+    {
+        check(1, "reset", {"POST", "/read/1", "crash"});
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(crashing_request_tests);
+
+} // namespace
+
+} // namespace tanager::testing
