--- a/tests/tests/crashing_request_tests.cpp
+++ b/tests/tests/crashing_request_tests.cpp
@@ -111,7 +111,7 @@
     }
 
     // Returns the body of the store's response.
-    std::string call(const std::string& method, const std::string& path, const nlohmann::json& body)
+    std::string call(const std::string& method, const std::string& path, const nlohmann::json& body) const
     {
         // Not the group's client, whose loop runs the supervision.
         test_client client;
