--- a/src/gateway/crash_quarantine.h
+++ b/src/gateway/crash_quarantine.h
@@ -9,6 +9,7 @@
 #include "quarantine/server_end_detector.h"
 
 #include <functional>
+#include <map>
 #include <string>
 #include <string_view>
 
@@ -75,7 +76,7 @@
 
 private:
     void apply(const std::vector<decided_end>& decisions);
-    void record_end(std::uint64_t fingerprint, const decided_end& decision);
+    void record_end(std::uint64_t fingerprint, const decided_end& decision, const std::string& server_id);
     void send_news(const std::vector<std::uint64_t>& fingerprints);
 
     const clock& time;
@@ -83,6 +84,7 @@
     server_connector& connector;
     suspicion_channel* channel = nullptr;
     server_end_detector detector;
+    std::map<std::uint64_t, std::string> suspected_server_ids; // by hash, for the log
     crash_suspicion_table suspicions;
     time_point repeated_at;
 };
--- a/src/gateway/internal/crash_quarantine.cpp
+++ b/src/gateway/internal/crash_quarantine.cpp
@@ -51,6 +51,7 @@
 void crash_quarantine::record_lost_connection(const backend_server& server, std::uint64_t fingerprint)
 {
     const auto key = key_of(server);
+    this->suspected_server_ids[key] = server.id;
     if (!this->detector.record_lost_connection(key, fingerprint)) {
         return;
     }
@@ -62,7 +63,9 @@
 
 void crash_quarantine::record_silence(const backend_server& server, std::uint64_t fingerprint)
 {
-    this->detector.record_silence(key_of(server), fingerprint);
+    const auto key = key_of(server);
+    this->suspected_server_ids[key] = server.id;
+    this->detector.record_silence(key, fingerprint);
 }
 
 void crash_quarantine::record_response(const backend_server& server)
@@ -84,8 +87,10 @@
 void crash_quarantine::apply(const std::vector<decided_end>& decisions)
 {
     for (const auto& decision : decisions) {
+        const auto named = this->suspected_server_ids.extract(decision.server);
+        const auto server_id = named.empty() ? std::string{"-"} : named.mapped();
         write_event(log_event::server_end_checked,
-                    {{"server", to_hex(decision.server)},
+                    {{"server", server_id},
                      {"sign", decision.sign == end_sign::silence ? "silent" : "connection_lost"},
                      {"ended", decision.has_ended ? "yes" : "no"},
                      {"after_ms", to_milliseconds(decision.time_suspected)},
@@ -95,13 +100,15 @@
         }
         this->metrics.increment_counter("tanager_server_ends_total");
         for (const auto fingerprint : decision.fingerprints) {
-            this->record_end(fingerprint, decision);
+            this->record_end(fingerprint, decision, server_id);
         }
         this->send_news(decision.fingerprints);
     }
 }
 
-void crash_quarantine::record_end(std::uint64_t fingerprint, const decided_end& decision)
+void crash_quarantine::record_end(std::uint64_t fingerprint,
+                                  const decided_end& decision,
+                                  const std::string& server_id)
 {
     const bool is_confirmed = decision.sign == end_sign::connection_lost;
     if (!this->suspicions.record_end(fingerprint, {decision.server, is_confirmed})) {
@@ -111,7 +118,7 @@
     const auto left = this->suspicions.quarantine_left(fingerprint, {});
     write_event(log_event::request_suspected,
                 {{"content", to_hex(fingerprint)},
-                 {"server", to_hex(decision.server)},
+                 {"server", server_id},
                  {"ends", std::to_string(known ? known->ends.size() : 0)},
                  {"quarantined_ms", to_milliseconds(left)}});
 }
