End a quarantined request without asking again

Found by reading the diff: the state was asked twice, and the slot released in between; had the quarantine run out there, the request would have waited for its deadline.

--- a/src/gateway/internal/request_forwarder.cpp
+++ b/src/gateway/internal/request_forwarder.cpp
@@ -156,20 +156,15 @@
     return this->context.quarantine.quarantine_left(this->routed.request.fingerprint) > duration{0};
 }
 
-// Ends a request that no server may run any more; no attempt of it may be active. Returns whether it was
-// ended.
-bool request_forwarder::end_if_quarantined()
+// Ends a quarantined request that has no active attempt.
+void request_forwarder::end_quarantined()
 {
-    if (!this->is_quarantined()) {
-        return false;
-    }
     const error cause{result_code::servers_ended_under_request, "servers ended under this request"};
     if (this->may_have_executed()) {
         this->fail_after_execution(cause);
-    } else {
-        this->reject(cause);
+        return;
     }
-    return true;
+    this->reject(cause);
 }
 
 // Records an active attempt that is cancelled without a response.
@@ -206,7 +201,7 @@
     }
     if (this->is_quarantined()) {
         this->return_grant();
-        this->end_if_quarantined();
+        this->end_quarantined();
         return;
     }
     if (granted.prefill_engine != nullptr) {
@@ -326,7 +321,7 @@
 {
     if (this->is_quarantined()) {
         this->context.scheduler.release_slot(this->requested_slot, this->server->id);
-        this->end_if_quarantined();
+        this->end_quarantined();
         return;
     }
     const auto listed = this->context.servers.servers().find(this->server->id);
--- a/src/gateway/internal/request_forwarder.h
+++ b/src/gateway/internal/request_forwarder.h
@@ -122,7 +122,7 @@
     void finish(std::string_view outcome, int status);
     bool may_have_executed() const;
     bool is_quarantined() const;
-    bool end_if_quarantined();
+    void end_quarantined();
     void record_unfinished_attempt();
     bool has_missed_objective() const;
     duration elapsed() const;
