Name the parts of a prompt in the log lines of requests under which servers end

The lines of the incident could not tell whether the requests under which servers end have anything in common: they name the digest of a whole request, and no two are alike. 3032, 3020 and 3021 now also name the fingerprints of the parts that a prompt shares with others (at most 8); the detector keeps them with a request. No decision changes.

--- a/src/base/internal/text.cpp
+++ b/src/base/internal/text.cpp
@@ -11,6 +11,7 @@
 
 constexpr int hexadecimal_base = 16;
 constexpr std::size_t hex_digits_of_64_bits = 16;
+constexpr std::size_t max_listed_values = 8;
 constexpr std::string_view whitespace = " \t\r\n";
 
 std::string_view trim(std::string_view text)
@@ -80,4 +81,16 @@
     return std::string(hex_digits_of_64_bits - significant_digits.size(), '0') + significant_digits;
 }
 
+std::string to_hex_list(const std::vector<std::uint64_t>& values)
+{
+    if (values.empty()) {
+        return "-";
+    }
+    std::string list;
+    for (std::size_t index = 0; index < std::min(values.size(), max_listed_values); ++index) {
+        list += (index > 0 ? "," : "") + to_hex(values[index]);
+    }
+    return list;
+}
+
 } // namespace tanager
--- a/src/base/tests/base_tests.cpp
+++ b/src/base/tests/base_tests.cpp
@@ -58,6 +58,8 @@
             CPPUNIT_ASSERT(split_list(" a, ,b ,") == expected);
         });
         CPPUNIT_ASSERT_EQUAL(std::string{"00000000000000ff"}, to_hex(255));
+        CPPUNIT_ASSERT_EQUAL(std::string{"-"}, to_hex_list({}));
+        CPPUNIT_ASSERT_EQUAL(std::string{"0000000000000001,00000000000000ff"}, to_hex_list({1, 255}));
     }
 
     void result_codes_have_names_and_http_statuses()
--- a/src/base/text.h
+++ b/src/base/text.h
@@ -22,4 +22,7 @@
 // Returns the value as 16 lower-case hexadecimal digits, padded with zeros.
 std::string to_hex(std::uint64_t value);
 
+// Returns at most the first 8 values as by `to_hex`, separated by commas, and "-" if there are none.
+std::string to_hex_list(const std::vector<std::uint64_t>& values);
+
 } // namespace tanager
--- a/src/gateway/crash_quarantine.h
+++ b/src/gateway/crash_quarantine.h
@@ -60,8 +60,8 @@
 
     // Record how attempts go: the connection broke after the request may have been sent, there is no response
     // for long, the server has sent something, it has completed the request.
-    void record_lost_connection(const backend_server& server, std::uint64_t fingerprint);
-    void record_silence(const backend_server& server, std::uint64_t fingerprint);
+    void record_lost_connection(const backend_server& server, const request_traits& request);
+    void record_silence(const backend_server& server, const request_traits& request);
     void record_response(const backend_server& server);
     void record_completion(std::uint64_t fingerprint);
 
@@ -76,7 +76,7 @@
 
 private:
     void apply(const std::vector<decided_end>& decisions);
-    void record_end(std::uint64_t fingerprint, const decided_end& decision, const std::string& server_id);
+    void record_end(const request_traits& request, const decided_end& decision, const std::string& server_id);
     void send_news(const std::vector<std::uint64_t>& fingerprints);
 
     const clock& time;
--- a/src/gateway/internal/crash_quarantine.cpp
+++ b/src/gateway/internal/crash_quarantine.cpp
@@ -48,11 +48,11 @@
     return this->suspicions.quarantine_left(fingerprint, this->detector.pending_ends(fingerprint));
 }
 
-void crash_quarantine::record_lost_connection(const backend_server& server, std::uint64_t fingerprint)
+void crash_quarantine::record_lost_connection(const backend_server& server, const request_traits& request)
 {
     const auto key = key_of(server);
     this->suspected_server_ids[key] = server.id;
-    if (!this->detector.record_lost_connection(key, fingerprint)) {
+    if (!this->detector.record_lost_connection(key, request)) {
         return;
     }
     this->metrics.increment_counter("tanager_server_end_checks_total");
@@ -61,11 +61,11 @@
     });
 }
 
-void crash_quarantine::record_silence(const backend_server& server, std::uint64_t fingerprint)
+void crash_quarantine::record_silence(const backend_server& server, const request_traits& request)
 {
     const auto key = key_of(server);
     this->suspected_server_ids[key] = server.id;
-    this->detector.record_silence(key, fingerprint);
+    this->detector.record_silence(key, request);
 }
 
 void crash_quarantine::record_response(const backend_server& server)
@@ -94,30 +94,33 @@
                      {"sign", decision.sign == end_sign::silence ? "silent" : "connection_lost"},
                      {"ended", decision.has_ended ? "yes" : "no"},
                      {"after_ms", to_milliseconds(decision.time_suspected)},
-                     {"requests", std::to_string(decision.fingerprints.size())}});
+                     {"requests", std::to_string(decision.requests.size())}});
         if (!decision.has_ended) {
             continue;
         }
         this->metrics.increment_counter("tanager_server_ends_total");
-        for (const auto fingerprint : decision.fingerprints) {
-            this->record_end(fingerprint, decision, server_id);
+        std::vector<std::uint64_t> contents;
+        for (const auto& request : decision.requests) {
+            this->record_end(request, decision, server_id);
+            contents.push_back(request.content);
         }
-        this->send_news(decision.fingerprints);
+        this->send_news(contents);
     }
 }
 
-void crash_quarantine::record_end(std::uint64_t fingerprint,
+void crash_quarantine::record_end(const request_traits& request,
                                   const decided_end& decision,
                                   const std::string& server_id)
 {
     const bool is_confirmed = decision.sign == end_sign::connection_lost;
-    if (!this->suspicions.record_end(fingerprint, {decision.server, is_confirmed})) {
+    if (!this->suspicions.record_end(request.content, {decision.server, is_confirmed})) {
         return;
     }
-    const auto known = this->suspicions.find(fingerprint);
-    const auto left = this->suspicions.quarantine_left(fingerprint, {});
+    const auto known = this->suspicions.find(request.content);
+    const auto left = this->suspicions.quarantine_left(request.content, {});
     write_event(log_event::request_suspected,
-                {{"content", to_hex(fingerprint)},
+                {{"content", to_hex(request.content)},
+                 {"prompt_parts", to_hex_list(request.prompt_parts)},
                  {"server", server_id},
                  {"ends", std::to_string(known ? known->ends.size() : 0)},
                  {"quarantined_ms", to_milliseconds(left)}});
--- a/src/gateway/internal/request_forwarder.cpp
+++ b/src/gateway/internal/request_forwarder.cpp
@@ -69,7 +69,7 @@
     : context(context),
       routed(std::move(routed)),
       done(std::move(done)),
-      log(this->routed.request.id, this->routed.request.fingerprint),
+      log(this->routed.request.id, this->routed.request.traits),
       attempts(this->routed.chosen_route->max_attempts, this->routed.chosen_route->is_repeatable()),
       buffered_body(context.response_buffer_budget)
 {
@@ -153,7 +153,7 @@
 
 bool request_forwarder::is_quarantined() const
 {
-    return this->context.quarantine.quarantine_left(this->routed.request.fingerprint) > duration{0};
+    return this->context.quarantine.quarantine_left(this->routed.request.traits.content) > duration{0};
 }
 
 // Ends a quarantined request that has no active attempt.
@@ -174,7 +174,7 @@
         return;
     }
     const auto& waited_for = this->prefill != nullptr ? this->grant.prefill_engine : this->server;
-    this->context.quarantine.record_silence(*waited_for, this->routed.request.fingerprint);
+    this->context.quarantine.record_silence(*waited_for, this->routed.request.traits);
 }
 
 void request_forwarder::request_slot()
@@ -298,7 +298,7 @@
         cache.error().code == result_code::backend_failed) {
         this->context.quarantine.record_response(*prefill_engine);
     } else if (cache.error().code != result_code::connect_failed) {
-        this->context.quarantine.record_lost_connection(*prefill_engine, this->routed.request.fingerprint);
+        this->context.quarantine.record_lost_connection(*prefill_engine, this->routed.request.traits);
     }
     if (!cache) {
         if (cache.error().code == result_code::backend_refused ||
@@ -624,7 +624,7 @@
         this->handle_refusal();
         return;
     }
-    this->context.quarantine.record_completion(this->routed.request.fingerprint);
+    this->context.quarantine.record_completion(this->routed.request.traits.content);
     if (this->response.status >= status_first_failure && this->state != request_state::responding) {
         this->handle_server_failure();
         return;
@@ -689,9 +689,9 @@
         this->attempts.refund_run();
         ++this->connect_failures;
     } else if (failure.cause.code == result_code::timed_out) {
-        this->context.quarantine.record_silence(*this->server, this->routed.request.fingerprint);
+        this->context.quarantine.record_silence(*this->server, this->routed.request.traits);
     } else {
-        this->context.quarantine.record_lost_connection(*this->server, this->routed.request.fingerprint);
+        this->context.quarantine.record_lost_connection(*this->server, this->routed.request.traits);
     }
     const bool is_malformed = failure.cause.code == result_code::reply_malformed;
     this->end_attempt(is_malformed ? server_outcome::failed : server_outcome::unresponsive);
@@ -760,7 +760,7 @@
     const auto retry_after =
         cause.code == result_code::servers_ended_under_request
             ? std::chrono::ceil<std::chrono::milliseconds>(
-                  this->context.quarantine.quarantine_left(this->routed.request.fingerprint))
+                  this->context.quarantine.quarantine_left(this->routed.request.traits.content))
             : this->context.scheduler.suggest_retry_after(this->routed.service);
     this->log.write_rejection(cause,
                               {this->routed.configuration_version,
--- a/src/gateway/internal/request_handler.cpp
+++ b/src/gateway/internal/request_handler.cpp
@@ -65,10 +65,10 @@
     if (this->open_request_count >= this->max_open_requests) {
         return rejection{{result_code::not_ready, "too many open requests"}, unready_retry_after};
     }
-    const auto quarantine_left = this->context.quarantine.quarantine_left(request.fingerprint);
+    const auto quarantine_left = this->context.quarantine.quarantine_left(request.traits.content);
     if (quarantine_left > duration{0}) {
         return rejection{{result_code::servers_ended_under_request,
-                          "servers ended under requests with the content " + to_hex(request.fingerprint)},
+                          "servers ended under requests with the content " + to_hex(request.traits.content)},
                          std::chrono::ceil<std::chrono::milliseconds>(quarantine_left)};
     }
     return std::nullopt;
@@ -80,7 +80,7 @@
 {
     write_event(log_event::request_rejected,
                 {{"request", request.id.empty() ? "-" : request.id},
-                 {"content", to_hex(request.fingerprint)},
+                 {"content", to_hex(request.traits.content)},
                  {"cause", rejection_reason.cause.detail},
                  {"configuration", std::to_string(this->routes.version())},
                  {"retry_after_ms", std::to_string(rejection_reason.retry_after.count())}});
--- a/src/gateway/internal/request_log.cpp
+++ b/src/gateway/internal/request_log.cpp
@@ -40,8 +40,10 @@
 
 } // namespace
 
-request_log::request_log(std::string request_id, std::uint64_t fingerprint)
-    : request_id(std::move(request_id)), fingerprint(to_hex(fingerprint))
+request_log::request_log(std::string request_id, const request_traits& traits)
+    : request_id(std::move(request_id)),
+      content(to_hex(traits.content)),
+      prompt_parts(to_hex_list(traits.prompt_parts))
 {
 }
 
@@ -81,7 +83,8 @@
 {
     write_event(log_event::request_retried,
                 {{"request", this->request_id},
-                 {"content", this->fingerprint},
+                 {"content", this->content},
+                 {"prompt_parts", this->prompt_parts},
                  {"server", this->server},
                  {"cause", cause},
                  {"runs", std::to_string(executions)}});
@@ -91,7 +94,8 @@
 {
     write_event(log_event::request_broken,
                 {{"request", this->request_id},
-                 {"content", this->fingerprint},
+                 {"content", this->content},
+                 {"prompt_parts", this->prompt_parts},
                  {"cause", cause.detail},
                  {"server", this->server},
                  {"outcome", outcome}});
@@ -101,7 +105,7 @@
 {
     write_event(log_event::request_rejected,
                 {{"request", this->request_id},
-                 {"content", this->fingerprint},
+                 {"content", this->content},
                  {"cause", cause.detail},
                  {"configuration", std::to_string(details.configuration_version)},
                  {"lacking", name_of_lacking(details.denial_reason)},
@@ -127,7 +131,7 @@
 {
     write_event(log_event::request_finished,
                 {{"request", this->request_id},
-                 {"content", this->fingerprint},
+                 {"content", this->content},
                  {"route", summary.route},
                  {"configuration", std::to_string(summary.configuration_version)},
                  {"server", this->server},
--- a/src/gateway/internal/request_log.h
+++ b/src/gateway/internal/request_log.h
@@ -4,6 +4,7 @@
 #include "admission/slot_share.h"
 #include "base/types/result.h"
 #include "gateway/request_scheduler.h"
+#include "quarantine/types/request_traits.h"
 
 #include <chrono>
 #include <optional>
@@ -40,8 +41,9 @@
 
 class request_log {
 public:
-    // `fingerprint` is that of the request's content, so that the lines of repeated requests can be matched.
-    request_log(std::string request_id, std::uint64_t fingerprint);
+    // Lines name the traits, so that those of repeated requests, and of requests with a common part, can be
+    // matched.
+    request_log(std::string request_id, const request_traits& traits);
 
     // Logs that the prompt was sent to the prefill engine of `grant`.
     void write_prefill_sent(const slot_grant& grant, duration queue_time) const;
@@ -68,7 +70,8 @@
 
 private:
     std::string request_id;
-    std::string fingerprint;
+    std::string content;
+    std::string prompt_parts;
     std::string server = "-";
 };
 
--- a/src/gateway/mocks/forwarding_fixture.h
+++ b/src/gateway/mocks/forwarding_fixture.h
@@ -70,7 +70,7 @@
         exchange->caller_left = this->next_caller_has_left;
         caller_request request;
         request.id = id;
-        request.fingerprint = hash64(id);
+        request.traits = {hash64(id), this->prompt_parts};
         request.prompt = this->prompt;
         request.caller_timeout = caller_timeout;
         const auto now = this->time.now();
@@ -135,6 +135,7 @@
     retry_budget retries{retry_budget_ratio, retry_reserve};
     route active_route;
     prompt_shape prompt;
+    std::vector<std::uint64_t> prompt_parts; // fingerprints
     bool is_model = false;
     bool next_caller_has_left = false; // before its request was read
     int finished_requests = 0;
--- a/src/gateway/tests/crash_quarantine_tests.cpp
+++ b/src/gateway/tests/crash_quarantine_tests.cpp
@@ -129,7 +129,7 @@
                 ended.id = id;
                 ended.address = {id, 1};
                 gateway.connector.ended.insert(ended.address);
-                elsewhere.record_lost_connection(ended, hash64("r1"));
+                elsewhere.record_lost_connection(ended, {hash64("r1"), {}});
             }
             section("when a slot is free it is rejected as not run, with the time that is left", [&] {
                 gateway.scheduler.release_slot(short_prompt, "e");
@@ -215,7 +215,7 @@
                 ended.id = id;
                 ended.address = {id, 1};
                 gateway.connector.ended.insert(ended.address);
-                gateway.quarantine.record_lost_connection(ended, hash64("r1"));
+                gateway.quarantine.record_lost_connection(ended, {hash64("r1"), {}});
             }
             gateway.call(0).respond(200, {}, "handle");
             section("it is not sent to its decode engine, and its KV cache is released", [&] {
@@ -258,7 +258,7 @@
                 ended.id = id;
                 ended.address = {id, 1};
                 connector.ended.insert(ended.address);
-                here.record_lost_connection(ended, 1);
+                here.record_lost_connection(ended, {1, {}});
             }
             section("a gateway that was not reached, or has just started, learns it from a repetition", [&] {
                 crash_quarantine started_later(time, metrics, connector);
--- a/src/gateway/types/caller_request.h
+++ b/src/gateway/types/caller_request.h
@@ -3,6 +3,7 @@
 
 #include "net/types/http_types.h"
 #include "placement/types/placement_candidate.h"
+#include "quarantine/types/request_traits.h"
 
 #include <chrono>
 #include <cstdint>
@@ -18,7 +19,7 @@
     std::string path; // with the query string
     std::optional<std::chrono::milliseconds> caller_timeout; // for the whole response
     std::optional<std::uint64_t> last_event_id;              // the last event that the caller has received
-    std::uint64_t fingerprint = 0; // of the content; equal for all attempts of the caller
+    request_traits traits;
     prompt_shape prompt;
 
     friend bool operator==(const caller_request&, const caller_request&) = default;
--- a/src/quarantine/internal/server_end_detector.cpp
+++ b/src/quarantine/internal/server_end_detector.cpp
@@ -9,14 +9,14 @@
 // Servers that respond at all send something to one of their requests within this time.
 constexpr std::chrono::milliseconds max_silence{500};
 // Requests of one gateway that run on one server.
-constexpr std::size_t max_fingerprints = 256;
+constexpr std::size_t max_requests = 256;
 
 } // namespace
 
 server_end_detector::server_end_detector(const clock& time) : time(time) {}
 
 server_end_detector::suspected_server&
-server_end_detector::suspect(std::uint64_t server, end_sign sign, std::uint64_t fingerprint)
+server_end_detector::suspect(std::uint64_t server, end_sign sign, const request_traits& request)
 {
     const auto [entry, is_new] = this->suspected.try_emplace(server);
     auto& state = entry->second;
@@ -24,25 +24,25 @@
         state.sign = sign;
         state.since = this->time.now();
     }
-    const bool is_known = std::ranges::find(state.fingerprints, fingerprint) != state.fingerprints.end();
-    if (!is_known && state.fingerprints.size() < max_fingerprints) {
-        state.fingerprints.push_back(fingerprint);
+    const bool is_known = std::ranges::find(state.requests, request) != state.requests.end();
+    if (!is_known && state.requests.size() < max_requests) {
+        state.requests.push_back(request);
     }
     return state;
 }
 
-bool server_end_detector::record_lost_connection(std::uint64_t server, std::uint64_t fingerprint)
+bool server_end_detector::record_lost_connection(std::uint64_t server, const request_traits& request)
 {
     const auto known = this->suspected.find(server);
     const bool is_being_tried =
         known != this->suspected.end() && known->second.sign == end_sign::connection_lost;
-    this->suspect(server, end_sign::connection_lost, fingerprint).sign = end_sign::connection_lost;
+    this->suspect(server, end_sign::connection_lost, request).sign = end_sign::connection_lost;
     return !is_being_tried;
 }
 
-void server_end_detector::record_silence(std::uint64_t server, std::uint64_t fingerprint)
+void server_end_detector::record_silence(std::uint64_t server, const request_traits& request)
 {
-    this->suspect(server, end_sign::silence, fingerprint);
+    this->suspect(server, end_sign::silence, request);
 }
 
 std::vector<decided_end> server_end_detector::record_response(std::uint64_t server)
@@ -67,7 +67,7 @@
         return {};
     }
     auto& state = found.mapped();
-    return {{server, state.sign, has_ended, this->time.now() - state.since, std::move(state.fingerprints)}};
+    return {{server, state.sign, has_ended, this->time.now() - state.since, std::move(state.requests)}};
 }
 
 std::vector<decided_end> server_end_detector::take_silent()
@@ -85,11 +85,11 @@
     return ended;
 }
 
-std::vector<server_end> server_end_detector::pending_ends(std::uint64_t fingerprint) const
+std::vector<server_end> server_end_detector::pending_ends(std::uint64_t content) const
 {
     std::vector<server_end> ends;
     for (const auto& [server, state] : this->suspected) {
-        if (std::ranges::find(state.fingerprints, fingerprint) != state.fingerprints.end()) {
+        if (std::ranges::find(state.requests, content, &request_traits::content) != state.requests.end()) {
             ends.push_back({server, false});
         }
     }
--- a/src/quarantine/server_end_detector.h
+++ b/src/quarantine/server_end_detector.h
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "quarantine/types/crash_suspicion.h"
+#include "quarantine/types/request_traits.h"
 
 #include <cstdint>
 #include <map>
@@ -22,7 +23,7 @@
     end_sign sign = end_sign::connection_lost;
     bool has_ended = false;
     duration time_suspected{0};
-    std::vector<std::uint64_t> fingerprints; // of the requests that the server ran
+    std::vector<request_traits> requests; // that the server ran
 
     friend bool operator==(const decided_end&, const decided_end&) = default;
 };
@@ -36,10 +37,10 @@
 
     // Records that the connection of a running request broke. Returns whether a new connection to the server
     // must be tried, whose result is passed to `record_connect`.
-    bool record_lost_connection(std::uint64_t server, std::uint64_t fingerprint);
+    bool record_lost_connection(std::uint64_t server, const request_traits& request);
 
     // Records that a running request has had no response for long.
-    void record_silence(std::uint64_t server, std::uint64_t fingerprint);
+    void record_silence(std::uint64_t server, const request_traits& request);
 
     // Records that the server has sent something. Returns the suspicion that this dismisses.
     std::vector<decided_end> record_response(std::uint64_t server);
@@ -50,8 +51,8 @@
     // Returns the servers that have been silent for too long.
     std::vector<decided_end> take_silent();
 
-    // Returns the servers that may have ended under a request, none of them confirmed.
-    std::vector<server_end> pending_ends(std::uint64_t fingerprint) const;
+    // Returns the servers that may have ended under requests with this content, none of them confirmed.
+    std::vector<server_end> pending_ends(std::uint64_t content) const;
 
     bool is_idle() const;
 
@@ -59,10 +60,10 @@
     struct suspected_server {
         end_sign sign = end_sign::connection_lost;
         time_point since;
-        std::vector<std::uint64_t> fingerprints;
+        std::vector<request_traits> requests;
     };
 
-    suspected_server& suspect(std::uint64_t server, end_sign sign, std::uint64_t fingerprint);
+    suspected_server& suspect(std::uint64_t server, end_sign sign, const request_traits& request);
     std::vector<decided_end> decide(std::uint64_t server, bool has_ended);
 
     const clock& time;
--- a/src/quarantine/tests/crash_suspicion_tests.cpp
+++ b/src/quarantine/tests/crash_suspicion_tests.cpp
@@ -30,6 +30,11 @@
     return {server, false};
 }
 
+request_traits request_with(std::uint64_t content)
+{
+    return {content, {}};
+}
+
 class crash_suspicion_tests : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(crash_suspicion_tests);
     CPPUNIT_TEST(quarantines_a_request_under_which_servers_end);
@@ -202,9 +207,9 @@
         section("the connections of two requests on one server break", [] {
             manual_clock time;
             server_end_detector detector(time);
-            CPPUNIT_ASSERT(detector.record_lost_connection(1, culprit));
+            CPPUNIT_ASSERT(detector.record_lost_connection(1, request_with(culprit)));
             section("one new connection is tried",
-                    [&] { CPPUNIT_ASSERT(!detector.record_lost_connection(1, innocent)); });
+                    [&] { CPPUNIT_ASSERT(!detector.record_lost_connection(1, request_with(innocent))); });
             section("meanwhile it counts as a possible end",
                     [&] { CPPUNIT_ASSERT(detector.pending_ends(culprit) == std::vector{presumed(1)}); });
             section("bytes from a third connection prove nothing, they may be old",
@@ -216,13 +221,16 @@
                 CPPUNIT_ASSERT(detector.is_idle());
             });
             section("another one refuses: it has ended under both requests", [&] {
-                detector.record_lost_connection(2, culprit);
-                detector.record_lost_connection(2, innocent);
+                detector.record_lost_connection(2, request_with(culprit));
+                detector.record_lost_connection(2, request_with(innocent));
                 time.advance(3ms);
                 const auto decided = detector.record_connect(2, false);
                 CPPUNIT_ASSERT(decided ==
-                               (std::vector<decided_end>{
-                                   {2, end_sign::connection_lost, true, 3ms, {culprit, innocent}}}));
+                               (std::vector<decided_end>{{2,
+                                                          end_sign::connection_lost,
+                                                          true,
+                                                          3ms,
+                                                          {request_with(culprit), request_with(innocent)}}}));
             });
         });
     }
@@ -232,7 +240,7 @@
         section("a request has had no response for long", [] {
             manual_clock time;
             server_end_detector detector(time);
-            detector.record_silence(1, culprit);
+            detector.record_silence(1, request_with(culprit));
             CPPUNIT_ASSERT(detector.take_silent().empty());
             section("the server sends something to another request: it is slow", [&] {
                 CPPUNIT_ASSERT(!detector.record_response(1).front().has_ended);
@@ -240,11 +248,11 @@
                 CPPUNIT_ASSERT(detector.take_silent().empty());
             });
             section("it sends nothing for half a second: it has ended", [&] {
-                detector.record_silence(1, culprit);
+                detector.record_silence(1, request_with(culprit));
                 time.advance(500ms);
                 const auto decided = detector.take_silent();
-                CPPUNIT_ASSERT(decided ==
-                               (std::vector<decided_end>{{1, end_sign::silence, true, 500ms, {culprit}}}));
+                CPPUNIT_ASSERT(decided == (std::vector<decided_end>{
+                                              {1, end_sign::silence, true, 500ms, {request_with(culprit)}}}));
             });
         });
     }
