Reproduce the incident: a prompt part ends server after server

Real gateways and servers; requests with the deadly part are otherwise all different. The servers that crash move to a header of their own, shared with integration_crashing_request_tests, whose bounds are unchanged.

--- a/standins/site/crashing_server.cpp
+++ b/standins/site/crashing_server.cpp
@@ -1,7 +1,9 @@
 #include "standins/site/crashing_server.h"
 
+#include "base/text.h"
 #include "logging/event_log.h"
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <sys/resource.h>
@@ -10,11 +12,48 @@
 
 namespace tanager::standin {
 
-crashing_server::crashing_server(event_loop& loop, std::string id, std::string crash_body, crash_mode mode)
-    : server(loop, std::move(id)), crash_body(std::move(crash_body)), mode(mode)
+namespace {
+
+// A model needs a while until it begins to write, and requests beside it run meanwhile.
+constexpr std::chrono::milliseconds time_to_answer{20};
+constexpr std::chrono::milliseconds time_after_first_event{4};
+constexpr int status_ok = 200;
+
+} // namespace
+
+crashing_server::crashing_server(event_loop& loop,
+                                 std::string id,
+                                 std::string crash_body,
+                                 std::vector<std::string> crash_parts,
+                                 crash_mode mode)
+    : loop(loop),
+      server(loop, std::move(id)),
+      crash_body(std::move(crash_body)),
+      crash_parts(std::move(crash_parts)),
+      mode(mode)
 {
 }
 
+bool crashing_server::has_crash_part(const http_request& request) const
+{
+    const auto parts = split_list(find_header(request.headers, "Prompt-Prefix"));
+    return std::ranges::any_of(parts, [this](const std::string& part) {
+        return std::ranges::find(this->crash_parts, part.substr(0, part.find(':'))) !=
+               this->crash_parts.end();
+    });
+}
+
+void crashing_server::begin_answer(const std::shared_ptr<http_exchange>& exchange)
+{
+    if (exchange->request().path.starts_with("/stream/")) {
+        exchange->start(status_ok,
+                        {{"Attempt-Id", find_header(exchange->request().headers, "Attempt-Id")},
+                         {"Response-Seal", "seal"}});
+        exchange->write("id: 1\ndata: x\n\nid: 2\nda");
+    }
+    this->crash_timer = this->loop.run_after(time_after_first_event, [this] { this->crash(); });
+}
+
 void crashing_server::serve(const std::shared_ptr<http_exchange>& exchange)
 {
     const auto& request = exchange->request();
@@ -24,6 +63,14 @@
         write_event(log_event::fault_switched, {{"kind", "crash"}, {"path", request.path}});
         this->crash();
     }
+    if (this->has_crash_part(request)) {
+        write_event(log_event::fault_switched, {{"kind", "crash"}, {"path", request.path}});
+        if (this->crash_timer == nullptr) {
+            this->crash_timer =
+                this->loop.run_after(time_to_answer, [this, exchange] { this->begin_answer(exchange); });
+        }
+        return;
+    }
     this->server.serve(exchange);
 }
 
--- a/tests/tests/crashing_request_tests.cpp
+++ b/tests/tests/crashing_request_tests.cpp
@@ -2,6 +2,7 @@
 // against gateways that forget it when it ends: it then takes down server after server, and with each of them
 // the requests that run beside it.
 #include "testing/section.h"
+#include "tests/support/crashing_fleet.h"
 #include "tests/support/gateway_group.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -15,118 +16,14 @@
 
 // What the users' rule allows after the third server has ended.
 constexpr auto knowledge_delay = 3s;
+constexpr std::size_t crashes_to_learn_from = 3;
 constexpr std::size_t max_late_crashes = 3;
-// A crashed server is back after this, with a new id and address.
-constexpr auto restart_delay = 1'500ms;
 constexpr int server_count = 6;
 constexpr auto culprit_interval = 400ms;
 constexpr auto innocent_interval = 25ms;
 // Enough for several waves of crashes after the delay.
 constexpr auto observation_time = 4s;
 constexpr auto max_observation_time = 15s;
-// After its restart, gateways learn of a server within this. Until then they may find only closed ports.
-constexpr auto listing_delay = 2s;
-
-// Backend servers as processes. They are started again after a crash, and entered in the store.
-class crashing_fleet {
-public:
-    crashing_fleet(gateway_group& group, std::string mode) : group(group), mode(std::move(mode))
-    {
-        for (int index = 0; index < server_count; ++index) {
-            this->start();
-        }
-    }
-
-    // Notices crashes and starts crashed servers again.
-    void supervise()
-    {
-        const auto now = steady_clock::now();
-        std::size_t servers_to_start = 0;
-        for (auto server = this->servers.begin(); server != this->servers.end();) {
-            if (!server->crashed_at && has_crashed(*server->process)) {
-                server->crashed_at = now;
-                this->crashes.push_back(now);
-            }
-            if (server->crashed_at && now - *server->crashed_at >= restart_delay) {
-                this->call("DELETE", "/objects/servers/" + server->id + "?revision=" + server->revision, {});
-                server = this->servers.erase(server);
-                ++servers_to_start;
-            } else {
-                ++server;
-            }
-        }
-        for (; servers_to_start > 0; --servers_to_start) {
-            this->start();
-        }
-    }
-
-    // Returns whether a moment is later than the delay after the third crash.
-    bool is_late(steady_clock::time_point moment) const
-    {
-        return this->crashes.size() >= 3 && moment > this->crashes[2] + knowledge_delay;
-    }
-
-    // Returns whether all crashed servers were back at a moment, and known to be.
-    bool was_whole(steady_clock::time_point moment) const
-    {
-        return this->crashes.empty() || moment > this->crashes.back() + restart_delay + listing_delay;
-    }
-
-    std::vector<steady_clock::time_point> crashes;
-
-private:
-    struct running_server {
-        std::string id;
-        std::string revision; // of its entry in the store
-        std::unique_ptr<child_process> process;
-        std::optional<steady_clock::time_point> crashed_at;
-    };
-
-    // A silent server is a stopped process.
-    static bool has_crashed(child_process& process)
-    {
-        if (!process.is_running()) {
-            return true;
-        }
-        std::ifstream status("/proc/" + std::to_string(process.id()) + "/stat");
-        const std::string text{std::istreambuf_iterator<char>(status), {}};
-        const auto name_end = text.rfind(')');
-        return name_end != std::string::npos && name_end + 2 < text.size() && text[name_end + 2] == 'T';
-    }
-
-    void start()
-    {
-        const auto id = "s" + std::to_string(++this->started_count);
-        auto process = std::make_unique<child_process>(
-            "standin-server", std::vector<std::string>{"--id", id, "--crash-mode", this->mode});
-        const nlohmann::json spec{{"service", "desk"},
-                                  {"address", process->address("http")},
-                                  {"zone", "here"},
-                                  {"slots", 6},
-                                  {"state", "ready"},
-                                  {"born", this->started_count}};
-        const auto entry = nlohmann::json::parse(
-            this->call("POST", "/objects/servers", {{"metadata", {{"name", id}}}, {"spec", spec}}));
-        this->servers.push_back({id, entry["metadata"]["revision"].dump(), std::move(process), std::nullopt});
-    }
-
-    // Returns the body of the store's response.
-    std::string call(const std::string& method, const std::string& path, const nlohmann::json& body) const
-    {
-        // Not the group's client, whose loop runs the supervision.
-        test_client client;
-        const auto response =
-            client.fetch(this->group.store_address, {method, path, {}, body.is_null() ? "" : body.dump()});
-        CPPUNIT_ASSERT_EQUAL(200, response.status);
-        return response.body;
-    }
-
-    gateway_group& group;
-    std::string mode;
-    std::vector<running_server> servers;
-    int started_count = 0;
-};
-
 // A request of which only the body tells whether it is the culprit.
 struct repeated_request {
     std::string method = "POST";
@@ -161,7 +58,7 @@
 public:
     request_sender(int gateway_count, const std::string& crash_mode, repeated_request culprit)
         : group(gateway_count, {"--servers", "0", "--timeout-ms", "3000"}),
-          fleet(group, crash_mode),
+          fleet(group, server_count, {"--crash-mode", crash_mode}),
           culprit(std::move(culprit))
     {
         for (const auto& [host, each] : this->group.members) {
@@ -187,7 +84,9 @@
         const auto begun_at = steady_clock::now();
         this->group.caller.run_until([&] {
             const auto& crashes = this->fleet.crashes;
-            const auto observed_from = crashes.size() < 3 ? begun_at + knowledge_delay : crashes[2];
+            const auto observed_from = crashes.size() < crashes_to_learn_from
+                                           ? begun_at + knowledge_delay
+                                           : crashes[crashes_to_learn_from - 1];
             const auto observed_for = steady_clock::now() - observed_from - knowledge_delay;
             return observed_for > max_observation_time ||
                    (observed_for > observation_time &&
@@ -206,8 +105,7 @@
     {
         observed_result result;
         result.crashes = this->fleet.crashes.size();
-        result.late_crashes = static_cast<std::size_t>(std::ranges::count_if(
-            this->fleet.crashes, [this](auto crash) { return this->fleet.is_late(crash); }));
+        result.late_crashes = this->fleet.crashes_later_than(crashes_to_learn_from, knowledge_delay);
         for (const auto& [sent_at, id, response] : this->innocents) {
             const bool is_served = response->response && response->response->status == 200;
             ++result.innocent_requests;
