--- a/src/gateway/crash_quarantine.h
+++ b/src/gateway/crash_quarantine.h
@@ -1,4 +1,4 @@
-// Rejects requests under which backend servers have ended.
+// Rejects requests under which backend servers have ended, and those that share what ended them.
 #pragma once
 
 #include "base/clock.h"
@@ -10,6 +10,8 @@
 
 #include <functional>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -46,6 +48,29 @@
     virtual void send_to_some(const std::string& message) = 0;
 };
 
+// Is told when traits of requests are quarantined.
+class quarantine_listener {
+public:
+    quarantine_listener() = default;
+    quarantine_listener(const quarantine_listener&) = delete;
+    quarantine_listener& operator=(const quarantine_listener&) = delete;
+    quarantine_listener(quarantine_listener&&) = delete;
+    quarantine_listener& operator=(quarantine_listener&&) = delete;
+    virtual ~quarantine_listener() = default;
+
+    // Must not call the quarantine.
+    virtual void on_trait_quarantined() = 0;
+};
+
+// Why no server may run a request.
+struct quarantine_verdict {
+    request_trait trait;
+    duration left{0};
+
+    // Returns the cause for logs and responses.
+    error cause() const;
+};
+
 // Learns from the attempts of this gateway, and from the others, under which requests servers have ended.
 class crash_quarantine {
 public:
@@ -55,15 +80,25 @@
     // Without a channel, nothing is sent.
     void set_channel(suspicion_channel* new_channel);
 
-    // Returns for how long no server may run a request, and 0 if one may.
-    duration quarantine_left(std::uint64_t fingerprint) const;
+    // Returns why no server may run a request, or nothing if one may.
+    std::optional<quarantine_verdict> find_quarantine(const request_traits& request) const;
+
+    // A listener must be removed before it is destroyed.
+    void add_listener(quarantine_listener& listener);
+    void remove_listener(quarantine_listener& listener);
 
     // Record how attempts go: the connection broke after the request may have been sent, there is no response
-    // for long, the server has sent something, it has completed the request.
-    void record_lost_connection(const backend_server& server, const request_traits& request);
-    void record_silence(const backend_server& server, const request_traits& request);
+    // for long, the server has sent something.
+    void record_lost_connection(const backend_server& server, const running_request& request);
+    void record_silence(const backend_server& server, const running_request& request);
     void record_response(const backend_server& server);
-    void record_completion(std::uint64_t fingerprint);
+
+    // Records that a server has run the request to an end that it marked, in failure or in success. Only a
+    // success shows that it can answer prompts with these parts.
+    void record_completion(const request_traits& request, bool is_success);
+
+    // Records a success that ended with its connection: a completion only if the server has not ended, too.
+    void record_unframed_completion(const backend_server& server, running_request request);
 
     // Takes a message of another gateway. Fails with request_malformed.
     result<void> receive(std::string_view message);
@@ -72,19 +107,26 @@
     // called several times a second.
     void check();
 
-    std::size_t quarantined_count() const;
+    // Returns the traits under quarantine.
+    const std::set<request_trait>& quarantined() const;
 
 private:
+    void try_connect(std::uint64_t key, const socket_address& address);
     void apply(const std::vector<decided_end>& decisions);
-    void record_end(const request_traits& request, const decided_end& decision, const std::string& server_id);
-    void send_news(const std::vector<std::uint64_t>& fingerprints);
+    void record_end(const running_request& request,
+                    const server_end& end,
+                    const std::string& server_id,
+                    std::set<request_trait>& news);
+    void log_changes(const std::set<request_trait>& quarantined_before, std::string_view source);
+    void send_news(const std::set<request_trait>& traits);
 
     const clock& time;
     metrics_registry& metrics;
     server_connector& connector;
     suspicion_channel* channel = nullptr;
     server_end_detector detector;
-    std::map<std::uint64_t, std::string> suspected_server_ids; // by hash, for the log
+    std::map<std::uint64_t, backend_server> suspected_servers; // by hash
+    std::set<quarantine_listener*> listeners;
     crash_suspicion_table suspicions;
     time_point repeated_at;
 };
--- a/src/gateway/gateway_setup.cpp
+++ b/src/gateway/gateway_setup.cpp
@@ -375,8 +375,11 @@
                                 static_cast<double>(this->peers->known_loads().live_peer_count()));
         this->metrics.set_gauge("tanager_store_watcher", this->peers->is_elected_watcher() ? 1 : 0);
         this->metrics.set_gauge("tanager_configuration_version", static_cast<double>(this->routes.version()));
-        this->metrics.set_gauge("tanager_requests_quarantined",
-                                static_cast<double>(this->quarantine.quarantined_count()));
+        const auto& quarantined = this->quarantine.quarantined();
+        const auto contents = std::ranges::count_if(quarantined, &request_trait::is_content);
+        this->metrics.set_gauge("tanager_requests_quarantined", static_cast<double>(contents));
+        this->metrics.set_gauge("tanager_prompt_parts_quarantined",
+                                static_cast<double>(std::ssize(quarantined) - contents));
         this->metrics.set_gauge("tanager_servers_taking_work",
                                 static_cast<double>(this->pool.servers().serving().size()));
     }
--- a/src/gateway/internal/crash_quarantine.cpp
+++ b/src/gateway/internal/crash_quarantine.cpp
@@ -15,8 +15,9 @@
 constexpr std::chrono::minutes retention{10};
 // A gateway that has missed a message, or has just started, learns of it within a few of these.
 constexpr std::chrono::milliseconds repeat_interval{500};
-// Bounds a message to about 3 KB.
-constexpr std::size_t max_suspicions_per_message = 60;
+constexpr std::size_t max_message_bytes = 3'000;
+// As many as a message usually holds.
+constexpr std::size_t max_repeated_suspicions = 60;
 
 std::uint64_t key_of(const backend_server& server)
 {
@@ -28,8 +29,20 @@
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
 }
 
+std::string name_of(const request_trait& trait)
+{
+    return trait.is_content() ? "content" : "prompt_part";
+}
+
 } // namespace
 
+error quarantine_verdict::cause() const
+{
+    return {result_code::servers_ended_under_request,
+            "servers ended under requests with the " + name_of(this->trait) + " " +
+                to_hex(this->trait.fingerprint)};
+}
+
 crash_quarantine::crash_quarantine(const clock& time, metrics_registry& metrics, server_connector& connector)
     : time(time), metrics(metrics), connector(connector), detector(time), suspicions(time, retention)
 {
@@ -40,31 +53,54 @@
     this->channel = new_channel;
 }
 
-duration crash_quarantine::quarantine_left(std::uint64_t fingerprint) const
+std::optional<quarantine_verdict> crash_quarantine::find_quarantine(const request_traits& request) const
 {
     if (this->suspicions.is_empty() && this->detector.is_idle()) {
-        return duration{0};
+        return std::nullopt;
     }
-    return this->suspicions.quarantine_left(fingerprint, this->detector.pending_ends(fingerprint));
+    for (const auto& trait : request.all()) {
+        // Too many requests have a part in common for servers that may still live to count against it.
+        const auto pending =
+            trait.is_content() ? this->detector.pending_ends(trait.fingerprint) : std::vector<server_end>{};
+        const auto left = this->suspicions.quarantine_left(trait, pending);
+        if (left > duration{0}) {
+            return quarantine_verdict{trait, left};
+        }
+    }
+    return std::nullopt;
 }
 
-void crash_quarantine::record_lost_connection(const backend_server& server, const request_traits& request)
+void crash_quarantine::add_listener(quarantine_listener& listener)
+{
+    this->listeners.insert(&listener);
+}
+
+void crash_quarantine::remove_listener(quarantine_listener& listener)
+{
+    this->listeners.erase(&listener);
+}
+
+void crash_quarantine::try_connect(std::uint64_t key, const socket_address& address)
 {
-    const auto key = key_of(server);
-    this->suspected_server_ids[key] = server.id;
-    if (!this->detector.record_lost_connection(key, request)) {
-        return;
-    }
     this->metrics.increment_counter("tanager_server_end_checks_total");
-    this->connector.try_connect(server.address, [this, key](bool is_accepted) {
+    this->connector.try_connect(address, [this, key](bool is_accepted) {
         this->apply(this->detector.record_connect(key, is_accepted));
     });
 }
 
-void crash_quarantine::record_silence(const backend_server& server, const request_traits& request)
+void crash_quarantine::record_lost_connection(const backend_server& server, const running_request& request)
+{
+    const auto key = key_of(server);
+    this->suspected_servers.insert_or_assign(key, server);
+    if (this->detector.record_lost_connection(key, request)) {
+        this->try_connect(key, server.address);
+    }
+}
+
+void crash_quarantine::record_silence(const backend_server& server, const running_request& request)
 {
     const auto key = key_of(server);
-    this->suspected_server_ids[key] = server.id;
+    this->suspected_servers.insert_or_assign(key, server);
     this->detector.record_silence(key, request);
 }
 
@@ -75,20 +111,36 @@
     }
 }
 
-void crash_quarantine::record_completion(std::uint64_t fingerprint)
+void crash_quarantine::record_completion(const request_traits& request, bool is_success)
 {
-    if (!this->suspicions.clear(fingerprint)) {
-        return;
+    const auto quarantined_before = this->suspicions.quarantined();
+    std::set<request_trait> news;
+    for (const auto& trait : request.all()) {
+        if ((is_success || trait.is_content()) && this->suspicions.clear(trait)) {
+            write_event(log_event::request_cleared,
+                        {{"trait", name_of(trait)}, {"fingerprint", to_hex(trait.fingerprint)}});
+            news.insert(trait);
+        }
     }
-    write_event(log_event::request_cleared, {{"content", to_hex(fingerprint)}});
-    this->send_news({fingerprint});
+    if (!news.empty()) {
+        this->log_changes(quarantined_before, "completion");
+        this->send_news(news);
+    }
+}
+
+void crash_quarantine::record_unframed_completion(const backend_server& server, running_request request)
+{
+    const auto key = key_of(server);
+    this->suspected_servers.insert_or_assign(key, server);
+    request.has_unframed_response = true;
+    this->detector.record_unframed_response(key, request);
 }
 
 void crash_quarantine::apply(const std::vector<decided_end>& decisions)
 {
     for (const auto& decision : decisions) {
-        const auto named = this->suspected_server_ids.extract(decision.server);
-        const auto server_id = named.empty() ? std::string{"-"} : named.mapped();
+        const auto named = this->suspected_servers.extract(decision.server);
+        const auto server_id = named.empty() ? std::string{"-"} : named.mapped().id;
         write_event(log_event::server_end_checked,
                     {{"server", server_id},
                      {"sign", decision.sign == end_sign::silence ? "silent" : "connection_lost"},
@@ -96,53 +148,93 @@
                      {"after_ms", to_milliseconds(decision.time_suspected)},
                      {"requests", std::to_string(decision.requests.size())}});
         if (!decision.has_ended) {
+            for (const auto& request : decision.requests) {
+                if (request.has_unframed_response) {
+                    this->record_completion(request.traits, true);
+                }
+            }
             continue;
         }
         this->metrics.increment_counter("tanager_server_ends_total");
-        std::vector<std::uint64_t> contents;
+        const auto quarantined_before = this->suspicions.quarantined();
+        std::set<request_trait> news;
         for (const auto& request : decision.requests) {
-            this->record_end(request, decision, server_id);
-            contents.push_back(request.content);
+            this->record_end(
+                request, {decision.server, decision.sign == end_sign::connection_lost}, server_id, news);
         }
-        this->send_news(contents);
+        this->log_changes(quarantined_before, "server_end");
+        this->send_news(news);
     }
 }
 
-void crash_quarantine::record_end(const request_traits& request,
-                                  const decided_end& decision,
-                                  const std::string& server_id)
+void crash_quarantine::record_end(const running_request& request,
+                                  const server_end& end,
+                                  const std::string& server_id,
+                                  std::set<request_trait>& news)
 {
-    const bool is_confirmed = decision.sign == end_sign::connection_lost;
-    if (!this->suspicions.record_end(request.content, {decision.server, is_confirmed})) {
+    for (const auto& trait : request.traits.all()) {
+        if (this->suspicions.record_end(trait, end, request.sent_at)) {
+            news.insert(trait);
+        }
+    }
+    const request_trait content{request.traits.content, request_trait::content_specificity};
+    if (!news.contains(content)) {
         return;
     }
-    const auto known = this->suspicions.find(request.content);
-    const auto left = this->suspicions.quarantine_left(request.content, {});
+    const auto known = this->suspicions.find(content);
     write_event(log_event::request_suspected,
-                {{"content", to_hex(request.content)},
-                 {"prompt_parts", to_hex_list(request.prompt_parts)},
+                {{"content", to_hex(request.traits.content)},
+                 {"prompt_parts", to_hex_list(request.traits.prompt_parts)},
                  {"server", server_id},
-                 {"ends", std::to_string(known ? known->ends.size() : 0)},
-                 {"quarantined_ms", to_milliseconds(left)}});
+                 {"ends", std::to_string(known ? known->ends.size() : 0)}});
 }
 
-void crash_quarantine::send_news(const std::vector<std::uint64_t>& fingerprints)
+void crash_quarantine::log_changes(const std::set<request_trait>& quarantined_before, std::string_view source)
+{
+    const auto& quarantined_now = this->suspicions.quarantined();
+    bool is_any_added = false;
+    const auto write = [&](const request_trait& trait, bool is_quarantined) {
+        const auto known = this->suspicions.find(trait);
+        write_event(log_event::quarantine_changed,
+                    {{"trait", name_of(trait)},
+                     {"fingerprint", to_hex(trait.fingerprint)},
+                     {"quarantined", is_quarantined ? "yes" : "no"},
+                     {"source", std::string{source}},
+                     {"ends", std::to_string(known ? known->ends.size() : 0)},
+                     {"age_ms", std::to_string(known ? known->age.count() : 0)},
+                     {"left_ms", to_milliseconds(this->suspicions.quarantine_left(trait, {}))}});
+    };
+    for (const auto& trait : quarantined_now) {
+        if (!quarantined_before.contains(trait)) {
+            is_any_added = true;
+            write(trait, true);
+        }
+    }
+    for (const auto& trait : quarantined_before) {
+        if (!quarantined_now.contains(trait)) {
+            write(trait, false);
+        }
+    }
+    if (is_any_added) {
+        for (auto* const listener : this->listeners) {
+            listener->on_trait_quarantined();
+        }
+    }
+}
+
+void crash_quarantine::send_news(const std::set<request_trait>& traits)
 {
     if (this->channel == nullptr) {
         return;
     }
     std::vector<crash_suspicion> news;
-    for (const auto fingerprint : fingerprints) {
-        if (const auto known = this->suspicions.find(fingerprint)) {
+    for (const auto& trait : traits) {
+        if (const auto known = this->suspicions.find(trait)) {
             news.push_back(*known);
         }
-        if (news.size() == max_suspicions_per_message) {
-            this->channel->send_to_all(encode_suspicions(news));
-            news.clear();
-        }
     }
-    if (!news.empty()) {
-        this->channel->send_to_all(encode_suspicions(news));
+    for (const auto& message : encode_suspicions(news, max_message_bytes)) {
+        this->channel->send_to_all(message);
     }
 }
 
@@ -152,26 +244,20 @@
     if (!received) {
         return tl::make_unexpected(received.error());
     }
+    const auto quarantined_before = this->suspicions.quarantined();
     for (const auto& suspicion : *received) {
-        const bool was_quarantined = this->quarantine_left(suspicion.fingerprint) > duration{0};
-        if (!this->suspicions.merge(suspicion)) {
-            continue;
-        }
-        const auto left = this->quarantine_left(suspicion.fingerprint);
-        if (was_quarantined != (left > duration{0})) {
-            write_event(log_event::quarantine_learned,
-                        {{"content", to_hex(suspicion.fingerprint)},
-                         {"ends", std::to_string(suspicion.ends.size())},
-                         {"age_ms", std::to_string(suspicion.age.count())},
-                         {"quarantined_ms", to_milliseconds(left)}});
-        }
+        this->suspicions.merge(suspicion);
     }
+    this->log_changes(quarantined_before, "peer");
     return {};
 }
 
 void crash_quarantine::check()
 {
     this->apply(this->detector.take_silent());
+    for (const auto key : this->detector.take_unframed()) {
+        this->try_connect(key, this->suspected_servers.at(key).address);
+    }
     const auto now = this->time.now();
     if (now - this->repeated_at < repeat_interval || this->suspicions.is_empty()) {
         return;
@@ -179,14 +265,15 @@
     this->repeated_at = now;
     this->suspicions.remove_expired();
     if (this->channel != nullptr && !this->suspicions.is_empty()) {
-        this->channel->send_to_some(
-            encode_suspicions(this->suspicions.most_relevant(max_suspicions_per_message)));
+        const auto messages =
+            encode_suspicions(this->suspicions.most_relevant(max_repeated_suspicions), max_message_bytes);
+        this->channel->send_to_some(messages.front());
     }
 }
 
-std::size_t crash_quarantine::quarantined_count() const
+const std::set<request_trait>& crash_quarantine::quarantined() const
 {
-    return this->suspicions.quarantined_count();
+    return this->suspicions.quarantined();
 }
 
 } // namespace tanager
--- a/src/gateway/internal/request_forwarder.cpp
+++ b/src/gateway/internal/request_forwarder.cpp
@@ -75,6 +75,11 @@
 {
 }
 
+request_forwarder::~request_forwarder()
+{
+    this->context.quarantine.remove_listener(*this);
+}
+
 duration request_forwarder::elapsed() const
 {
     return this->context.time.now() - this->routed.received;
@@ -83,6 +88,7 @@
 void request_forwarder::start()
 {
     this->context.retries.record_request(this->routed.service);
+    this->context.quarantine.add_listener(*this);
     if (this->routed.request.caller_timeout) {
         this->context.caller_timeouts.record(this->routed.chosen_route->name,
                                              *this->routed.request.caller_timeout);
@@ -151,20 +157,50 @@
     return this->attempts.attempts_used() > 0 || this->state == request_state::responding;
 }
 
-bool request_forwarder::is_quarantined() const
+std::optional<quarantine_verdict> request_forwarder::find_quarantine() const
 {
-    return this->context.quarantine.quarantine_left(this->routed.request.traits.content) > duration{0};
+    return this->context.quarantine.find_quarantine(this->routed.request.traits);
 }
 
 // Ends a quarantined request that has no active attempt.
-void request_forwarder::end_quarantined()
+void request_forwarder::end_quarantined(const quarantine_verdict& verdict)
 {
-    const error cause{result_code::servers_ended_under_request, "servers ended under this request"};
     if (this->may_have_executed()) {
-        this->fail_after_execution(cause);
+        this->fail_after_execution(verdict.cause());
         return;
     }
-    this->reject(cause);
+    this->quarantine_left = verdict.left;
+    this->reject(verdict.cause());
+}
+
+void request_forwarder::on_trait_quarantined()
+{
+    this->context.loop.post([weak = this->weak_from_this()] {
+        if (const auto alive = weak.lock()) {
+            alive->stop_if_quarantined();
+        }
+    });
+}
+
+// Withdraws a quarantined request from the server before that begins to answer it.
+void request_forwarder::stop_if_quarantined()
+{
+    const bool has_response = this->call != nullptr && this->response.status != 0;
+    const auto verdict = this->find_quarantine();
+    if (this->state == request_state::finished || has_response || !verdict) {
+        return;
+    }
+    if (this->has_active_call()) {
+        this->cancel_active_call();
+    } else {
+        this->context.scheduler.cancel(this->ticket);
+    }
+    this->end_quarantined(*verdict);
+}
+
+running_request request_forwarder::active_attempt() const
+{
+    return {this->routed.request.traits, this->attempt_sent_at};
 }
 
 // Records an active attempt that is cancelled without a response.
@@ -174,7 +210,7 @@
         return;
     }
     const auto& waited_for = this->prefill != nullptr ? this->grant.prefill_engine : this->server;
-    this->context.quarantine.record_silence(*waited_for, this->routed.request.traits);
+    this->context.quarantine.record_silence(*waited_for, this->active_attempt());
 }
 
 void request_forwarder::request_slot()
@@ -199,9 +235,9 @@
         this->abandon();
         return;
     }
-    if (this->is_quarantined()) {
+    if (const auto verdict = this->find_quarantine()) {
         this->return_grant();
-        this->end_quarantined();
+        this->end_quarantined(*verdict);
         return;
     }
     if (granted.prefill_engine != nullptr) {
@@ -274,6 +310,7 @@
     http_call_options options{attempt.time_left + call_timeout_margin, true, true, max_connection_idle};
     this->attempts.begin_prefill();
     this->waiting_since = this->context.time.now();
+    this->attempt_sent_at = this->waiting_since;
     this->log.write_prefill_sent(this->grant, this->queue_time);
     this->prefill = std::make_shared<prefill_call>(
         this->context.codec, this->context.servers, this->grant.prefill_engine, this->routed.request);
@@ -298,7 +335,7 @@
         cache.error().code == result_code::backend_failed) {
         this->context.quarantine.record_response(*prefill_engine);
     } else if (cache.error().code != result_code::connect_failed) {
-        this->context.quarantine.record_lost_connection(*prefill_engine, this->routed.request.traits);
+        this->context.quarantine.record_lost_connection(*prefill_engine, this->active_attempt());
     }
     if (!cache) {
         if (cache.error().code == result_code::backend_refused ||
@@ -319,9 +356,9 @@
 // since it was chosen.
 void request_forwarder::send_after_prefill()
 {
-    if (this->is_quarantined()) {
+    if (const auto verdict = this->find_quarantine()) {
         this->context.scheduler.release_slot(this->requested_slot, this->server->id);
-        this->end_quarantined();
+        this->end_quarantined(*verdict);
         return;
     }
     const auto listed = this->context.servers.servers().find(this->server->id);
@@ -451,6 +488,7 @@
                                     repeatable ? max_connection_idle : max_connection_idle_unrepeatable};
     this->attempts.begin_run();
     this->waiting_since = this->context.time.now();
+    this->attempt_sent_at = this->waiting_since;
     this->log.write_sent(
         this->grant, cache.has_value(), this->queue_time, this->context.servers.total_load(target.id));
     this->call =
@@ -515,7 +553,7 @@
     auto other_server_slot = this->make_slot_request(this->context.time.now());
     other_server_slot.tried_server_ids.push_back(this->server->id);
     // A slow response is better than none, so the attempt continues unless another server has a free slot.
-    if (!this->may_execute_again() || this->is_quarantined() ||
+    if (!this->may_execute_again() || this->find_quarantine() ||
         !this->context.scheduler.has_free_slot(other_server_slot) ||
         !this->context.retries.try_spend(this->routed.service)) {
         return;
@@ -529,6 +567,7 @@
 void request_forwarder::on_response_head(int status, const http_headers& headers)
 {
     this->response = this->context.codec.decode_response_head(this->routed.request, status, headers);
+    this->is_response_framed = is_framed(status, headers);
     this->connect_timer.reset();
     this->waiting_since = this->context.time.now();
     if (!this->response.is_misdirected) {
@@ -624,7 +663,7 @@
         this->handle_refusal();
         return;
     }
-    this->context.quarantine.record_completion(this->routed.request.traits.content);
+    this->record_completion();
     if (this->response.status >= status_first_failure && this->state != request_state::responding) {
         this->handle_server_failure();
         return;
@@ -643,6 +682,16 @@
     this->finish("complete", this->response.status);
 }
 
+void request_forwarder::record_completion()
+{
+    const bool is_successful = is_success(this->response.status);
+    if (is_successful && !this->is_response_framed) {
+        this->context.quarantine.record_unframed_completion(*this->server, this->active_attempt());
+        return;
+    }
+    this->context.quarantine.record_completion(this->routed.request.traits, is_successful);
+}
+
 void request_forwarder::handle_refusal()
 {
     const bool is_misdirected = this->response.is_misdirected;
@@ -689,9 +738,9 @@
         this->attempts.refund_run();
         ++this->connect_failures;
     } else if (failure.cause.code == result_code::timed_out) {
-        this->context.quarantine.record_silence(*this->server, this->routed.request.traits);
+        this->context.quarantine.record_silence(*this->server, this->active_attempt());
     } else {
-        this->context.quarantine.record_lost_connection(*this->server, this->routed.request.traits);
+        this->context.quarantine.record_lost_connection(*this->server, this->active_attempt());
     }
     const bool is_malformed = failure.cause.code == result_code::reply_malformed;
     this->end_attempt(is_malformed ? server_outcome::failed : server_outcome::unresponsive);
@@ -721,7 +770,7 @@
     const bool may_retry =
         attempt_may_have_executed || this->may_have_executed() ? this->may_execute_again() : true;
     if (!may_retry || this->connect_failures >= max_connect_failures ||
-        this->context.time.now() >= this->routed.deadline || this->is_quarantined()) {
+        this->context.time.now() >= this->routed.deadline || this->find_quarantine()) {
         return false;
     }
     if (!is_connect_failure && !this->context.retries.try_spend(this->routed.service)) {
@@ -757,11 +806,9 @@
 
 void request_forwarder::reject(const error& cause)
 {
-    const auto retry_after =
-        cause.code == result_code::servers_ended_under_request
-            ? std::chrono::ceil<std::chrono::milliseconds>(
-                  this->context.quarantine.quarantine_left(this->routed.request.traits.content))
-            : this->context.scheduler.suggest_retry_after(this->routed.service);
+    const auto retry_after = cause.code == result_code::servers_ended_under_request
+                                 ? std::chrono::ceil<std::chrono::milliseconds>(this->quarantine_left)
+                                 : this->context.scheduler.suggest_retry_after(this->routed.service);
     this->log.write_rejection(cause,
                               {this->routed.configuration_version,
                                this->context.scheduler.slot_usage_of(this->routed.service),
@@ -879,6 +926,7 @@
         this->max_event_gap = std::max(this->max_event_gap, this->context.time.now() - this->last_event_at);
     }
     this->state = request_state::finished;
+    this->context.quarantine.remove_listener(*this);
     this->deadline_timer.reset();
     this->release_kv_cache();
     this->context.metrics.observe_duration(
--- a/src/gateway/internal/request_forwarder.h
+++ b/src/gateway/internal/request_forwarder.h
@@ -59,10 +59,17 @@
 // alive until then, and calls `done` once at the end.
 class request_forwarder final : public slot_listener,
                                 public response_listener,
+                                public quarantine_listener,
                                 public std::enable_shared_from_this<request_forwarder> {
 public:
     request_forwarder(const forwarding_context& context, routed_request routed, std::function<void()> done);
 
+    ~request_forwarder() override;
+    request_forwarder(const request_forwarder&) = delete;
+    request_forwarder& operator=(const request_forwarder&) = delete;
+    request_forwarder(request_forwarder&&) = delete;
+    request_forwarder& operator=(request_forwarder&&) = delete;
+
     void start();
 
     void on_slot_granted(const slot_grant& granted) override;
@@ -71,6 +78,7 @@
     void on_response_data(std::string_view data) override;
     void on_response_end() override;
     void on_attempt_failure(const http_failure& failure) override;
+    void on_trait_quarantined() override;
 
 private:
     enum class request_state {
@@ -121,8 +129,11 @@
     void fail_with_unknown_outcome(const error& cause);
     void finish(std::string_view outcome, int status);
     bool may_have_executed() const;
-    bool is_quarantined() const;
-    void end_quarantined();
+    std::optional<quarantine_verdict> find_quarantine() const;
+    void end_quarantined(const quarantine_verdict& verdict);
+    void stop_if_quarantined();
+    running_request active_attempt() const;
+    void record_completion();
     void record_unfinished_attempt();
     bool has_missed_objective() const;
     duration elapsed() const;
@@ -150,6 +161,8 @@
     std::uint32_t kv_cache_refusals = 0;
     response_info response;
     http_headers response_headers;
+    bool is_response_framed = false;
+    duration quarantine_left{0}; // when the request was rejected for it
     bounded_text buffered_body;
     sse_event_splitter events;
     duration send_time{0}; // estimated time for the last call to leave this host
@@ -157,6 +170,7 @@
     duration time_to_first_event{0};
     time_point last_event_at;
     time_point waiting_since; // for the next bytes of the current attempt
+    time_point attempt_sent_at;
     duration max_event_gap{0};
     time_point decode_started_at;
     time_point slot_requested_at;
--- a/src/gateway/internal/request_handler.cpp
+++ b/src/gateway/internal/request_handler.cpp
@@ -65,11 +65,8 @@
     if (this->open_request_count >= this->max_open_requests) {
         return rejection{{result_code::not_ready, "too many open requests"}, unready_retry_after};
     }
-    const auto quarantine_left = this->context.quarantine.quarantine_left(request.traits.content);
-    if (quarantine_left > duration{0}) {
-        return rejection{{result_code::servers_ended_under_request,
-                          "servers ended under requests with the content " + to_hex(request.traits.content)},
-                         std::chrono::ceil<std::chrono::milliseconds>(quarantine_left)};
+    if (const auto verdict = this->context.quarantine.find_quarantine(request.traits)) {
+        return rejection{verdict->cause(), std::chrono::ceil<std::chrono::milliseconds>(verdict->left)};
     }
     return std::nullopt;
 }
--- a/src/logging/internal/log_event.cpp
+++ b/src/logging/internal/log_event.cpp
@@ -70,7 +70,7 @@
     event_row{log_event::server_end_checked, "server_end_checked", log_level::info},
     event_row{log_event::request_suspected, "request_suspected", log_level::warning},
     event_row{log_event::request_cleared, "request_cleared", log_level::info},
-    event_row{log_event::quarantine_learned, "quarantine_learned", log_level::warning},
+    event_row{log_event::quarantine_changed, "quarantine_changed", log_level::warning},
     event_row{log_event::order_authority, "order_authority", log_level::info},
     event_row{log_event::order_sent, "order_sent", log_level::info},
     event_row{log_event::order_settled, "order_settled", log_level::info},
--- a/src/logging/types/log_event.h
+++ b/src/logging/types/log_event.h
@@ -61,7 +61,7 @@
     server_end_checked = 3031,
     request_suspected = 3032,
     request_cleared = 3033,
-    quarantine_learned = 3034,
+    quarantine_changed = 3034,
     order_authority = 3040,
     order_sent = 3041,
     order_settled = 3042,
--- a/src/net/internal/http_client.cpp
+++ b/src/net/internal/http_client.cpp
@@ -13,8 +13,6 @@
 
 namespace {
 
-constexpr int status_no_content = 204;
-constexpr int status_not_modified = 304;
 constexpr ev_ssize_t max_body_bytes = std::size_t{64} * 1024 * 1024;
 // The largest object of the store has 1 MB, and its pages slightly more.
 constexpr std::size_t max_collected_body_bytes = std::size_t{8} * 1024 * 1024;
@@ -219,11 +217,8 @@
         }
         const int status = evhttp_request_get_response_code(request);
         const auto headers = read_headers(request);
-        const bool is_delimited = !find_header(headers, "Content-Length").empty() ||
-                                  !find_header(headers, "Transfer-Encoding").empty() ||
-                                  status == status_no_content || status == status_not_modified;
         call.head_received = true;
-        if (!is_delimited && !call.accept_unframed) {
+        if (!is_framed(status, headers) && !call.accept_unframed) {
             call.failure_code = result_code::reply_malformed;
             return -1;
         }
--- a/src/net/internal/http_types.cpp
+++ b/src/net/internal/http_types.cpp
@@ -5,6 +5,13 @@
 
 namespace tanager {
 
+namespace {
+
+constexpr int status_no_content = 204;
+constexpr int status_not_modified = 304;
+
+} // namespace
+
 result<socket_address> parse_address(const std::string& text)
 {
     const auto colon = text.rfind(':');
@@ -37,4 +44,11 @@
     return {};
 }
 
+bool is_framed(int status, const http_headers& headers)
+{
+    return !find_header(headers, "Content-Length").empty() ||
+           !find_header(headers, "Transfer-Encoding").empty() || status == status_no_content ||
+           status == status_not_modified;
+}
+
 } // namespace tanager
--- a/src/net/types/http_types.h
+++ b/src/net/types/http_types.h
@@ -51,4 +51,7 @@
 // Returns the value of the first header of that name, ignoring case, or an empty string.
 std::string find_header(const http_headers& headers, std::string_view name);
 
+// Returns whether a response's head tells where its body ends; otherwise only the end of its connection does.
+bool is_framed(int status, const http_headers& headers);
+
 } // namespace tanager
--- a/src/quarantine/crash_suspicion_table.h
+++ b/src/quarantine/crash_suspicion_table.h
@@ -1,66 +1,85 @@
-// Keeps the requests under which backend servers have ended, and decides which are quarantined.
+// Keeps the traits of requests under which backend servers have ended, and decides which are quarantined.
 #pragma once
 
 #include "base/clock.h"
+#include "quarantine/completion_history.h"
 #include "quarantine/types/crash_suspicion.h"
 
 #include <cstddef>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace tanager {
 
 // Load pattern: a request ends each server that begins to run it, and its caller sends it again, at any
-// gateway, under another id. Requests that ran beside it are suspected, too, and are cleared when a server
-// completes them. Suspicions from several gateways can be merged in any order and any number of times.
+// gateway, under another id; or requests that are all different end servers because of one part of their
+// prompts. Traits of requests that ran beside them, and their other parts, are suspected, too. They are
+// cleared when a server completes a request that has them, and are not quarantined for ends that a trait with
+// more of them explains. Suspicions from several gateways can be merged in any order and any number of times.
 class crash_suspicion_table {
 public:
-    // A suspicion counts for `retention` after the last server ended under the request.
+    // A suspicion counts for `retention` after the last server ended under the trait.
     crash_suspicion_table(const clock& time, duration retention);
 
-    // Records that a server ended under a request. Returns whether that was new.
-    bool record_end(std::uint64_t fingerprint, const server_end& end);
+    // Records that a server ended under a request with this trait, sent at `sent_at`. Returns whether that
+    // was new; it is not if a server has completed a request with this prompt part since.
+    bool record_end(const request_trait& trait, const server_end& end, time_point sent_at);
 
-    // Clears a request that a server has completed. Returns whether it was suspected.
-    bool clear(std::uint64_t fingerprint);
+    // Clears a trait of a request that a server has completed. Returns whether it was suspected.
+    bool clear(const request_trait& trait);
 
     // Takes over what another gateway knows. Returns whether anything was new.
     bool merge(const crash_suspicion& received);
 
-    // Returns for how long a request is still quarantined, and 0 if it is not. `pending` are servers that may
+    // Returns for how long a trait is still quarantined, and 0 if it is not. `pending` are servers that may
     // have ended under it.
-    duration quarantine_left(std::uint64_t fingerprint, const std::vector<server_end>& pending) const;
+    duration quarantine_left(const request_trait& trait, const std::vector<server_end>& pending) const;
 
-    // Returns what is known of a request.
-    std::optional<crash_suspicion> find(std::uint64_t fingerprint) const;
+    // Returns what is known of a trait.
+    std::optional<crash_suspicion> find(const request_trait& trait) const;
 
-    // Returns at most `max_count` suspicions: quarantined requests first, and of the others those that have
+    // Returns at most `max_count` suspicions: quarantined traits first, and of the others those that have
     // changed last.
     std::vector<crash_suspicion> most_relevant(std::size_t max_count) const;
 
-    // Returns the number of quarantined requests.
-    std::size_t quarantined_count() const;
+    // Returns the quarantined traits.
+    const std::set<request_trait>& quarantined() const;
 
     bool is_empty() const;
 
     void remove_expired();
 
 private:
-    struct suspected_request {
+    struct suspected_trait {
+        std::uint32_t specificity = 0; // the highest of the requests that it was on
         std::uint64_t clearances = 0;
         std::vector<server_end> ends;
         time_point changed_at;
     };
 
-    static bool is_quarantined(const std::vector<server_end>& ends);
+    // A trait whose ends suffice for a quarantine, unless others explain them.
+    struct quarantine_candidate {
+        request_trait trait;
+        bool is_unproven = false; // this gateway knows of no completed request with it
+        std::vector<server_end> unexplained_ends;
+    };
+
+    static bool is_enough(const request_trait& trait, const std::vector<server_end>& ends);
     static bool add_end(std::vector<server_end>& ends, const server_end& end);
-    crash_suspicion to_suspicion(std::uint64_t fingerprint, const suspected_request& request) const;
+    static void remove_ends(std::vector<server_end>& ends, const std::vector<server_end>& explained);
+    bool is_candidate(const request_trait& trait) const;
+    std::vector<quarantine_candidate> candidates() const;
+    void update_quarantine();
+    crash_suspicion to_suspicion(const request_trait& trait, const suspected_trait& suspected) const;
     void drop_least_relevant();
 
     const clock& time;
     duration retention;
-    std::map<std::uint64_t, suspected_request> requests;
+    std::map<request_trait, suspected_trait> suspects;
+    std::set<request_trait> quarantined_traits;
+    completion_history completions;
 };
 
 } // namespace tanager
--- a/src/quarantine/internal/crash_suspicion_codec.cpp
+++ b/src/quarantine/internal/crash_suspicion_codec.cpp
@@ -8,31 +8,58 @@
 
 namespace {
 
-constexpr std::uint64_t codec_version = 1;
+constexpr std::uint64_t codec_version = 2;
 // The shortest encodings of a suspicion and of an end.
-constexpr std::size_t min_suspicion_bytes = 4;
+constexpr std::size_t min_suspicion_bytes = 5;
 constexpr std::size_t min_end_bytes = 2;
+// The version and the number of suspicions.
+constexpr std::size_t max_header_bytes = 4;
 // Longer than any suspicion counts.
 constexpr std::uint64_t max_age_ms = 86'400'000;
 
+std::string encode_suspicion(const crash_suspicion& suspicion)
+{
+    byte_writer writer;
+    writer.write_number(suspicion.trait.fingerprint);
+    writer.write_number(suspicion.trait.specificity);
+    writer.write_number(suspicion.clearances);
+    writer.write_number(static_cast<std::uint64_t>(std::max<std::int64_t>(suspicion.age.count(), 0)));
+    writer.write_number(suspicion.ends.size());
+    for (const auto& end : suspicion.ends) {
+        writer.write_number(end.server);
+        writer.write_number(end.is_confirmed ? 1 : 0);
+    }
+    return writer.bytes();
+}
+
 } // namespace
 
-std::string encode_suspicions(const std::vector<crash_suspicion>& suspicions)
+std::vector<std::string> encode_suspicions(const std::vector<crash_suspicion>& suspicions,
+                                           std::size_t max_message_bytes)
 {
-    byte_writer writer;
-    writer.write_number(codec_version);
-    writer.write_number(suspicions.size());
+    std::vector<std::string> messages;
+    std::string batch;
+    std::size_t batch_size = 0;
+    const auto finish_message = [&] {
+        if (batch_size > 0) {
+            byte_writer header;
+            header.write_number(codec_version);
+            header.write_number(batch_size);
+            messages.push_back(header.bytes() + batch);
+        }
+        batch.clear();
+        batch_size = 0;
+    };
     for (const auto& suspicion : suspicions) {
-        writer.write_number(suspicion.fingerprint);
-        writer.write_number(suspicion.clearances);
-        writer.write_number(static_cast<std::uint64_t>(std::max<std::int64_t>(suspicion.age.count(), 0)));
-        writer.write_number(suspicion.ends.size());
-        for (const auto& end : suspicion.ends) {
-            writer.write_number(end.server);
-            writer.write_number(end.is_confirmed ? 1 : 0);
+        const auto encoded = encode_suspicion(suspicion);
+        if (max_header_bytes + batch.size() + encoded.size() > max_message_bytes) {
+            finish_message();
         }
+        batch += encoded;
+        ++batch_size;
     }
-    return writer.bytes();
+    finish_message();
+    return messages;
 }
 
 result<std::vector<crash_suspicion>> decode_suspicions(std::string_view message)
@@ -43,7 +70,9 @@
     }
     std::vector<crash_suspicion> suspicions(reader.read_count(min_suspicion_bytes));
     for (auto& suspicion : suspicions) {
-        suspicion.fingerprint = reader.read_number();
+        suspicion.trait.fingerprint = reader.read_number();
+        suspicion.trait.specificity = static_cast<std::uint32_t>(
+            std::min<std::uint64_t>(reader.read_number(), request_trait::content_specificity));
         suspicion.clearances = reader.read_number();
         suspicion.age = std::chrono::milliseconds{std::min(reader.read_number(), max_age_ms)};
         suspicion.ends.resize(reader.read_count(min_end_bytes));
--- a/src/quarantine/internal/crash_suspicion_table.cpp
+++ b/src/quarantine/internal/crash_suspicion_table.cpp
@@ -1,31 +1,43 @@
 #include "quarantine/crash_suspicion_table.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace tanager {
 
 namespace {
 
-// One server may end by coincidence. Whether a silent server has ended is less certain: it may be cut off.
-constexpr std::ptrdiff_t min_confirmed_ends = 2;
-constexpr std::size_t min_ends = 3;
-// More ends of one request make no difference.
-constexpr std::size_t max_ends = 4;
-// A crash suspects each request that ran on the server.
-constexpr std::size_t max_requests = 1'024;
+// How many servers must end under requests with a trait before it is quarantined. A silent server counts
+// less, since it may only be cut off.
+struct end_limits {
+    std::ptrdiff_t confirmed;
+    std::size_t any;
+};
+
+// One server may end by coincidence.
+constexpr end_limits content_limits{2, 3};
+// Popular parts run on many servers at once, and quarantining one rejects requests of many callers.
+constexpr end_limits prompt_part_limits{3, 4};
+// Enough to explain the ends under all that ran beside a quarantined request.
+constexpr std::size_t max_ends = 64;
+// A crash suspects each request that ran on the server, with all its parts.
+constexpr std::size_t max_suspects = 2'048;
+// Shared parts in use at one gateway.
+constexpr std::size_t min_remembered_parts = 4'096;
 
 } // namespace
 
 crash_suspicion_table::crash_suspicion_table(const clock& time, duration retention)
-    : time(time), retention(retention)
+    : time(time), retention(retention), completions(min_remembered_parts)
 {
 }
 
-bool crash_suspicion_table::is_quarantined(const std::vector<server_end>& ends)
+bool crash_suspicion_table::is_enough(const request_trait& trait, const std::vector<server_end>& ends)
 {
-    return ends.size() >= min_ends ||
-           std::ranges::count_if(ends, &server_end::is_confirmed) >= min_confirmed_ends;
+    const auto& limits = trait.is_content() ? content_limits : prompt_part_limits;
+    return ends.size() >= limits.any ||
+           std::ranges::count_if(ends, &server_end::is_confirmed) >= limits.confirmed;
 }
 
 bool crash_suspicion_table::add_end(std::vector<server_end>& ends, const server_end& end)
@@ -43,26 +55,51 @@
     return is_news;
 }
 
-bool crash_suspicion_table::record_end(std::uint64_t fingerprint, const server_end& end)
+void crash_suspicion_table::remove_ends(std::vector<server_end>& ends,
+                                        const std::vector<server_end>& explained)
+{
+    std::erase_if(ends, [&](const server_end& end) {
+        return std::ranges::find(explained, end.server, &server_end::server) != explained.end();
+    });
+}
+
+bool crash_suspicion_table::record_end(const request_trait& trait, const server_end& end, time_point sent_at)
 {
-    auto& request = this->requests[fingerprint];
-    if (!add_end(request.ends, end)) {
+    if (!trait.is_content()) {
+        const auto completed_at = this->completions.last_completion(trait.fingerprint);
+        if (completed_at && *completed_at >= sent_at) {
+            return false;
+        }
+    }
+    auto& suspected = this->suspects[trait];
+    suspected.specificity = std::max(suspected.specificity, trait.specificity);
+    if (!add_end(suspected.ends, end)) {
         return false;
     }
-    request.changed_at = this->time.now();
+    suspected.changed_at = this->time.now();
+    if (this->is_candidate(trait)) {
+        this->update_quarantine();
+    }
     this->drop_least_relevant();
     return true;
 }
 
-bool crash_suspicion_table::clear(std::uint64_t fingerprint)
+bool crash_suspicion_table::clear(const request_trait& trait)
 {
-    const auto found = this->requests.find(fingerprint);
-    if (found == this->requests.end() || found->second.ends.empty()) {
+    if (!trait.is_content()) {
+        this->completions.record(trait.fingerprint, this->time.now());
+    }
+    const auto found = this->suspects.find(trait);
+    if (found == this->suspects.end() || found->second.ends.empty()) {
         return false;
     }
+    const bool was_candidate = this->is_candidate(trait);
     ++found->second.clearances;
     found->second.ends.clear();
     found->second.changed_at = this->time.now();
+    if (was_candidate) {
+        this->update_quarantine();
+    }
     return true;
 }
 
@@ -72,99 +109,165 @@
     if (received.age >= this->retention) {
         return false;
     }
-    auto& request = this->requests[received.fingerprint];
-    if (received.clearances < request.clearances) {
+    auto& suspected = this->suspects[received.trait];
+    suspected.specificity = std::max(suspected.specificity, received.trait.specificity);
+    if (received.clearances < suspected.clearances) {
         return false;
     }
-    bool is_news = received.clearances > request.clearances;
+    const bool was_candidate = this->is_candidate(received.trait);
+    bool is_news = received.clearances > suspected.clearances;
     if (is_news) {
-        request.clearances = received.clearances;
-        request.ends.clear();
+        suspected.clearances = received.clearances;
+        suspected.ends.clear();
     }
     for (const auto& end : received.ends) {
-        is_news = add_end(request.ends, end) || is_news;
+        is_news = add_end(suspected.ends, end) || is_news;
+    }
+    suspected.changed_at = std::max(suspected.changed_at, changed_at);
+    if (is_news && (was_candidate || this->is_candidate(received.trait))) {
+        this->update_quarantine();
     }
-    request.changed_at = std::max(request.changed_at, changed_at);
     this->drop_least_relevant();
     return is_news;
 }
 
-duration crash_suspicion_table::quarantine_left(std::uint64_t fingerprint,
+bool crash_suspicion_table::is_candidate(const request_trait& trait) const
+{
+    const auto found = this->suspects.find(trait);
+    return found != this->suspects.end() && is_enough(trait, found->second.ends) &&
+           found->second.changed_at + this->retention > this->time.now();
+}
+
+std::vector<crash_suspicion_table::quarantine_candidate> crash_suspicion_table::candidates() const
+{
+    std::vector<quarantine_candidate> found;
+    for (const auto& [trait, suspected] : this->suspects) {
+        if (this->is_candidate(trait)) {
+            const bool is_unproven = !this->completions.last_completion(trait.fingerprint);
+            found.push_back({{trait.fingerprint, suspected.specificity}, is_unproven, suspected.ends});
+        }
+    }
+    return found;
+}
+
+// Quarantines the traits that explain most ends, and then those that explain most of the rest. Traits that
+// explain equally many are told apart by whether a server has ever completed a request with them, and by
+// which fewer requests have; what is still equal is quarantined together.
+void crash_suspicion_table::update_quarantine()
+{
+    const auto rank = [](const quarantine_candidate& candidate) {
+        return std::tuple{
+            candidate.unexplained_ends.size(), candidate.is_unproven, candidate.trait.specificity};
+    };
+    this->quarantined_traits.clear();
+    auto remaining = this->candidates();
+    while (!remaining.empty()) {
+        const auto best = rank(*std::ranges::max_element(remaining, {}, rank));
+        std::vector<server_end> explained;
+        for (const auto& candidate : remaining) {
+            if (rank(candidate) == best) {
+                this->quarantined_traits.insert(candidate.trait);
+                std::ranges::copy(candidate.unexplained_ends, std::back_inserter(explained));
+            }
+        }
+        for (auto& candidate : remaining) {
+            remove_ends(candidate.unexplained_ends, explained);
+        }
+        std::erase_if(remaining, [](const quarantine_candidate& candidate) {
+            return !is_enough(candidate.trait, candidate.unexplained_ends);
+        });
+    }
+}
+
+duration crash_suspicion_table::quarantine_left(const request_trait& trait,
                                                 const std::vector<server_end>& pending) const
 {
-    const auto found = this->requests.find(fingerprint);
-    if (found == this->requests.end()) {
-        return is_quarantined(pending) ? this->retention : duration{0};
+    const auto found = this->suspects.find(trait);
+    if (found != this->suspects.end() && this->quarantined_traits.contains(trait)) {
+        return std::max(found->second.changed_at + this->retention - this->time.now(), duration{0});
+    }
+    if (pending.empty()) {
+        return duration{0};
+    }
+    const bool is_known =
+        found != this->suspects.end() && found->second.changed_at + this->retention > this->time.now();
+    auto ends = is_known ? found->second.ends : std::vector<server_end>{};
+    for (const auto& quarantined_trait : this->quarantined_traits) {
+        remove_ends(ends, this->suspects.at(quarantined_trait).ends);
     }
-    const auto left = found->second.changed_at + this->retention - this->time.now();
-    auto ends = left > duration{0} ? found->second.ends : std::vector<server_end>{};
     for (const auto& end : pending) {
         add_end(ends, end);
     }
-    return is_quarantined(ends) ? std::max(left, duration{0}) : duration{0};
+    return is_enough(trait, ends) ? this->retention : duration{0};
 }
 
-std::optional<crash_suspicion> crash_suspicion_table::find(std::uint64_t fingerprint) const
+std::optional<crash_suspicion> crash_suspicion_table::find(const request_trait& trait) const
 {
-    const auto found = this->requests.find(fingerprint);
-    return found == this->requests.end() ? std::nullopt
-                                         : std::optional{this->to_suspicion(fingerprint, found->second)};
+    const auto found = this->suspects.find(trait);
+    return found == this->suspects.end() ? std::nullopt
+                                         : std::optional{this->to_suspicion(trait, found->second)};
 }
 
-crash_suspicion crash_suspicion_table::to_suspicion(std::uint64_t fingerprint,
-                                                    const suspected_request& request) const
+crash_suspicion crash_suspicion_table::to_suspicion(const request_trait& trait,
+                                                    const suspected_trait& suspected) const
 {
     const auto age =
-        std::chrono::duration_cast<std::chrono::milliseconds>(this->time.now() - request.changed_at);
-    return {fingerprint, request.clearances, request.ends, age};
+        std::chrono::duration_cast<std::chrono::milliseconds>(this->time.now() - suspected.changed_at);
+    return {{trait.fingerprint, suspected.specificity}, suspected.clearances, suspected.ends, age};
 }
 
 std::vector<crash_suspicion> crash_suspicion_table::most_relevant(std::size_t max_count) const
 {
-    std::vector<std::pair<std::uint64_t, const suspected_request*>> ordered;
-    for (const auto& [fingerprint, request] : this->requests) {
-        ordered.emplace_back(fingerprint, &request);
+    const auto rank = [this](const auto* suspect) {
+        return std::tuple{this->quarantined_traits.contains(suspect->first), suspect->second.changed_at};
+    };
+    std::vector<const std::pair<const request_trait, suspected_trait>*> ordered;
+    for (const auto& suspect : this->suspects) {
+        ordered.push_back(&suspect);
     }
-    std::ranges::sort(ordered, [](const auto& left, const auto& right) {
-        return std::pair{is_quarantined(left.second->ends), left.second->changed_at} >
-               std::pair{is_quarantined(right.second->ends), right.second->changed_at};
-    });
+    std::ranges::sort(ordered, std::greater{}, rank);
     std::vector<crash_suspicion> selected;
-    for (const auto& [fingerprint, request] : ordered) {
+    for (const auto* const suspect : ordered) {
         if (selected.size() == max_count) {
             break;
         }
-        selected.push_back(this->to_suspicion(fingerprint, *request));
+        selected.push_back(this->to_suspicion(suspect->first, suspect->second));
     }
     return selected;
 }
 
-std::size_t crash_suspicion_table::quarantined_count() const
+const std::set<request_trait>& crash_suspicion_table::quarantined() const
 {
-    return static_cast<std::size_t>(std::ranges::count_if(
-        this->requests, [](const auto& request) { return is_quarantined(request.second.ends); }));
+    return this->quarantined_traits;
 }
 
 bool crash_suspicion_table::is_empty() const
 {
-    return this->requests.empty();
+    return this->suspects.empty();
 }
 
 void crash_suspicion_table::remove_expired()
 {
-    std::erase_if(this->requests, [this](const auto& request) {
-        return this->time.now() - request.second.changed_at >= this->retention;
+    const auto removed = std::erase_if(this->suspects, [this](const auto& suspect) {
+        return this->time.now() - suspect.second.changed_at >= this->retention;
     });
+    if (removed > 0) {
+        this->update_quarantine();
+    }
 }
 
 void crash_suspicion_table::drop_least_relevant()
 {
-    if (this->requests.size() <= max_requests) {
+    if (this->suspects.size() <= max_suspects) {
         return;
     }
-    this->requests.erase(std::ranges::min_element(this->requests, {}, [](const auto& request) {
-        return std::pair{is_quarantined(request.second.ends), request.second.changed_at};
-    }));
+    const auto dropped = std::ranges::min_element(this->suspects, {}, [this](const auto& suspect) {
+        return std::tuple{this->quarantined_traits.contains(suspect.first),
+                          suspect.second.ends.size(),
+                          suspect.second.changed_at};
+    });
+    this->quarantined_traits.erase(dropped->first);
+    this->suspects.erase(dropped);
 }
 
 } // namespace tanager
--- a/src/quarantine/internal/server_end_detector.cpp
+++ b/src/quarantine/internal/server_end_detector.cpp
@@ -16,7 +16,7 @@
 server_end_detector::server_end_detector(const clock& time) : time(time) {}
 
 server_end_detector::suspected_server&
-server_end_detector::suspect(std::uint64_t server, end_sign sign, const request_traits& request)
+server_end_detector::suspect(std::uint64_t server, end_sign sign, const running_request& request)
 {
     const auto [entry, is_new] = this->suspected.try_emplace(server);
     auto& state = entry->second;
@@ -24,14 +24,14 @@
         state.sign = sign;
         state.since = this->time.now();
     }
-    const bool is_known = std::ranges::find(state.requests, request) != state.requests.end();
-    if (!is_known && state.requests.size() < max_requests) {
+    const auto known = std::ranges::find(state.requests, request.traits, &running_request::traits);
+    if (known == state.requests.end() && state.requests.size() < max_requests) {
         state.requests.push_back(request);
     }
     return state;
 }
 
-bool server_end_detector::record_lost_connection(std::uint64_t server, const request_traits& request)
+bool server_end_detector::record_lost_connection(std::uint64_t server, const running_request& request)
 {
     const auto known = this->suspected.find(server);
     const bool is_being_tried =
@@ -40,16 +40,33 @@
     return !is_being_tried;
 }
 
-void server_end_detector::record_silence(std::uint64_t server, const request_traits& request)
+void server_end_detector::record_silence(std::uint64_t server, const running_request& request)
 {
     this->suspect(server, end_sign::silence, request);
 }
 
+void server_end_detector::record_unframed_response(std::uint64_t server, const running_request& request)
+{
+    this->suspect(server, end_sign::unframed_response, request);
+}
+
+std::vector<std::uint64_t> server_end_detector::take_unframed()
+{
+    std::vector<std::uint64_t> servers;
+    for (auto& [server, state] : this->suspected) {
+        if (state.sign == end_sign::unframed_response) {
+            state.sign = end_sign::connection_lost;
+            servers.push_back(server);
+        }
+    }
+    return servers;
+}
+
 std::vector<decided_end> server_end_detector::record_response(std::uint64_t server)
 {
     const auto found = this->suspected.find(server);
     // What a process has sent before its end can arrive on other connections after the first one broke.
-    if (found == this->suspected.end() || found->second.sign == end_sign::connection_lost) {
+    if (found == this->suspected.end() || found->second.sign != end_sign::silence) {
         return {};
     }
     return this->decide(server, false);
@@ -89,7 +106,10 @@
 {
     std::vector<server_end> ends;
     for (const auto& [server, state] : this->suspected) {
-        if (std::ranges::find(state.requests, content, &request_traits::content) != state.requests.end()) {
+        const bool has_run = std::ranges::any_of(state.requests, [content](const running_request& request) {
+            return request.traits.content == content && !request.has_unframed_response;
+        });
+        if (has_run) {
             ends.push_back({server, false});
         }
     }
--- a/src/quarantine/server_end_detector.h
+++ b/src/quarantine/server_end_detector.h
@@ -13,8 +13,9 @@
 
 // Why a server is suspected of having ended.
 enum class end_sign {
-    connection_lost, // a connection broke while a request ran
-    silence          // a request has had no response for long
+    connection_lost,  // a connection broke while a request ran
+    silence,          // a request has had no response for long
+    unframed_response // a response ended with its connection, which may also be the end of the server
 };
 
 // A suspicion that is decided.
@@ -23,7 +24,7 @@
     end_sign sign = end_sign::connection_lost;
     bool has_ended = false;
     duration time_suspected{0};
-    std::vector<request_traits> requests; // that the server ran
+    std::vector<running_request> requests; // that the server ran
 
     friend bool operator==(const decided_end&, const decided_end&) = default;
 };
@@ -37,10 +38,17 @@
 
     // Records that the connection of a running request broke. Returns whether a new connection to the server
     // must be tried, whose result is passed to `record_connect`.
-    bool record_lost_connection(std::uint64_t server, const request_traits& request);
+    bool record_lost_connection(std::uint64_t server, const running_request& request);
 
     // Records that a running request has had no response for long.
-    void record_silence(std::uint64_t server, const request_traits& request);
+    void record_silence(std::uint64_t server, const running_request& request);
+
+    // Records that a response ended with its connection and with nothing else.
+    void record_unframed_response(std::uint64_t server, const running_request& request);
+
+    // Returns the servers that have ended a response so since the last call, and to which a new connection
+    // must now be tried, whose result is passed to `record_connect`.
+    std::vector<std::uint64_t> take_unframed();
 
     // Records that the server has sent something. Returns the suspicion that this dismisses.
     std::vector<decided_end> record_response(std::uint64_t server);
@@ -60,10 +68,10 @@
     struct suspected_server {
         end_sign sign = end_sign::connection_lost;
         time_point since;
-        std::vector<request_traits> requests;
+        std::vector<running_request> requests;
     };
 
-    suspected_server& suspect(std::uint64_t server, end_sign sign, const request_traits& request);
+    suspected_server& suspect(std::uint64_t server, end_sign sign, const running_request& request);
     std::vector<decided_end> decide(std::uint64_t server, bool has_ended);
 
     const clock& time;
--- a/src/quarantine/tests/crash_suspicion_tests.cpp
+++ b/src/quarantine/tests/crash_suspicion_tests.cpp
@@ -16,8 +16,8 @@
 using namespace std::chrono_literals;
 using testing::section;
 
-constexpr std::uint64_t culprit = 66;
-constexpr std::uint64_t innocent = 7;
+constexpr request_trait culprit{66, request_trait::content_specificity};
+constexpr request_trait innocent{7, request_trait::content_specificity};
 constexpr auto retention = 600s;
 
 server_end confirmed(std::uint64_t server)
@@ -30,9 +30,9 @@
     return {server, false};
 }
 
-request_traits request_with(std::uint64_t content)
+running_request request_with(const request_trait& content)
 {
-    return {content, {}};
+    return {{content.fingerprint, {}}, {}};
 }
 
 class crash_suspicion_tests : public CppUnit::TestFixture {
@@ -40,6 +40,9 @@
     CPPUNIT_TEST(quarantines_a_request_under_which_servers_end);
     CPPUNIT_TEST(clears_a_request_that_a_server_completes);
     CPPUNIT_TEST(merges_suspicions_in_any_order);
+    CPPUNIT_TEST(quarantines_the_prompt_part_that_explains_most_ends);
+    CPPUNIT_TEST(does_not_suspect_a_prompt_part_that_was_completed_meanwhile);
+    CPPUNIT_TEST(finds_deadly_prompt_parts_among_the_traffic_of_a_site);
     CPPUNIT_TEST(keeps_quarantined_requests_when_many_are_suspected);
     CPPUNIT_TEST(tells_an_ended_server_from_a_lost_connection);
     CPPUNIT_TEST(tells_an_ended_server_from_a_slow_one);
@@ -52,15 +55,15 @@
         section("servers end while they run a request", [] {
             manual_clock time;
             crash_suspicion_table table(time, retention);
-            table.record_end(culprit, confirmed(1));
+            table.record_end(culprit, confirmed(1), time.now());
             section("after one it is still served, since others ran beside it",
                     [&] { CPPUNIT_ASSERT(table.quarantine_left(culprit, {}) == 0s); });
             section("the same end, recorded twice, counts once", [&] {
-                CPPUNIT_ASSERT(!table.record_end(culprit, confirmed(1)));
+                CPPUNIT_ASSERT(!table.record_end(culprit, confirmed(1), time.now()));
                 CPPUNIT_ASSERT(table.quarantine_left(culprit, {}) == 0s);
             });
             section("after a second one it is quarantined", [&] {
-                CPPUNIT_ASSERT(table.record_end(culprit, confirmed(2)));
+                CPPUNIT_ASSERT(table.record_end(culprit, confirmed(2), time.now()));
                 CPPUNIT_ASSERT(table.quarantine_left(culprit, {}) == retention);
                 CPPUNIT_ASSERT(table.quarantine_left(innocent, {}) == 0s);
             });
@@ -74,19 +77,19 @@
         section("servers fall silent while they run a request, which may be a cut", [] {
             manual_clock time;
             crash_suspicion_table table(time, retention);
-            table.record_end(culprit, presumed(1));
-            table.record_end(culprit, presumed(2));
+            table.record_end(culprit, presumed(1), time.now());
+            table.record_end(culprit, presumed(2), time.now());
             CPPUNIT_ASSERT(table.quarantine_left(culprit, {}) == 0s);
             section("it takes three of them", [&] {
-                table.record_end(culprit, presumed(3));
+                table.record_end(culprit, presumed(3), time.now());
                 CPPUNIT_ASSERT(table.quarantine_left(culprit, {}) == retention);
             });
         });
         section("a third server may just have ended", [] {
             manual_clock time;
             crash_suspicion_table table(time, retention);
-            table.record_end(culprit, presumed(1));
-            table.record_end(culprit, presumed(2));
+            table.record_end(culprit, presumed(1), time.now());
+            table.record_end(culprit, presumed(2), time.now());
             CPPUNIT_ASSERT(table.quarantine_left(culprit, {presumed(3)}) == retention);
             CPPUNIT_ASSERT(table.quarantine_left(culprit, {presumed(2)}) == 0s);
         });
@@ -98,7 +101,7 @@
             manual_clock time;
             crash_suspicion_table here(time, retention);
             crash_suspicion_table elsewhere(time, retention);
-            here.record_end(innocent, confirmed(1));
+            here.record_end(innocent, confirmed(1), time.now());
             elsewhere.merge(*here.find(innocent));
             section("a server completes it", [&] {
                 CPPUNIT_ASSERT(here.clear(innocent));
@@ -106,11 +109,11 @@
             });
             section("what others report of the time before does not count", [&] {
                 here.merge(*elsewhere.find(innocent));
-                here.record_end(innocent, confirmed(2));
+                here.record_end(innocent, confirmed(2), time.now());
                 CPPUNIT_ASSERT(here.quarantine_left(innocent, {}) == 0s);
             });
             section("the others learn that it was cleared", [&] {
-                elsewhere.record_end(innocent, confirmed(3));
+                elsewhere.record_end(innocent, confirmed(3), time.now());
                 CPPUNIT_ASSERT(elsewhere.quarantine_left(innocent, {}) > 0s);
                 elsewhere.merge(*here.find(innocent));
                 CPPUNIT_ASSERT(elsewhere.quarantine_left(innocent, {}) == 0s);
@@ -124,6 +127,7 @@
             constexpr std::uint64_t seed = 26;
             constexpr int gateway_count = 5;
             constexpr int steps = 400;
+            const std::vector<request_trait> traits{culprit, innocent, {1, 0}, {2, 0}, {3, 1}, {4, 2}};
             seeded_random random(seed);
             manual_clock time;
             std::vector<crash_suspicion_table> gateways(gateway_count,
@@ -133,16 +137,16 @@
             };
             for (int step = 0; step < steps; ++step) {
                 time.advance(1ms);
-                const auto fingerprint = random.next() % 4;
+                const auto trait = traits[random.next() % traits.size()];
                 switch (random.next() % 8) {
                 case 0:
-                    any().record_end(fingerprint, {random.next() % 6, random.next() % 2 == 0});
+                    any().record_end(trait, {random.next() % 6, random.next() % 2 == 0}, time.now());
                     break;
                 case 1:
-                    any().clear(fingerprint);
+                    any().clear(trait);
                     break;
                 default:
-                    if (const auto known = any().find(fingerprint)) {
+                    if (const auto known = any().find(trait)) {
                         any().merge(*known);
                     }
                 }
@@ -157,10 +161,10 @@
                         }
                     }
                 }
-                for (std::uint64_t fingerprint = 0; fingerprint < 4; ++fingerprint) {
-                    const bool expected = gateways[0].quarantine_left(fingerprint, {}) > 0s;
+                for (const auto& trait : traits) {
+                    const bool expected = gateways[0].quarantine_left(trait, {}) > 0s;
                     for (const auto& each : gateways) {
-                        CPPUNIT_ASSERT_EQUAL(expected, each.quarantine_left(fingerprint, {}) > 0s);
+                        CPPUNIT_ASSERT_EQUAL(expected, each.quarantine_left(trait, {}) > 0s);
                     }
                 }
             });
@@ -169,8 +173,8 @@
             manual_clock time;
             crash_suspicion_table first(time, retention);
             crash_suspicion_table second(time, retention);
-            first.record_end(culprit, confirmed(1));
-            first.record_end(culprit, confirmed(2));
+            first.record_end(culprit, confirmed(1), time.now());
+            first.record_end(culprit, confirmed(2), time.now());
             time.advance(400s);
             second.merge(*first.find(culprit));
             time.advance(100s);
@@ -180,24 +184,168 @@
         });
     }
 
+    void quarantines_the_prompt_part_that_explains_most_ends()
+    {
+        constexpr request_trait first_part{1, 0};
+        constexpr request_trait rare_part{2, 1};
+        constexpr request_trait deadly_part{3, 2};
+        section("three servers end under different requests with a part, and others ran beside them", [&] {
+            manual_clock time;
+            crash_suspicion_table table(time, retention);
+            for (std::uint64_t server = 1; server <= 3; ++server) {
+                CPPUNIT_ASSERT(table.quarantined().empty());
+                table.record_end({100 + server, request_trait::content_specificity}, confirmed(server), {});
+                table.record_end(first_part, confirmed(server), {});
+                table.record_end(deadly_part, confirmed(server), {});
+            }
+            section("of parts that were on the same servers, the one that fewer prompts share is quarantined",
+                    [&] { CPPUNIT_ASSERT(table.quarantined() == std::set{deadly_part}); });
+            section("a request that lost two attempts beside it is not", [&] {
+                table.record_end(innocent, confirmed(1), {});
+                table.record_end(innocent, confirmed(2), {});
+                CPPUNIT_ASSERT(table.quarantine_left(innocent, {}) == 0s);
+                CPPUNIT_ASSERT(table.quarantine_left(innocent, {presumed(3)}) == 0s);
+            });
+            section("in any position", [&] {
+                CPPUNIT_ASSERT(table.quarantine_left({deadly_part.fingerprint, 7}, {}) > 0s);
+            });
+            section("when further servers end under the first part alone, it is quarantined instead", [&] {
+                table.record_end(first_part, confirmed(4), {});
+                CPPUNIT_ASSERT(table.quarantined() == std::set{first_part});
+            });
+            section("once it is completed, the other one is again", [&] {
+                table.clear(first_part);
+                CPPUNIT_ASSERT(table.quarantined() == std::set{deadly_part});
+            });
+        });
+        section("two parts were always together, and servers have completed one of them before", [&] {
+            manual_clock time;
+            crash_suspicion_table table(time, retention);
+            table.clear(deadly_part);
+            time.advance(1s);
+            for (std::uint64_t server = 1; server <= 3; ++server) {
+                table.record_end(rare_part, confirmed(server), time.now());
+                table.record_end(deadly_part, confirmed(server), time.now());
+            }
+            CPPUNIT_ASSERT(table.quarantined() == std::set{rare_part});
+        });
+        section("two deadly parts end different servers", [&] {
+            manual_clock time;
+            crash_suspicion_table table(time, retention);
+            for (std::uint64_t server = 1; server <= 3; ++server) {
+                table.record_end(first_part, confirmed(server), {});
+                table.record_end(first_part, confirmed(10 + server), {});
+                table.record_end(rare_part, confirmed(server), {});
+                table.record_end(deadly_part, confirmed(10 + server), {});
+            }
+            table.clear(first_part);
+            CPPUNIT_ASSERT(table.quarantined() == (std::set{rare_part, deadly_part}));
+        });
+        section("servers fall silent under a part, which may be a cut: it takes four of them", [&] {
+            manual_clock time;
+            crash_suspicion_table table(time, retention);
+            for (std::uint64_t server = 1; server <= 3; ++server) {
+                table.record_end(deadly_part, presumed(server), {});
+            }
+            CPPUNIT_ASSERT(table.quarantined().empty());
+            table.record_end(deadly_part, presumed(4), {});
+            CPPUNIT_ASSERT(table.quarantined() == std::set{deadly_part});
+        });
+    }
+
+    void does_not_suspect_a_prompt_part_that_was_completed_meanwhile()
+    {
+        constexpr request_trait part{1, 0};
+        section("a server completes a request with a part while another request with it runs elsewhere", [&] {
+            manual_clock time;
+            crash_suspicion_table table(time, retention);
+            const auto sent_at = time.now();
+            time.advance(10ms);
+            table.clear(part);
+            time.advance(10ms);
+            section("when its server ends, the part is not suspected",
+                    [&] { CPPUNIT_ASSERT(!table.record_end(part, confirmed(1), sent_at)); });
+            section("under a request that was sent later it is",
+                    [&] { CPPUNIT_ASSERT(table.record_end(part, confirmed(2), time.now())); });
+        });
+        section("far more parts are completed than are remembered: only the oldest are forgotten", [] {
+            completion_history history(100);
+            for (std::uint64_t each = 0; each < 10'000; ++each) {
+                history.record(each, time_point{} + std::chrono::milliseconds{each});
+            }
+            CPPUNIT_ASSERT(!history.last_completion(9'000));
+            CPPUNIT_ASSERT(history.last_completion(9'901) == time_point{} + 9'901ms);
+        });
+    }
+
+    // One gateway sees all traffic of a site: prompts of four first parts and many subjects, of which some
+    // also have a deadly part, on engines with six slots each.
+    void finds_deadly_prompt_parts_among_the_traffic_of_a_site()
+    {
+        constexpr std::uint64_t seed_count = 40;
+        constexpr std::uint64_t subjects = 1'089;
+        constexpr std::uint64_t first_subject = 1'000;
+        constexpr std::size_t slots = 6;
+        const std::vector<request_trait> deadly{{50, 1}, {51, 2}};
+        for (std::uint64_t seed = 1; seed <= seed_count; ++seed) {
+            section("seed " + std::to_string(seed), [&] {
+                seeded_random random(seed);
+                manual_clock time;
+                crash_suspicion_table table(time, retention);
+                const auto sound_parts = [&]() -> std::vector<request_trait> {
+                    return {{1 + random.next() % 4, 0}, {first_subject + random.next() % subjects, 1}};
+                };
+                std::map<request_trait, int> ends;
+                for (std::uint64_t server = 1; server <= 60; ++server) {
+                    for (int completed = 0; completed < 20; ++completed) {
+                        for (const auto& part : sound_parts()) {
+                            table.clear(part);
+                        }
+                        time.advance(1ms);
+                    }
+                    const auto& culprit_part = deadly[random.next() % deadly.size()];
+                    if (table.quarantined().contains(culprit_part)) {
+                        continue;
+                    }
+                    ++ends[culprit_part];
+                    for (std::size_t slot = 0; slot < slots; ++slot) {
+                        auto parts = sound_parts();
+                        if (slot == 0) {
+                            parts.push_back(culprit_part);
+                        }
+                        for (const auto& part : parts) {
+                            table.record_end(part, confirmed(server), time.now());
+                        }
+                    }
+                }
+                section("each is found out after three servers, and nothing else is quarantined", [&] {
+                    CPPUNIT_ASSERT(table.quarantined() == std::set(deadly.begin(), deadly.end()));
+                    CPPUNIT_ASSERT_EQUAL(3, ends[deadly[0]]);
+                    CPPUNIT_ASSERT_EQUAL(3, ends[deadly[1]]);
+                });
+            });
+        }
+    }
+
     void keeps_quarantined_requests_when_many_are_suspected()
     {
         section("ten thousand requests ran on servers that ended, and one is quarantined", [] {
             manual_clock time;
             crash_suspicion_table table(time, retention);
-            table.record_end(culprit, confirmed(1));
-            table.record_end(culprit, confirmed(2));
+            table.record_end(culprit, confirmed(1), time.now());
+            table.record_end(culprit, confirmed(2), time.now());
             constexpr std::uint64_t first_other = 1'000;
             for (std::uint64_t other = 0; other < 10'000; ++other) {
                 time.advance(1ms);
-                table.record_end(first_other + other, confirmed(3));
+                table.record_end(
+                    {first_other + other, request_trait::content_specificity}, confirmed(3), time.now());
             }
             CPPUNIT_ASSERT(table.quarantine_left(culprit, {}) > 0s);
-            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, table.quarantined_count());
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, table.quarantined().size());
             section("the oldest of the others are forgotten", [&] {
-                CPPUNIT_ASSERT_EQUAL(std::size_t{1'024}, table.most_relevant(20'000).size());
-                CPPUNIT_ASSERT(!table.find(first_other));
-                CPPUNIT_ASSERT_EQUAL(culprit, table.most_relevant(1).front().fingerprint);
+                CPPUNIT_ASSERT_EQUAL(std::size_t{2'048}, table.most_relevant(20'000).size());
+                CPPUNIT_ASSERT(!table.find({first_other, request_trait::content_specificity}));
+                CPPUNIT_ASSERT(culprit == table.most_relevant(1).front().trait);
             });
         });
     }
@@ -210,8 +358,9 @@
             CPPUNIT_ASSERT(detector.record_lost_connection(1, request_with(culprit)));
             section("one new connection is tried",
                     [&] { CPPUNIT_ASSERT(!detector.record_lost_connection(1, request_with(innocent))); });
-            section("meanwhile it counts as a possible end",
-                    [&] { CPPUNIT_ASSERT(detector.pending_ends(culprit) == std::vector{presumed(1)}); });
+            section("meanwhile it counts as a possible end", [&] {
+                CPPUNIT_ASSERT(detector.pending_ends(culprit.fingerprint) == std::vector{presumed(1)});
+            });
             section("bytes from a third connection prove nothing, they may be old",
                     [&] { CPPUNIT_ASSERT(detector.record_response(1).empty()); });
             section("the server accepts the connection: it has not ended", [&] {
@@ -262,8 +411,20 @@
         section("suspicions are decoded as they were encoded", [] {
             const std::vector<crash_suspicion> sent{{culprit, 2, {confirmed(5), presumed(6)}, 70ms},
                                                     {innocent, 0, {}, 0ms}};
-            const auto message = encode_suspicions(sent);
+            const auto messages = encode_suspicions(sent, 3'000);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, messages.size());
+            const auto& message = messages.front();
             CPPUNIT_ASSERT(*decode_suspicions(message) == sent);
+            CPPUNIT_ASSERT_EQUAL(culprit.specificity, decode_suspicions(message)->front().trait.specificity);
+            section("in several messages if one would be too long", [&] {
+                const std::vector<crash_suspicion> many(50, sent.front());
+                std::vector<crash_suspicion> received;
+                for (const auto& part : encode_suspicions(many, 200)) {
+                    CPPUNIT_ASSERT(part.size() <= 200);
+                    std::ranges::copy(*decode_suspicions(part), std::back_inserter(received));
+                }
+                CPPUNIT_ASSERT(received == many);
+            });
             section("every message that is cut off is rejected", [&] {
                 for (std::size_t length = 0; length < message.size(); ++length) {
                     CPPUNIT_ASSERT(!decode_suspicions(message.substr(0, length)));
--- a/src/quarantine/types/crash_suspicion.h
+++ b/src/quarantine/types/crash_suspicion.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "quarantine/types/request_traits.h"
 
 #include <cstdint>
 #include <vector>
@@ -15,11 +16,11 @@
     friend bool operator==(const server_end&, const server_end&) = default;
 };
 
-// The servers that ended under one request. Gateways exchange suspicions and merge them.
+// The servers that ended under requests with one trait. Gateways exchange suspicions and merge them.
 struct crash_suspicion {
-    std::uint64_t fingerprint = 0;    // of the request's content
-    std::uint64_t clearances = 0;     // how often the request was cleared because a server completed it
-    std::vector<server_end> ends;     // since the last clearance
+    request_trait trait;
+    std::uint64_t clearances = 0; // how often the trait was cleared because a server completed such a request
+    std::vector<server_end> ends; // since the last clearance
     std::chrono::milliseconds age{0}; // of the last change
 
     friend bool operator==(const crash_suspicion&, const crash_suspicion&) = default;
--- a/tests/tests/crashing_prompt_part_tests.cpp
+++ b/tests/tests/crashing_prompt_part_tests.cpp
@@ -39,7 +39,7 @@
     std::string crash_mode = "reset";
     std::vector<std::string> deadly_parts{"dead"};
     // Parts of a request with a deadly part; "#" stands for one of many.
-    std::vector<std::string> culprit_prompts{"aa,#,dead"};
+    std::vector<std::string> culprit_prompts{"aa,#,dead", "aa,dead,#"};
 };
 
 struct sent_request {
