Do not pass on a stream that ended inside an event as complete

Cause: such a response ends with its connection, so the HTTP client reports its end like any other; the forwarder then wrote the bytes after the last whole event and finished. A stream that now ends inside an event, or, unless its server marked the end, without any event, counts as a lost connection: it is resumed, cut or answered with 502, and its server is checked.

Looked at, and left as they are: plain responses without a length (their end cannot be told from a cut), the prefill's response (a cut one does not parse), and all calls that do not accept such responses (store, reports, orders, the older path, which also validates events).

gateway_tests, a_stream_that_ends_inside_an_event_is_not_complete: failed before in its first section, passes now.

--- a/src/gateway/internal/request_forwarder.cpp
+++ b/src/gateway/internal/request_forwarder.cpp
@@ -479,6 +479,7 @@
         this->state = request_state::sent;
     }
     this->response = {};
+    this->events_of_earlier_attempts = this->events.event_count();
     this->buffered_body.clear();
     this->handler = std::make_shared<detachable_response_handler>(this->weak_from_this());
     const bool repeatable = this->routed.chosen_route->is_repeatable();
@@ -606,9 +607,7 @@
     }
     this->waiting_since = this->context.time.now();
     this->context.quarantine.record_response(*this->server);
-    const bool is_stream =
-        this->routed.chosen_route->kind == route_kind::streaming && is_success(this->response.status);
-    if (!is_stream) {
+    if (!this->is_stream()) {
         if (!this->buffered_body.append(data)) {
             this->abandon_response({result_code::backend_answer_malformed,
                                     "answers hold too much memory, one of them from " + this->server->id});
@@ -663,6 +662,11 @@
         this->handle_refusal();
         return;
     }
+    if (this->is_stream_broken_off()) {
+        this->on_attempt_failure({{result_code::connection_lost, "stream broken off by " + this->server->id},
+                                  call_progress::maybe_sent});
+        return;
+    }
     this->record_completion();
     if (this->response.status >= status_first_failure && this->state != request_state::responding) {
         this->handle_server_failure();
@@ -677,11 +681,24 @@
         this->send_buffered_response(this->buffered_body.text());
         return;
     }
-    this->routed.exchange->write(this->events.take_incomplete_event());
     this->routed.exchange->finish();
     this->finish("complete", this->response.status);
 }
 
+bool request_forwarder::is_stream() const
+{
+    return this->routed.chosen_route->kind == route_kind::streaming && is_success(this->response.status);
+}
+
+// The end of a connection is also that of a response without a length or chunks, so the events tell whether a
+// stream is complete.
+bool request_forwarder::is_stream_broken_off() const
+{
+    const bool has_no_event = this->events.event_count() == this->events_of_earlier_attempts;
+    return this->is_stream() &&
+           (this->events.pending_bytes() > 0 || (has_no_event && !this->is_response_framed));
+}
+
 void request_forwarder::record_completion()
 {
     const bool is_successful = is_success(this->response.status);
--- a/src/gateway/internal/request_forwarder.h
+++ b/src/gateway/internal/request_forwarder.h
@@ -134,6 +134,8 @@
     void stop_if_quarantined();
     running_request active_attempt() const;
     void record_completion();
+    bool is_stream() const;
+    bool is_stream_broken_off() const;
     void record_unfinished_attempt();
     bool has_missed_objective() const;
     duration elapsed() const;
@@ -165,6 +167,7 @@
     duration quarantine_left{0}; // when the request was rejected for it
     bounded_text buffered_body;
     sse_event_splitter events;
+    std::uint64_t events_of_earlier_attempts = 0;
     duration send_time{0}; // estimated time for the last call to leave this host
     duration queue_time{0};
     duration time_to_first_event{0};
--- a/src/gateway/tests/gateway_tests.cpp
+++ b/src/gateway/tests/gateway_tests.cpp
@@ -47,6 +47,7 @@
     CPPUNIT_TEST(shares_with_its_peers_which_prefixes_are_cached);
     CPPUNIT_TEST(stays_with_a_slow_server_when_no_other_has_a_free_slot);
     CPPUNIT_TEST(resumes_a_stream);
+    CPPUNIT_TEST(a_stream_that_ends_inside_an_event_is_not_complete);
     CPPUNIT_TEST(aborts_a_stream_that_may_not_be_resumed);
     CPPUNIT_TEST(prefills_on_a_separate_engine);
     CPPUNIT_TEST(gives_a_long_output_a_slot_in_a_burst);
@@ -314,6 +315,71 @@
         });
     }
 
+    void a_stream_that_ends_inside_an_event_is_not_complete()
+    {
+        // Without a length or chunks, a stream ends with its connection.
+        const auto end_stream = [](forwarding_fixture& gateway, const std::string& body) {
+            gateway.active_route.kind = route_kind::streaming;
+            auto exchange = gateway.send();
+            gateway.call(0).respond(200, valid_response_headers, body);
+            return exchange;
+        };
+        section("a resumable stream ends inside its second event: another server resumes it", [&] {
+            forwarding_fixture gateway;
+            gateway.active_route.is_resumable = true;
+            const auto exchange = end_stream(gateway, "id: 1\ndata: a\n\nid: 2\nda");
+            CPPUNIT_ASSERT(!exchange->is_finished);
+            CPPUNIT_ASSERT_EQUAL(std::string{"1"}, find_header(gateway.call(1).request.headers, "resume"));
+            gateway.call(1).respond(200, valid_response_headers, "id: 2\ndata: b\n\n");
+            CPPUNIT_ASSERT(exchange->is_finished);
+            CPPUNIT_ASSERT_EQUAL(std::string{"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"},
+                                 exchange->sent_response.body);
+        });
+        section("the resumed stream ends without any event: its caller sees it cut", [&] {
+            forwarding_fixture gateway;
+            gateway.active_route.is_resumable = true;
+            const auto exchange = end_stream(gateway, "id: 1\ndata: a\n\nid: 2\nda");
+            gateway.call(1).respond(200, valid_response_headers, "");
+            CPPUNIT_ASSERT(exchange->is_aborted);
+        });
+        section("a stream that may not be resumed ends inside its second event: its caller sees it cut", [&] {
+            forwarding_fixture gateway;
+            const auto exchange = end_stream(gateway, "id: 1\ndata: a\n\nid: 2\nda");
+            CPPUNIT_ASSERT(exchange->is_aborted);
+            CPPUNIT_ASSERT_EQUAL(std::string{"id: 1\ndata: a\n\n"}, exchange->sent_response.body);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, gateway.client.calls.size());
+        });
+        section("a stream that may not be resumed ends inside its first event, or before it", [&] {
+            for (const auto* const body : {"id: 1\nda", ""}) {
+                forwarding_fixture gateway;
+                const auto exchange = end_stream(gateway, body);
+                CPPUNIT_ASSERT(exchange->is_finished);
+                CPPUNIT_ASSERT_EQUAL(502, exchange->sent_response.status);
+            }
+        });
+        section("a stream that ends after an event is complete", [&] {
+            forwarding_fixture gateway;
+            const auto exchange = end_stream(gateway, "id: 1\ndata: a\n\n");
+            CPPUNIT_ASSERT(exchange->is_finished);
+            CPPUNIT_ASSERT(!exchange->is_aborted);
+        });
+        section("a stream without events is complete if its server says so", [] {
+            forwarding_fixture gateway;
+            gateway.active_route.kind = route_kind::streaming;
+            const auto exchange = gateway.send();
+            auto headers = valid_response_headers;
+            headers.push_back({"Content-Length", "0"});
+            gateway.call(0).respond(200, headers, "");
+            CPPUNIT_ASSERT(exchange->is_finished);
+            CPPUNIT_ASSERT_EQUAL(200, exchange->sent_response.status);
+        });
+        section("its server is checked for having ended", [&] {
+            forwarding_fixture gateway;
+            end_stream(gateway, "id: 1\ndata: a\n\nid: 2\nda");
+            CPPUNIT_ASSERT_EQUAL(1, gateway.connector.attempt_count);
+        });
+    }
+
     void resumes_a_stream()
     {
         section("a resumable stream breaks in the middle of its third event", [] {
--- a/tests/tests/crashing_prompt_part_tests.cpp
+++ b/tests/tests/crashing_prompt_part_tests.cpp
@@ -164,8 +164,9 @@
         if (const auto mark = parts.find('#'); mark != std::string::npos) {
             parts.replace(mark, 1, "5" + std::to_string(this->sent_count % subject_count));
         }
+        parts.append(",0").append(number);
         std::string list;
-        for (const auto& part : split_list(parts + ",0" + number)) {
+        for (const auto& part : split_list(parts)) {
             list += (list.empty() ? "" : ",") + part + ":50";
         }
         auto response = this->group.caller.start(this->gateways[this->sent_count % this->gateways.size()],
