Do not blame the common parts of prompts when many servers end together

Cause: a popular part is on most servers at any moment, so it was under three ends at once by coincidence, and no request with it could complete in between. Once quarantined, none can clear it.

Now each end carries when it happened and when the last request in question was sent, and a part needs an end under a request that was sent after another end, 20 ms apart at least: gateways see a common failure within some milliseconds and retry meanwhile. Five ends at once suffice for a part that was never seen completed, so that a burst of deadly requests is not waited out.

--- a/src/gateway/internal/crash_quarantine.cpp
+++ b/src/gateway/internal/crash_quarantine.cpp
@@ -158,9 +158,11 @@
         this->metrics.increment_counter("tanager_server_ends_total");
         const auto quarantined_before = this->suspicions.quarantined();
         std::set<request_trait> news;
+        const bool is_confirmed = decision.sign == end_sign::connection_lost;
+        const auto ended_at = this->time.now() - decision.time_suspected;
         for (const auto& request : decision.requests) {
             this->record_end(
-                request, {decision.server, decision.sign == end_sign::connection_lost}, server_id, news);
+                request, {decision.server, is_confirmed, ended_at, request.sent_at}, server_id, news);
         }
         this->log_changes(quarantined_before, "server_end");
         this->send_news(news);
@@ -173,7 +175,7 @@
                                   std::set<request_trait>& news)
 {
     for (const auto& trait : request.traits.all()) {
-        if (this->suspicions.record_end(trait, end, request.sent_at)) {
+        if (this->suspicions.record_end(trait, end)) {
             news.insert(trait);
         }
     }
@@ -233,14 +235,14 @@
             news.push_back(*known);
         }
     }
-    for (const auto& message : encode_suspicions(news, max_message_bytes)) {
+    for (const auto& message : encode_suspicions(news, max_message_bytes, this->time.now())) {
         this->channel->send_to_all(message);
     }
 }
 
 result<void> crash_quarantine::receive(std::string_view message)
 {
-    const auto received = decode_suspicions(message);
+    const auto received = decode_suspicions(message, this->time.now());
     if (!received) {
         return tl::make_unexpected(received.error());
     }
@@ -265,8 +267,8 @@
     this->repeated_at = now;
     this->suspicions.remove_expired();
     if (this->channel != nullptr && !this->suspicions.is_empty()) {
-        const auto messages =
-            encode_suspicions(this->suspicions.most_relevant(max_repeated_suspicions), max_message_bytes);
+        const auto messages = encode_suspicions(
+            this->suspicions.most_relevant(max_repeated_suspicions), max_message_bytes, now);
         this->channel->send_to_some(messages.front());
     }
 }
--- a/src/quarantine/crash_suspicion_table.h
+++ b/src/quarantine/crash_suspicion_table.h
@@ -23,9 +23,9 @@
     // A suspicion counts for `retention` after the last server ended under the trait.
     crash_suspicion_table(const clock& time, duration retention);
 
-    // Records that a server ended under a request with this trait, sent at `sent_at`. Returns whether that
-    // was new; it is not if a server has completed a request with this prompt part since.
-    bool record_end(const request_trait& trait, const server_end& end, time_point sent_at);
+    // Records that a server ended under a request with this trait. Returns whether that was new; it is not if
+    // a server has completed another request with this prompt part since the request was sent.
+    bool record_end(const request_trait& trait, const server_end& end);
 
     // Clears a trait of a request that a server has completed. Returns whether it was suspected.
     bool clear(const request_trait& trait);
@@ -62,11 +62,11 @@
     // A trait whose ends suffice for a quarantine, unless others explain them.
     struct quarantine_candidate {
         request_trait trait;
-        bool is_unproven = false; // this gateway knows of no completed request with it
         std::vector<server_end> unexplained_ends;
     };
 
-    static bool is_enough(const request_trait& trait, const std::vector<server_end>& ends);
+    bool is_proven(const request_trait& trait) const;
+    bool is_enough(const request_trait& trait, const std::vector<server_end>& ends) const;
     static bool add_end(std::vector<server_end>& ends, const server_end& end);
     static void remove_ends(std::vector<server_end>& ends, const std::vector<server_end>& explained);
     bool is_candidate(const request_trait& trait) const;
--- a/src/quarantine/internal/crash_suspicion_codec.cpp
+++ b/src/quarantine/internal/crash_suspicion_codec.cpp
@@ -11,23 +11,36 @@
 constexpr std::uint64_t codec_version = 2;
 // The shortest encodings of a suspicion and of an end.
 constexpr std::size_t min_suspicion_bytes = 5;
-constexpr std::size_t min_end_bytes = 2;
+constexpr std::size_t min_end_bytes = 4;
 // The version and the number of suspicions.
 constexpr std::size_t max_header_bytes = 4;
 // Longer than any suspicion counts.
 constexpr std::uint64_t max_age_ms = 86'400'000;
 
-std::string encode_suspicion(const crash_suspicion& suspicion)
+std::uint64_t to_milliseconds(duration span)
+{
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(milliseconds, 0));
+}
+
+std::chrono::milliseconds read_milliseconds(byte_reader& reader)
+{
+    return std::chrono::milliseconds{std::min(reader.read_number(), max_age_ms)};
+}
+
+std::string encode_suspicion(const crash_suspicion& suspicion, time_point now)
 {
     byte_writer writer;
     writer.write_number(suspicion.trait.fingerprint);
     writer.write_number(suspicion.trait.specificity);
     writer.write_number(suspicion.clearances);
-    writer.write_number(static_cast<std::uint64_t>(std::max<std::int64_t>(suspicion.age.count(), 0)));
+    writer.write_number(to_milliseconds(suspicion.age));
     writer.write_number(suspicion.ends.size());
     for (const auto& end : suspicion.ends) {
         writer.write_number(end.server);
         writer.write_number(end.is_confirmed ? 1 : 0);
+        writer.write_number(to_milliseconds(now - end.ended_at));
+        writer.write_number(to_milliseconds(end.ended_at - end.sent_at));
     }
     return writer.bytes();
 }
@@ -35,7 +48,8 @@
 } // namespace
 
 std::vector<std::string> encode_suspicions(const std::vector<crash_suspicion>& suspicions,
-                                           std::size_t max_message_bytes)
+                                           std::size_t max_message_bytes,
+                                           time_point now)
 {
     std::vector<std::string> messages;
     std::string batch;
@@ -51,7 +65,7 @@
         batch_size = 0;
     };
     for (const auto& suspicion : suspicions) {
-        const auto encoded = encode_suspicion(suspicion);
+        const auto encoded = encode_suspicion(suspicion, now);
         if (max_header_bytes + batch.size() + encoded.size() > max_message_bytes) {
             finish_message();
         }
@@ -62,7 +76,7 @@
     return messages;
 }
 
-result<std::vector<crash_suspicion>> decode_suspicions(std::string_view message)
+result<std::vector<crash_suspicion>> decode_suspicions(std::string_view message, time_point now)
 {
     byte_reader reader(message);
     if (reader.read_number() != codec_version) {
@@ -74,11 +88,13 @@
         suspicion.trait.specificity = static_cast<std::uint32_t>(
             std::min<std::uint64_t>(reader.read_number(), request_trait::content_specificity));
         suspicion.clearances = reader.read_number();
-        suspicion.age = std::chrono::milliseconds{std::min(reader.read_number(), max_age_ms)};
+        suspicion.age = read_milliseconds(reader);
         suspicion.ends.resize(reader.read_count(min_end_bytes));
         for (auto& end : suspicion.ends) {
             end.server = reader.read_number();
             end.is_confirmed = reader.read_number() != 0;
+            end.ended_at = now - read_milliseconds(reader);
+            end.sent_at = end.ended_at - read_milliseconds(reader);
         }
     }
     if (!reader.is_complete()) {
--- a/src/quarantine/internal/crash_suspicion_table.cpp
+++ b/src/quarantine/internal/crash_suspicion_table.cpp
@@ -19,6 +19,14 @@
 constexpr end_limits content_limits{2, 3};
 // Popular parts run on many servers at once, and quarantining one rejects requests of many callers.
 constexpr end_limits prompt_part_limits{3, 4};
+// Servers may end together for a reason of their own, under requests that have a common part. A part is
+// quarantined only if a server ended under a request that was sent after another server had ended.
+constexpr std::size_t min_successive_ends = 2;
+// Gateways see the ends of servers that end together within some milliseconds, and retry meanwhile.
+constexpr std::chrono::milliseconds min_time_between_ends{20};
+// Without successive ends, for a part that no request is known to have been completed with: so many requests
+// at once have only popular parts in common, or one that ends servers.
+constexpr std::size_t min_simultaneous_ends = 5;
 // Enough to explain the ends under all that ran beside a quarantined request.
 constexpr std::size_t max_ends = 64;
 // A crash suspects each request that ran on the server, with all its parts.
@@ -26,6 +34,22 @@
 // Shared parts in use at one gateway.
 constexpr std::size_t min_remembered_parts = 4'096;
 
+// Returns the length of the longest series of ends, each under a request that was sent after the end before.
+std::size_t count_successive(std::vector<server_end> ends)
+{
+    std::ranges::sort(ends, {}, &server_end::ended_at);
+    std::size_t count = 0;
+    time_point last_end;
+    for (const auto& end : ends) {
+        const bool is_first = count == 0;
+        if (is_first || (end.sent_at >= last_end && end.ended_at >= last_end + min_time_between_ends)) {
+            ++count;
+            last_end = end.ended_at;
+        }
+    }
+    return count;
+}
+
 } // namespace
 
 crash_suspicion_table::crash_suspicion_table(const clock& time, duration retention)
@@ -33,11 +57,22 @@
 {
 }
 
-bool crash_suspicion_table::is_enough(const request_trait& trait, const std::vector<server_end>& ends)
+// Returns whether this gateway knows of a completed request with a prompt part.
+bool crash_suspicion_table::is_proven(const request_trait& trait) const
+{
+    return !trait.is_content() && this->completions.last_completion(trait.fingerprint).has_value();
+}
+
+bool crash_suspicion_table::is_enough(const request_trait& trait, const std::vector<server_end>& ends) const
 {
     const auto& limits = trait.is_content() ? content_limits : prompt_part_limits;
-    return ends.size() >= limits.any ||
-           std::ranges::count_if(ends, &server_end::is_confirmed) >= limits.confirmed;
+    const bool are_many = ends.size() >= limits.any ||
+                          std::ranges::count_if(ends, &server_end::is_confirmed) >= limits.confirmed;
+    if (!are_many || trait.is_content()) {
+        return are_many;
+    }
+    return count_successive(ends) >= min_successive_ends ||
+           (!this->is_proven(trait) && ends.size() >= min_simultaneous_ends);
 }
 
 bool crash_suspicion_table::add_end(std::vector<server_end>& ends, const server_end& end)
@@ -52,6 +87,8 @@
     }
     const bool is_news = end.is_confirmed && !known->is_confirmed;
     known->is_confirmed = known->is_confirmed || end.is_confirmed;
+    known->ended_at = std::min(known->ended_at, end.ended_at);
+    known->sent_at = std::max(known->sent_at, end.sent_at);
     return is_news;
 }
 
@@ -63,13 +100,10 @@
     });
 }
 
-bool crash_suspicion_table::record_end(const request_trait& trait, const server_end& end, time_point sent_at)
+bool crash_suspicion_table::record_end(const request_trait& trait, const server_end& end)
 {
-    if (!trait.is_content()) {
-        const auto completed_at = this->completions.last_completion(trait.fingerprint);
-        if (completed_at && *completed_at >= sent_at) {
-            return false;
-        }
+    if (this->is_proven(trait) && *this->completions.last_completion(trait.fingerprint) >= end.sent_at) {
+        return false;
     }
     auto& suspected = this->suspects[trait];
     suspected.specificity = std::max(suspected.specificity, trait.specificity);
@@ -86,6 +120,7 @@
 
 bool crash_suspicion_table::clear(const request_trait& trait)
 {
+    const bool was_candidate = this->is_candidate(trait);
     if (!trait.is_content()) {
         this->completions.record(trait.fingerprint, this->time.now());
     }
@@ -93,7 +128,6 @@
     if (found == this->suspects.end() || found->second.ends.empty()) {
         return false;
     }
-    const bool was_candidate = this->is_candidate(trait);
     ++found->second.clearances;
     found->second.ends.clear();
     found->second.changed_at = this->time.now();
@@ -143,21 +177,21 @@
     std::vector<quarantine_candidate> found;
     for (const auto& [trait, suspected] : this->suspects) {
         if (this->is_candidate(trait)) {
-            const bool is_unproven = !this->completions.last_completion(trait.fingerprint);
-            found.push_back({{trait.fingerprint, suspected.specificity}, is_unproven, suspected.ends});
+            found.push_back({{trait.fingerprint, suspected.specificity}, suspected.ends});
         }
     }
     return found;
 }
 
 // Quarantines the traits that explain most ends, and then those that explain most of the rest. Traits that
-// explain equally many are told apart by whether a server has ever completed a request with them, and by
+// explain equally many are told apart by whether requests with them are known to have been completed, and by
 // which fewer requests have; what is still equal is quarantined together.
 void crash_suspicion_table::update_quarantine()
 {
-    const auto rank = [](const quarantine_candidate& candidate) {
-        return std::tuple{
-            candidate.unexplained_ends.size(), candidate.is_unproven, candidate.trait.specificity};
+    const auto rank = [this](const quarantine_candidate& candidate) {
+        return std::tuple{candidate.unexplained_ends.size(),
+                          !this->is_proven(candidate.trait),
+                          candidate.trait.specificity};
     };
     this->quarantined_traits.clear();
     auto remaining = this->candidates();
@@ -173,8 +207,8 @@
         for (auto& candidate : remaining) {
             remove_ends(candidate.unexplained_ends, explained);
         }
-        std::erase_if(remaining, [](const quarantine_candidate& candidate) {
-            return !is_enough(candidate.trait, candidate.unexplained_ends);
+        std::erase_if(remaining, [this](const quarantine_candidate& candidate) {
+            return !this->is_enough(candidate.trait, candidate.unexplained_ends);
         });
     }
 }
