Repeat every suspicion and clearance to other gateways in turn

The messages that are to make up for lost ones held what is quarantined and what had changed last, and hundreds of contents had changed since. Now they hold what is quarantined, and of the rest 60 in turn.

Its order of what is repeated replaces that of what changed last; the checks on quarantined traits and on the number kept are the same.

--- a/src/gateway/internal/crash_quarantine.cpp
+++ b/src/gateway/internal/crash_quarantine.cpp
@@ -16,7 +16,7 @@
 // A gateway that has missed a message, or has just started, learns of it within a few of these.
 constexpr std::chrono::milliseconds repeat_interval{500};
 constexpr std::size_t max_message_bytes = 3'000;
-// As many as a message usually holds.
+// As many as one message usually holds.
 constexpr std::size_t max_repeated_suspicions = 60;
 
 std::uint64_t key_of(const backend_server& server)
@@ -267,9 +267,10 @@
     this->repeated_at = now;
     this->suspicions.remove_expired();
     if (this->channel != nullptr && !this->suspicions.is_empty()) {
-        const auto messages = encode_suspicions(
-            this->suspicions.most_relevant(max_repeated_suspicions), max_message_bytes, now);
-        this->channel->send_to_some(messages.front());
+        const auto repeated = this->suspicions.take_next(max_repeated_suspicions);
+        for (const auto& message : encode_suspicions(repeated, max_message_bytes, now)) {
+            this->channel->send_to_some(message);
+        }
     }
 }
 
--- a/src/quarantine/crash_suspicion_table.h
+++ b/src/quarantine/crash_suspicion_table.h
@@ -40,9 +40,9 @@
     // Returns what is known of a trait.
     std::optional<crash_suspicion> find(const request_trait& trait) const;
 
-    // Returns at most `max_count` suspicions: quarantined traits first, and of the others those that have
-    // changed last.
-    std::vector<crash_suspicion> most_relevant(std::size_t max_count) const;
+    // Returns at most `max_count` suspicions to repeat to others: quarantined traits first, and of the rest
+    // those that follow the last ones returned, so that in time every suspicion and clearance is repeated.
+    std::vector<crash_suspicion> take_next(std::size_t max_count);
 
     // Returns the quarantined traits.
     const std::set<request_trait>& quarantined() const;
@@ -79,6 +79,7 @@
     duration retention;
     std::map<request_trait, suspected_trait> suspects;
     std::set<request_trait> quarantined_traits;
+    request_trait last_taken;
     completion_history completions;
 };
 
--- a/src/quarantine/internal/crash_suspicion_table.cpp
+++ b/src/quarantine/internal/crash_suspicion_table.cpp
@@ -250,22 +250,24 @@
     return {{trait.fingerprint, suspected.specificity}, suspected.clearances, suspected.ends, age};
 }
 
-std::vector<crash_suspicion> crash_suspicion_table::most_relevant(std::size_t max_count) const
+std::vector<crash_suspicion> crash_suspicion_table::take_next(std::size_t max_count)
 {
-    const auto rank = [this](const auto* suspect) {
-        return std::tuple{this->quarantined_traits.contains(suspect->first), suspect->second.changed_at};
-    };
-    std::vector<const std::pair<const request_trait, suspected_trait>*> ordered;
-    for (const auto& suspect : this->suspects) {
-        ordered.push_back(&suspect);
-    }
-    std::ranges::sort(ordered, std::greater{}, rank);
     std::vector<crash_suspicion> selected;
-    for (const auto* const suspect : ordered) {
-        if (selected.size() == max_count) {
-            break;
+    for (const auto& trait : this->quarantined_traits) {
+        if (selected.size() < max_count) {
+            selected.push_back(this->to_suspicion(trait, this->suspects.at(trait)));
+        }
+    }
+    auto next = this->suspects.upper_bound(this->last_taken);
+    for (std::size_t visited = 0; visited < this->suspects.size() && selected.size() < max_count; ++visited) {
+        if (next == this->suspects.end()) {
+            next = this->suspects.begin();
+        }
+        this->last_taken = next->first;
+        if (!this->quarantined_traits.contains(next->first)) {
+            selected.push_back(this->to_suspicion(next->first, next->second));
         }
-        selected.push_back(this->to_suspicion(suspect->first, suspect->second));
+        ++next;
     }
     return selected;
 }
--- a/src/quarantine/tests/crash_suspicion_tests.cpp
+++ b/src/quarantine/tests/crash_suspicion_tests.cpp
@@ -174,8 +174,8 @@
             section("after a full exchange all agree", [&] {
                 for (auto& to : gateways) {
                     for (int round = 0; round < 2; ++round) {
-                        for (const auto& from : gateways) {
-                            for (const auto& known : from.most_relevant(100)) {
+                        for (auto& from : gateways) {
+                            for (const auto& known : from.take_next(100)) {
                                 to.merge(known);
                             }
                         }
@@ -189,6 +189,30 @@
                 }
             });
         });
+        section("a clearance was lost on its way to one gateway, and much else has happened since", [] {
+            constexpr request_trait common_part{1, 0};
+            manual_clock time;
+            crash_suspicion_table here(time, retention);
+            crash_suspicion_table elsewhere(time, retention);
+            for (std::uint64_t server = 1; server <= 3; ++server) {
+                elsewhere.record_end(common_part, confirmed(server));
+            }
+            here.merge(*elsewhere.find(common_part));
+            here.clear(common_part);
+            for (std::uint64_t other = 100; other < 1'100; ++other) {
+                time.advance(1ms);
+                here.record_end({other, request_trait::content_specificity}, confirmed(4));
+            }
+            CPPUNIT_ASSERT(elsewhere.quarantine_left(common_part, {}) > 0s);
+            section("it arrives with one of the repeated messages, each of which holds 60 suspicions", [&] {
+                for (int message = 0; message < 20; ++message) {
+                    for (const auto& known : here.take_next(60)) {
+                        elsewhere.merge(known);
+                    }
+                }
+                CPPUNIT_ASSERT(elsewhere.quarantine_left(common_part, {}) == 0s);
+            });
+        });
         section("passing a suspicion on does not renew it", [] {
             manual_clock time;
             crash_suspicion_table first(time, retention);
@@ -412,9 +436,9 @@
             CPPUNIT_ASSERT(table.quarantine_left(culprit, {}) > 0s);
             CPPUNIT_ASSERT_EQUAL(std::size_t{1}, table.quarantined().size());
             section("the oldest of the others are forgotten", [&] {
-                CPPUNIT_ASSERT_EQUAL(std::size_t{2'048}, table.most_relevant(20'000).size());
+                CPPUNIT_ASSERT_EQUAL(std::size_t{2'048}, table.take_next(20'000).size());
                 CPPUNIT_ASSERT(!table.find({first_other, request_trait::content_specificity}));
-                CPPUNIT_ASSERT(culprit == table.most_relevant(1).front().trait);
+                CPPUNIT_ASSERT(culprit == table.take_next(1).front().trait);
             });
         });
     }
