--- a/src/gateway/tests/crash_quarantine_tests.cpp
+++ b/src/gateway/tests/crash_quarantine_tests.cpp
@@ -21,6 +21,18 @@
         this->active_route.max_attempts = 4;
     }
 
+    // Replaces the servers by a prefill and a decode engine, for prompts that are worth a separate prefill.
+    void use_separate_prefill()
+    {
+        for (const auto* const id : {"a", "b", "c", "d"}) {
+            this->remove_server(id);
+        }
+        this->add_server("p", engine_role::prefill);
+        this->add_server("e", engine_role::decode);
+        this->is_model = true;
+        this->prompt = {5, 6'000, 3'000, 10};
+    }
+
     // The server of a call ends while it runs the request.
     void end_server(std::size_t call_index)
     {
@@ -234,13 +246,7 @@
     {
         section("a prompt is prefilled while servers end under another copy of it", [] {
             quarantine_fixture gateway;
-            for (const auto* const id : {"a", "b", "c", "d"}) {
-                gateway.remove_server(id);
-            }
-            gateway.add_server("p", engine_role::prefill);
-            gateway.add_server("e", engine_role::decode);
-            gateway.is_model = true;
-            gateway.prompt = {5, 6'000, 3'000, 10};
+            gateway.use_separate_prefill();
             const auto caller = gateway.send(10s, {}, "r1");
             CPPUNIT_ASSERT_EQUAL(std::string{"1"},
                                  find_header(gateway.call(0).request.headers, "prefill-only"));
@@ -260,14 +266,8 @@
         });
         section("the prefill engine ends, and so does the decode engine", [] {
             quarantine_fixture gateway;
-            for (const auto* const id : {"a", "b", "c", "d"}) {
-                gateway.remove_server(id);
-            }
-            gateway.add_server("p", engine_role::prefill);
-            gateway.add_server("e", engine_role::decode);
+            gateway.use_separate_prefill();
             gateway.add_server("f", engine_role::decode);
-            gateway.is_model = true;
-            gateway.prompt = {5, 6'000, 3'000, 10};
             gateway.send(10s, {}, "r1");
             gateway.end_server(0);
             gateway.end_server(1);
@@ -353,13 +353,7 @@
         });
         section("a request with the part is only being prefilled", [] {
             quarantine_fixture gateway;
-            for (const auto* const id : {"a", "b", "c", "d"}) {
-                gateway.remove_server(id);
-            }
-            gateway.add_server("p", engine_role::prefill);
-            gateway.add_server("e", engine_role::decode);
-            gateway.is_model = true;
-            gateway.prompt = {5, 6'000, 3'000, 10};
+            gateway.use_separate_prefill();
             const auto caller = gateway.send_prompt("r1", {deadly});
             gateway.quarantine_part(deadly);
             gateway.loop->run_once();
--- a/src/quarantine/types/crash_suspicion.h
+++ b/src/quarantine/types/crash_suspicion.h
@@ -12,8 +12,8 @@
 struct server_end {
     std::uint64_t server = 0;  // hash of the server's id and incarnation
     bool is_confirmed = false; // its port refused a connection; otherwise it only stayed silent
-    time_point ended_at;       // at the first sign of it
-    time_point sent_at;        // when the last of the requests in question was sent to it
+    time_point ended_at{};     // at the first sign of it
+    time_point sent_at{};      // when the last of the requests in question was sent to it
 
     friend bool operator==(const server_end&, const server_end&) = default;
 };
--- a/src/quarantine/types/request_traits.h
+++ b/src/quarantine/types/request_traits.h
@@ -57,7 +57,7 @@
 // A request at a backend server.
 struct running_request {
     request_traits traits;
-    time_point sent_at;
+    time_point sent_at{};
     // The response ended with its connection, so it is complete only if the server lives on.
     bool has_unframed_response = false;
 
--- a/tests/support/gateway_group.h
+++ b/tests/support/gateway_group.h
@@ -80,6 +80,18 @@
             });
     }
 
+    // Waits until every gateway knows all servers and the other gateways, and returns their addresses.
+    std::vector<std::string> wait_until_serving(int server_count)
+    {
+        std::vector<std::string> addresses;
+        for (const auto& [host, each] : this->members) {
+            addresses.push_back(each.address);
+            this->wait_for_metric(host, "tanager_servers_taking_work", server_count);
+            this->wait_for_metric(host, "tanager_peers_heard", static_cast<double>(this->members.size()) - 1);
+        }
+        return addresses;
+    }
+
     // Waits until every gateway has heard of all others, and returns the hosts of those that watch the store.
     std::vector<std::string> wait_for_election()
     {
--- a/tests/tests/crashing_prompt_part_tests.cpp
+++ b/tests/tests/crashing_prompt_part_tests.cpp
@@ -57,13 +57,9 @@
     explicit prompt_sender(const prompt_scenario& scenario)
         : scenario(scenario),
           group(gateway_count, {"--servers", "0", "--timeout-ms", "3000"}),
-          fleet(group, server_count, server_arguments(scenario))
+          fleet(group, server_count, server_arguments(scenario)),
+          gateways(group.wait_until_serving(server_count))
     {
-        for (const auto& [host, each] : this->group.members) {
-            this->gateways.push_back(each.address);
-            this->group.wait_for_metric(host, "tanager_servers_taking_work", server_count);
-            this->group.wait_for_metric(host, "tanager_peers_heard", gateway_count - 1);
-        }
     }
 
     void run()
--- a/tests/tests/crashing_request_tests.cpp
+++ b/tests/tests/crashing_request_tests.cpp
@@ -59,13 +59,9 @@
     request_sender(int gateway_count, const std::string& crash_mode, repeated_request culprit)
         : group(gateway_count, {"--servers", "0", "--timeout-ms", "3000"}),
           fleet(group, server_count, {"--crash-mode", crash_mode}),
-          culprit(std::move(culprit))
+          culprit(std::move(culprit)),
+          gateways(group.wait_until_serving(server_count))
     {
-        for (const auto& [host, each] : this->group.members) {
-            this->gateways.push_back(each.address);
-            this->group.wait_for_metric(host, "tanager_servers_taking_work", server_count);
-            this->group.wait_for_metric(host, "tanager_peers_heard", gateway_count - 1);
-        }
     }
 
     observed_result run()
