--- a/src/gateway/internal/request_forwarder.cpp
+++ b/src/gateway/internal/request_forwarder.cpp
@@ -588,9 +588,23 @@
     }
     if (this->state != request_state::responding) {
         this->response_headers = this->context.codec.filter_response_headers(headers);
+        return;
+    }
+    if (!this->continues_stream(status, headers)) {
+        this->abandon_response(
+            {result_code::backend_failed,
+             this->server->id + " did not resume the stream: status " + std::to_string(status)});
     }
 }
 
+// Returns whether a response can follow the events that the caller already has: the caller takes all that
+// follows for the rest of the stream, and its end for the end of the stream.
+bool request_forwarder::continues_stream(int status, const http_headers& headers) const
+{
+    return status == this->streamed_status &&
+           media_type_of(headers) == media_type_of(this->response_headers);
+}
+
 // Cancels an attempt whose response cannot be forwarded, and retries or fails the request.
 void request_forwarder::abandon_response(const error& cause)
 {
@@ -645,6 +659,7 @@
         this->context.metrics.observe_duration("tanager_first_event_seconds",
                                                {this->routed.service, this->routed.chosen_route->name},
                                                this->time_to_first_event);
+        this->streamed_status = this->response.status;
         this->routed.exchange->start(this->response.status, this->response_headers);
     }
     this->context.link.record_sent(complete_events.size());
@@ -668,7 +683,7 @@
         return;
     }
     this->record_completion();
-    if (this->response.status >= status_first_failure && this->state != request_state::responding) {
+    if (this->response.status >= status_first_failure) {
         this->handle_server_failure();
         return;
     }
--- a/src/gateway/internal/request_forwarder.h
+++ b/src/gateway/internal/request_forwarder.h
@@ -136,6 +136,7 @@
     void record_completion();
     bool is_stream() const;
     bool is_stream_broken_off() const;
+    bool continues_stream(int status, const http_headers& headers) const;
     void record_unfinished_attempt();
     bool has_missed_objective() const;
     duration elapsed() const;
@@ -164,6 +165,7 @@
     response_info response;
     http_headers response_headers;
     bool is_response_framed = false;
+    int streamed_status = 0; // of the stream that the caller receives
     duration quarantine_left{0}; // when the request was rejected for it
     bounded_text buffered_body;
     sse_event_splitter events;
--- a/src/gateway/tests/gateway_tests.cpp
+++ b/src/gateway/tests/gateway_tests.cpp
@@ -48,6 +48,7 @@
     CPPUNIT_TEST(stays_with_a_slow_server_when_no_other_has_a_free_slot);
     CPPUNIT_TEST(resumes_a_stream);
     CPPUNIT_TEST(a_stream_that_ends_inside_an_event_is_not_complete);
+    CPPUNIT_TEST(a_response_that_does_not_continue_a_stream_does_not_complete_it);
     CPPUNIT_TEST(aborts_a_stream_that_may_not_be_resumed);
     CPPUNIT_TEST(prefills_on_a_separate_engine);
     CPPUNIT_TEST(gives_a_long_output_a_slot_in_a_burst);
@@ -402,6 +403,97 @@
         });
     }
 
+    // Guards against a stream that ends as complete when the server that should resume it answers with anything
+    // but the rest of the stream (review case 1).
+    void a_response_that_does_not_continue_a_stream_does_not_complete_it()
+    {
+        const std::string first_event = "id: 1\ndata: a\n\n";
+        const auto break_stream = [&](forwarding_fixture& gateway) {
+            gateway.active_route.kind = route_kind::streaming;
+            gateway.active_route.is_resumable = true;
+            gateway.add_server("c", engine_role::none);
+            auto exchange = gateway.send();
+            gateway.call(0).handler->on_head(200, valid_response_headers);
+            gateway.call(0).handler->on_data(first_event);
+            gateway.call(0).fail(call_progress::maybe_sent);
+            return exchange;
+        };
+        auto with_length = valid_response_headers;
+        with_length.push_back({"Content-Length", "6"});
+        auto with_other_type = valid_response_headers;
+        with_other_type.push_back({"Content-Type", "application/json"});
+        struct non_continuation {
+            std::string name;
+            int status;
+            http_headers headers;
+            std::string body;
+        };
+        const std::vector<non_continuation> responses{
+            {"an interim response", 103, valid_response_headers, ""},
+            {"a success without content", 204, valid_response_headers, ""},
+            {"another success", 206, with_length, "id: 2\ndata: b\n\n"},
+            {"a body of another type", 200, with_other_type, "id: 2\ndata: b\n\n"},
+            {"a redirect", 307, with_length, "failed"},
+            {"an error of the request", 404, with_length, "failed"},
+            {"an error of the server", 500, with_length, "failed"},
+            {"an error of the server without a signature", 500, {{"id", "r1"}}, "failed"},
+            {"the end of its time budget", 504, with_length, "failed"},
+            {"an unmarked 503", 503, with_length, "failed"},
+            {"a refusal", 503, {{"id", "r1"}, {"not-run", "1"}}, ""},
+            {"a refusal by another server", 421, {}, ""},
+            {"a response to another request", 200, {{"id", "r0"}, {"signed", "1"}}, "id: 2\ndata: b\n\n"},
+            {"a stream without a signature", 200, {{"id", "r1"}}, "id: 2\ndata: b\n\n"},
+        };
+        for (const auto& response : responses) {
+            section("a broken stream is resumed, and the next server sends " + response.name, [&] {
+                section("a third server completes it while the route allows another attempt", [&] {
+                    forwarding_fixture gateway;
+                    gateway.active_route.max_attempts = 3;
+                    const auto exchange = break_stream(gateway);
+                    gateway.call(1).respond(response.status, response.headers, response.body);
+                    CPPUNIT_ASSERT(!exchange->is_finished && !exchange->is_aborted);
+                    CPPUNIT_ASSERT_EQUAL(std::string{"1"},
+                                         find_header(gateway.call(2).request.headers, "resume"));
+                    gateway.call(2).respond(200, valid_response_headers, "id: 2\ndata: b\n\n");
+                    CPPUNIT_ASSERT(exchange->is_finished);
+                    CPPUNIT_ASSERT_EQUAL(first_event + "id: 2\ndata: b\n\n", exchange->sent_response.body);
+                });
+                section("its caller sees it cut after the last attempt", [&] {
+                    forwarding_fixture gateway;
+                    gateway.active_route.max_attempts = 2;
+                    const auto exchange = break_stream(gateway);
+                    gateway.call(1).respond(response.status, response.headers, response.body);
+                    if (gateway.client.calls.size() == 3) { // a refusal is no attempt
+                        gateway.call(2).respond(response.status, response.headers, response.body);
+                    }
+                    CPPUNIT_ASSERT(exchange->is_aborted);
+                    CPPUNIT_ASSERT(!exchange->is_finished);
+                    CPPUNIT_ASSERT_EQUAL(first_event, exchange->sent_response.body);
+                    CPPUNIT_ASSERT_EQUAL(1, gateway.finished_requests);
+                    CPPUNIT_ASSERT(gateway.pool.local_loads().empty());
+                });
+                section("its caller sees it cut when the retry budget is spent", [&] {
+                    forwarding_fixture gateway;
+                    gateway.retries = retry_budget{0.0, 1.0};
+                    gateway.active_route.max_attempts = 3;
+                    const auto exchange = break_stream(gateway);
+                    gateway.call(1).respond(response.status, response.headers, response.body);
+                    CPPUNIT_ASSERT(exchange->is_aborted);
+                    CPPUNIT_ASSERT(!exchange->is_finished);
+                });
+            });
+        }
+        section("a broken stream is resumed after its last event, and the next server only ends it", [&] {
+            forwarding_fixture gateway;
+            const auto exchange = break_stream(gateway);
+            auto empty = valid_response_headers;
+            empty.push_back({"Content-Length", "0"});
+            gateway.call(1).respond(200, empty, "");
+            CPPUNIT_ASSERT(exchange->is_finished);
+            CPPUNIT_ASSERT_EQUAL(first_event, exchange->sent_response.body);
+        });
+    }
+
     void aborts_a_stream_that_may_not_be_resumed()
     {
         section("a stream that is not resumable breaks after its first event", [] {
--- a/src/net/internal/http_types.cpp
+++ b/src/net/internal/http_types.cpp
@@ -1,5 +1,7 @@
 #include "net/types/http_types.h"
 
+#include <algorithm>
+#include <cctype>
 #include <charconv>
 #include <strings.h>
 
@@ -44,6 +46,16 @@
     return {};
 }
 
+std::string media_type_of(const http_headers& headers)
+{
+    const auto content_type = find_header(headers, "Content-Type");
+    std::string media_type = content_type.substr(0, content_type.find_first_of("; \t"));
+    std::ranges::transform(media_type, media_type.begin(), [](unsigned char letter) {
+        return static_cast<char>(std::tolower(letter));
+    });
+    return media_type;
+}
+
 bool is_framed(int status, const http_headers& headers)
 {
     return !find_header(headers, "Content-Length").empty() ||
--- a/src/net/types/http_types.h
+++ b/src/net/types/http_types.h
@@ -51,6 +51,9 @@
 // Returns the value of the first header of that name, ignoring case, or an empty string.
 std::string find_header(const http_headers& headers, std::string_view name);
 
+// Returns the type and subtype of a message's body in lower case, or an empty string without a Content-Type.
+std::string media_type_of(const http_headers& headers);
+
 // Returns whether a response's head tells where its body ends; otherwise only the end of its connection does.
 bool is_framed(int status, const http_headers& headers);
 
