--- a/src/gateway/internal/prefill_call.cpp
+++ b/src/gateway/internal/prefill_call.cpp
@@ -33,6 +33,9 @@
             if (callback_to_run) {
                 callback_to_run(cache);
             }
+        },
+        [self = this->shared_from_this()](int status, const http_headers& headers) {
+            return self->is_answer(status, headers);
         });
 }
 
@@ -44,8 +47,23 @@
     }
 }
 
+// An engine may send a response twice, and the second copy then arrives where the next response is due. A handle in it
+// names the KV cache of another request.
+bool prefill_call::is_answer(int status, const http_headers& headers)
+{
+    this->is_foreign =
+        !this->codec.decode_response_head(this->request, status, headers).answers_request();
+    return !this->is_foreign;
+}
+
 result<kv_cache_handle> prefill_call::decode_result(const tl::expected<http_response, http_failure>& response)
 {
+    if (this->is_foreign) {
+        this->pool.record_outcome(this->prefill_engine->id, server_outcome::failed);
+        return fail(result_code::backend_answer_foreign,
+                    std::string{name_of(result_code::backend_answer_foreign)} + " from " +
+                        this->prefill_engine->id);
+    }
     if (!response) {
         this->pool.record_outcome(this->prefill_engine->id, server_outcome::unresponsive);
         return tl::make_unexpected(response.error().cause);
--- a/src/gateway/internal/prefill_call.h
+++ b/src/gateway/internal/prefill_call.h
@@ -33,6 +33,7 @@
     void cancel();
 
 private:
+    bool is_answer(int status, const http_headers& headers);
     result<kv_cache_handle> decode_result(const tl::expected<http_response, http_failure>& response);
 
     const request_codec& codec;
@@ -41,6 +42,7 @@
     caller_request request;
     std::shared_ptr<http_call> call;
     callback on_end;
+    bool is_foreign = false; // the engine answered another request
 };
 
 } // namespace tanager
--- a/src/gateway/internal/request_forwarder.cpp
+++ b/src/gateway/internal/request_forwarder.cpp
@@ -56,6 +56,14 @@
 // A request that may execute only once uses a new connection rather than one that the server may be closing.
 constexpr std::chrono::milliseconds max_connection_idle_unrepeatable{700};
 
+// Returns whether a prefill failed although its engine has sent a response.
+bool has_answered(const error& prefill_failure)
+{
+    return prefill_failure.code == result_code::backend_refused ||
+           prefill_failure.code == result_code::backend_failed ||
+           prefill_failure.code == result_code::backend_answer_foreign;
+}
+
 bool is_success(int status)
 {
     return status >= status_first_success && status <= status_last_success;
@@ -331,8 +339,7 @@
     this->prefill.reset();
     this->idle_timer.reset();
     this->end_prefill(cache.has_value());
-    if (cache || cache.error().code == result_code::backend_refused ||
-        cache.error().code == result_code::backend_failed) {
+    if (cache || has_answered(cache.error())) {
         this->context.quarantine.record_response(*prefill_engine);
     } else if (cache.error().code != result_code::connect_failed) {
         this->context.quarantine.record_lost_connection(*prefill_engine, this->active_attempt());
@@ -449,6 +456,11 @@
                                {},
                                [](const tl::expected<http_response, http_failure>& /*response*/) {
                                    // If this call fails, the engine drops the cache after its own timeout.
+                               },
+                               [&codec = this->context.codec](int status, const http_headers& headers) {
+                                   // A response with an id answers a caller's request; the one to this call is
+                                   // still to come, and must not meet the next request on the connection.
+                                   return codec.decode_response_head({}, status, headers).matches_request;
                                });
     this->unclaimed_kv_cache.reset();
 }
--- a/src/gateway/tests/attempt_tests.cpp
+++ b/src/gateway/tests/attempt_tests.cpp
@@ -135,13 +135,14 @@
         counts.executions += is_accepted && !is_first_prefill ? 1 : 0;
         counts.arrivals += behaviour != server_behaviour::unreachable && !is_first_prefill ? 1 : 0;
         if (is_prefill) {
-            handle_prefill(call, behaviour);
+            handle_prefill(call, behaviour, id);
             return;
         }
         this->handle_attempt(call, behaviour, id);
     }
 
-    static void handle_prefill(fake_client::fake_call& call, server_behaviour behaviour)
+    static void
+    handle_prefill(fake_client::fake_call& call, server_behaviour behaviour, const std::string& id)
     {
         switch (behaviour) {
         case server_behaviour::refuse:
@@ -158,8 +159,11 @@
         case server_behaviour::stall_stream:
         case server_behaviour::never_respond:
             return;
+        case server_behaviour::respond_to_another_request:
+            call.respond(200, {{"id", "another"}}, "cache");
+            return;
         default:
-            call.respond(200, {}, "cache");
+            call.respond(200, {{"id", id}}, "cache");
         }
     }
 
--- a/src/gateway/tests/crash_quarantine_tests.cpp
+++ b/src/gateway/tests/crash_quarantine_tests.cpp
@@ -257,7 +257,7 @@
                 gateway.connector.ended.insert(ended.address);
                 gateway.quarantine.record_lost_connection(ended, {{hash64("r1"), {}}, {}});
             }
-            gateway.call(0).respond(200, {}, "handle");
+            gateway.call(0).respond(200, {{"id", "r1"}}, "handle");
             section("it is not sent to its decode engine, and its KV cache is released", [&] {
                 CPPUNIT_ASSERT_EQUAL(std::size_t{2}, gateway.client.calls.size());
                 CPPUNIT_ASSERT_EQUAL(std::string{"DELETE"}, gateway.call(1).request.method);
--- a/src/gateway/tests/gateway_tests.cpp
+++ b/src/gateway/tests/gateway_tests.cpp
@@ -32,6 +32,7 @@
 };
 
 const http_headers valid_response_headers{{"id", "r1"}, {"signed", "1"}};
+const http_headers prefill_headers{{"id", "r1"}};
 
 class gateway_tests : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(gateway_tests);
@@ -51,6 +52,7 @@
     CPPUNIT_TEST(a_response_that_does_not_continue_a_stream_does_not_complete_it);
     CPPUNIT_TEST(aborts_a_stream_that_may_not_be_resumed);
     CPPUNIT_TEST(prefills_on_a_separate_engine);
+    CPPUNIT_TEST(never_decodes_from_the_kv_cache_of_another_request);
     CPPUNIT_TEST(gives_a_long_output_a_slot_in_a_burst);
     CPPUNIT_TEST(serves_late_prompts_from_idle_slots);
     CPPUNIT_TEST(continues_a_late_stream_in_an_overload);
@@ -526,7 +528,7 @@
             CPPUNIT_ASSERT_EQUAL(std::string{"1"},
                                  find_header(gateway.call(0).request.headers, "prefill-only"));
             CPPUNIT_ASSERT_EQUAL(std::string{"p"}, gateway.server_of(gateway.call(0)));
-            gateway.call(0).respond(200, {}, "h7");
+            gateway.call(0).respond(200, prefill_headers, "h7");
             CPPUNIT_ASSERT_EQUAL(std::string{"h7"}, find_header(gateway.call(1).request.headers, "cache"));
             gateway.call(1).respond(200, valid_response_headers, "id: 1\ndata: a\n\n");
             CPPUNIT_ASSERT(exchange->is_finished);
@@ -549,7 +551,7 @@
                                      find_header(gateway.call(1).request.headers, "prefix-from"));
             });
             section("the decode engine fetches the whole KV cache from that engine only", [&] {
-                gateway.call(1).respond(200, {}, "h8");
+                gateway.call(1).respond(200, {{"id", "r2"}}, "h8");
                 CPPUNIT_ASSERT_EQUAL(std::string{"h8"},
                                      find_header(gateway.call(2).request.headers, "cache"));
                 CPPUNIT_ASSERT_EQUAL(std::string{},
@@ -588,7 +590,7 @@
                     CPPUNIT_ASSERT_EQUAL(std::string{"1"},
                                          find_header(gateway.call(1).request.headers, "prefill-only"));
                     CPPUNIT_ASSERT(gateway.server_of(gateway.call(0)) != gateway.server_of(gateway.call(1)));
-                    gateway.call(1).respond(200, {}, "h7");
+                    gateway.call(1).respond(200, prefill_headers, "h7");
                     CPPUNIT_ASSERT_EQUAL(std::string{"d"}, gateway.server_of(gateway.call(2)));
                     CPPUNIT_ASSERT_EQUAL(std::string{"h7"},
                                          find_header(gateway.call(2).request.headers, "cache"));
@@ -602,7 +604,7 @@
             add_engines(gateway);
             gateway.add_server("f", engine_role::decode);
             gateway.send();
-            gateway.call(0).respond(200, {}, "h7");
+            gateway.call(0).respond(200, prefill_headers, "h7");
             gateway.call(1).respond(503, {{"not-run", "1"}}, "");
             CPPUNIT_ASSERT_EQUAL(std::string{}, find_header(gateway.call(2).request.headers, "prefill-only"));
             CPPUNIT_ASSERT_EQUAL(std::string{"h7"}, find_header(gateway.call(2).request.headers, "cache"));
@@ -619,7 +621,7 @@
                 gateway.add_server("f", engine_role::decode);
                 gateway.pool.servers().mark_draining("d");
                 if (has_prefill_succeeded) {
-                    gateway.call(0).respond(200, {}, "h7");
+                    gateway.call(0).respond(200, prefill_headers, "h7");
                     section("another decode engine gets the KV cache", [&] {
                         CPPUNIT_ASSERT_EQUAL(std::string{"f"}, gateway.server_of(gateway.call(1)));
                         CPPUNIT_ASSERT_EQUAL(std::string{"h7"},
@@ -651,12 +653,71 @@
             forwarding_fixture gateway;
             add_engines(gateway);
             const auto exchange = gateway.send();
-            gateway.call(0).respond(200, {}, "h7");
+            gateway.call(0).respond(200, prefill_headers, "h7");
             exchange->caller_left_callback();
             CPPUNIT_ASSERT_EQUAL(std::string{"DELETE"}, gateway.client.calls.back()->request.method);
         });
     }
 
+    // Guards against a request that goes on from the KV cache of another one: a prefill engine sends a response
+    // twice, and the second copy arrives where the next response on the connection is due (review case 3).
+    void never_decodes_from_the_kv_cache_of_another_request()
+    {
+        const auto send_prompt = [](forwarding_fixture& gateway) {
+            gateway.pool.servers().replace_all({});
+            gateway.add_server("d", engine_role::decode);
+            gateway.add_server("p", engine_role::prefill);
+            gateway.active_route.kind = route_kind::streaming;
+            gateway.prompt = {5, 6'000, 2'000, 10};
+            gateway.is_model = true;
+            return gateway.send();
+        };
+        for (const auto& headers : {http_headers{{"id", "r0"}}, http_headers{}}) {
+            for (const int status : {200, 500}) {
+                const std::string name = std::to_string(status) + (headers.empty() ? " without an id" : "");
+                section("the response to a prefill is that to another request, " + name, [&] {
+                    forwarding_fixture gateway;
+                    const auto exchange = send_prompt(gateway);
+                    gateway.call(0).respond(status, headers, "h0");
+                    section("its connection is closed, since the right response may still follow", [&] {
+                        CPPUNIT_ASSERT(gateway.call(0).is_cancelled);
+                    });
+                    section("the decode engine prefills the prompt itself", [&] {
+                        CPPUNIT_ASSERT_EQUAL(std::string{"d"}, gateway.server_of(gateway.call(1)));
+                        CPPUNIT_ASSERT_EQUAL(std::string{},
+                                             find_header(gateway.call(1).request.headers, "cache"));
+                        gateway.call(1).respond(200, valid_response_headers, "id: 1\ndata: a\n\n");
+                        CPPUNIT_ASSERT_EQUAL(200, exchange->sent_response.status);
+                        CPPUNIT_ASSERT(gateway.pool.local_loads().empty());
+                    });
+                    section("the engine has answered, so it has not ended", [&] {
+                        CPPUNIT_ASSERT_EQUAL(0, gateway.connector.attempt_count);
+                    });
+                });
+            }
+        }
+        section("a KV cache is released, and a response to a request comes first", [&] {
+            forwarding_fixture gateway;
+            const auto exchange = send_prompt(gateway);
+            gateway.call(0).respond(200, prefill_headers, "h7");
+            exchange->caller_left_callback();
+            const auto& release = *gateway.client.calls.back();
+            CPPUNIT_ASSERT_EQUAL(std::string{"DELETE"}, release.request.method);
+            release.respond(200, {{"id", "r0"}}, "h0");
+            section("the connection is closed, so that the next request on it gets its own response", [&] {
+                CPPUNIT_ASSERT(release.is_cancelled);
+            });
+        });
+        section("a KV cache is released, and the engine responds: the connection stays open", [&] {
+            forwarding_fixture gateway;
+            const auto exchange = send_prompt(gateway);
+            gateway.call(0).respond(200, prefill_headers, "h7");
+            exchange->caller_left_callback();
+            gateway.client.calls.back()->respond(200, {}, "");
+            CPPUNIT_ASSERT(!gateway.client.calls.back()->is_cancelled);
+        });
+    }
+
     // A long output of a lower priority arrives while a burst of short prompts is queued.
     void gives_a_long_output_a_slot_in_a_burst()
     {
--- a/src/gateway/types/caller_request.h
+++ b/src/gateway/types/caller_request.h
@@ -54,6 +54,12 @@
     bool not_executed = false;    // the server states that it did not execute the request
     bool is_misdirected = false;  // another server now uses the address
 
+    // Returns whether this is the response to the request. A server that refuses need not repeat the id.
+    bool answers_request() const
+    {
+        return this->matches_request || this->not_executed;
+    }
+
     friend bool operator==(const response_info&, const response_info&) = default;
 };
 
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -97,11 +97,17 @@
 
     using response_callback = std::function<void(const tl::expected<http_response, http_failure>&)>;
 
-    // Starts a call whose response is collected in memory. A body over 8 MB fails with reply_malformed.
+    // Returns whether a response's head belongs to the call.
+    using head_check = std::function<bool(int status, const http_headers& headers)>;
+
+    // Starts a call whose response is collected in memory. A body over 8 MB fails with reply_malformed. So does a
+    // head that `is_expected` rejects, as on a connection whose peer has sent another response twice; that
+    // connection is not used again.
     std::shared_ptr<http_call> fetch(const socket_address& peer,
                                      const http_request& request,
                                      const http_call_options& options,
-                                     response_callback callback);
+                                     response_callback callback,
+                                     head_check is_expected = {});
 };
 
 } // namespace tanager
--- a/src/net/internal/http_client.cpp
+++ b/src/net/internal/http_client.cpp
@@ -365,10 +365,17 @@
 // Collects a response in memory.
 class collecting_handler final : public http_response_handler {
 public:
-    explicit collecting_handler(http_client::response_callback callback) : callback(std::move(callback)) {}
+    collecting_handler(http_client::response_callback callback, http_client::head_check is_expected)
+        : callback(std::move(callback)), is_expected(std::move(is_expected))
+    {
+    }
 
     void on_head(int status, const http_headers& headers) override
     {
+        if (this->is_expected && !this->is_expected(status, headers)) {
+            this->abandon("a response to another request");
+            return;
+        }
         this->response.status = status;
         this->response.headers = headers;
     }
@@ -384,10 +391,7 @@
             this->response.body += data;
             return;
         }
-        if (const auto alive = this->call.lock()) {
-            alive->cancel();
-        }
-        this->on_failure({{result_code::reply_malformed, "a reply without end"}, call_progress::maybe_sent});
+        this->abandon("a reply without end");
     }
 
     void on_end() override
@@ -401,7 +405,16 @@
     }
 
 private:
+    void abandon(const std::string& reason)
+    {
+        if (const auto alive = this->call.lock()) {
+            alive->cancel();
+        }
+        this->on_failure({{result_code::reply_malformed, reason}, call_progress::maybe_sent});
+    }
+
     http_client::response_callback callback;
+    http_client::head_check is_expected;
     http_response response;
     std::weak_ptr<http_call> call;
 };
@@ -416,9 +429,11 @@
 std::shared_ptr<http_call> http_client::fetch(const socket_address& peer,
                                               const http_request& request,
                                               const http_call_options& options,
-                                              response_callback callback)
+                                              response_callback callback,
+                                              head_check is_expected)
 {
-    const auto collector = std::make_shared<collecting_handler>(std::move(callback));
+    const auto collector =
+        std::make_shared<collecting_handler>(std::move(callback), std::move(is_expected));
     auto call = this->start(peer, request, options, collector);
     collector->set_call(call);
     return call;
--- a/src/roles/internal/role_order_sender.cpp
+++ b/src/roles/internal/role_order_sender.cpp
@@ -18,6 +18,16 @@
 // it.
 constexpr std::chrono::seconds max_execution_delay{15};
 
+// Reports and responses to orders carry no id. On a connection that was used before, a second copy of an earlier
+// response could be taken for them.
+http_call_options make_call_options()
+{
+    http_call_options options;
+    options.timeout = call_timeout;
+    options.reuse_connection = false;
+    return options;
+}
+
 std::string name_of_role(engine_role role)
 {
     return role == engine_role::prefill ? "prefill" : "decode";
@@ -76,12 +86,10 @@
         this->on_ended = std::move(on_ended);
         this->engine_in_flight = engine.id;
         this->is_call_in_flight = true;
-        http_call_options options;
-        options.timeout = call_timeout;
         this->client.fetch(
             engine.address,
             this->codec.encode_report_request(engine.id),
-            options,
+            make_call_options(),
             [self = this->shared_from_this(), engine, change](const auto& response) {
                 const auto report = response.has_value() ? self->codec.decode_report(*response)
                                                          : fail(result_code::connection_lost, engine.id);
@@ -168,13 +176,10 @@
                      {"token", std::to_string(this->token)},
                      {"expected_orders", std::to_string(accepted_order_count)}});
         const auto execution_deadline = this->time.now() + max_execution_delay;
-        http_call_options options;
-        options.timeout = call_timeout;
-        options.reuse_connection = false;
         this->client.fetch(
             engine.address,
             this->codec.encode_order(order),
-            options,
+            make_call_options(),
             [self = this->shared_from_this(), engine, execution_deadline](const auto& response) {
                 self->is_call_in_flight = false;
                 self->engine_in_flight.reset();
--- a/src/roles/tests/roles_tests.cpp
+++ b/src/roles/tests/roles_tests.cpp
@@ -274,12 +274,16 @@
             });
             section("it reads the report, renews the lease and sends an order with a higher token", [&] {
                 first.send();
+                // Guards against a second copy of an earlier response that is taken for a report or an order's
+                // response, which carry no id (review case 3).
+                CPPUNIT_ASSERT(!first.last_call().options.reuse_connection);
                 first.last_call().respond(200, {}, "5");
                 CPPUNIT_ASSERT_EQUAL(std::size_t{1}, first.client.calls.size());
                 deliver(store);
                 const auto& order = first.last_call().request;
                 CPPUNIT_ASSERT_EQUAL(std::string{"5"}, find_header(order.headers, "expected"));
                 CPPUNIT_ASSERT_EQUAL(std::string{"2"}, find_header(order.headers, "token"));
+                CPPUNIT_ASSERT(!first.last_call().options.reuse_connection);
                 first.last_call().respond(202, {}, "");
                 CPPUNIT_ASSERT(first.outcome == true);
                 CPPUNIT_ASSERT(first.orders->is_settled("e7"));
