--- a/src/gateway/internal/request_forwarder.cpp
+++ b/src/gateway/internal/request_forwarder.cpp
@@ -490,9 +490,7 @@
     if (this->state != request_state::responding) {
         this->state = request_state::sent;
     }
-    this->response = {};
-    this->events_of_earlier_attempts = this->events.event_count();
-    this->buffered_body.clear();
+    this->discard_earlier_response();
     this->handler = std::make_shared<detachable_response_handler>(this->weak_from_this());
     const bool repeatable = this->routed.chosen_route->is_repeatable();
     const http_call_options options{attempt.time_left + call_timeout_margin,
@@ -510,6 +508,17 @@
     this->start_idle_timeout();
 }
 
+// Discards what earlier attempts have left of their responses, however they ended. The caller keeps the complete
+// events.
+void request_forwarder::discard_earlier_response()
+{
+    this->response = {};
+    this->is_response_framed = false;
+    this->buffered_body.clear();
+    static_cast<void>(this->events.take_incomplete_event());
+    this->events_of_earlier_attempts = this->events.event_count();
+}
+
 void request_forwarder::start_connect_timeout()
 {
     this->connect_timer = this->context.loop.run_after(connect_timeout, [weak = this->weak_from_this()] {
@@ -823,7 +832,6 @@
     this->log.write_retry(cause.detail, this->attempts.attempts_used());
     this->context.metrics.increment_counter("tanager_requests_retried_total");
     this->tried_server_ids.push_back(this->server->id);
-    static_cast<void>(this->events.take_incomplete_event());
     this->request_slot();
     return true;
 }
--- a/src/gateway/internal/request_forwarder.h
+++ b/src/gateway/internal/request_forwarder.h
@@ -103,6 +103,7 @@
     void cancel_prefill();
     void release_kv_cache();
     void send(const std::optional<kv_cache_handle>& cache);
+    void discard_earlier_response();
     void start_connect_timeout();
     void start_idle_timeout();
     void set_idle_timeout(std::chrono::milliseconds timeout);
--- a/src/gateway/tests/gateway_tests.cpp
+++ b/src/gateway/tests/gateway_tests.cpp
@@ -50,6 +50,7 @@
     CPPUNIT_TEST(resumes_a_stream);
     CPPUNIT_TEST(a_stream_that_ends_inside_an_event_is_not_complete);
     CPPUNIT_TEST(a_response_that_does_not_continue_a_stream_does_not_complete_it);
+    CPPUNIT_TEST(a_resumed_stream_has_no_bytes_of_an_incomplete_event);
     CPPUNIT_TEST(aborts_a_stream_that_may_not_be_resumed);
     CPPUNIT_TEST(prefills_on_a_separate_engine);
     CPPUNIT_TEST(never_decodes_from_the_kv_cache_of_another_request);
@@ -496,6 +497,52 @@
         });
     }
 
+    // Guards against half an event of one server that is joined with the events of the next, whatever ends the
+    // earlier attempt (review case 4).
+    void a_resumed_stream_has_no_bytes_of_an_incomplete_event()
+    {
+        struct attempt_end {
+            std::string name;
+            std::function<void(forwarding_fixture&)> happen;
+        };
+        const std::vector<attempt_end> ends{
+            {"breaks off", [](auto& gateway) { gateway.call(0).fail(call_progress::maybe_sent); }},
+            {"ends its response", [](auto& gateway) { gateway.call(0).handler->on_end(); }},
+            {"sends an event that is too long",
+             [](auto& gateway) { gateway.call(0).handler->on_data(std::string(300'000, 'x')); }},
+            {"falls silent",
+             [](auto& gateway) {
+                 gateway.time.advance(1'100ms);
+                 bool is_wait_over = false;
+                 const auto timer = gateway.loop->run_after(1'100ms, [&] { is_wait_over = true; });
+                 while (!is_wait_over) {
+                     gateway.loop->run_once();
+                 }
+             }},
+        };
+        for (const auto& end : ends) {
+            section("a server sends an event and half of the next, and then " + end.name, [&] {
+                forwarding_fixture gateway;
+                gateway.active_route.kind = route_kind::streaming;
+                gateway.active_route.is_resumable = true;
+                gateway.active_route.max_attempts = 3;
+                gateway.add_server("c", engine_role::none);
+                const auto exchange = gateway.send();
+                gateway.call(0).handler->on_head(200, valid_response_headers);
+                gateway.call(0).handler->on_data("id: 1\ndata: a\n\nid: 2\ndata: piec");
+                end.happen(gateway);
+                section("another server sends the rest, and the caller gets each event once and whole", [&] {
+                    CPPUNIT_ASSERT_EQUAL(std::string{"1"},
+                                         find_header(gateway.call(1).request.headers, "resume"));
+                    gateway.call(1).respond(200, valid_response_headers, "id: 2\ndata: piece\n\n");
+                    CPPUNIT_ASSERT(exchange->is_finished);
+                    CPPUNIT_ASSERT_EQUAL(std::string{"id: 1\ndata: a\n\nid: 2\ndata: piece\n\n"},
+                                         exchange->sent_response.body);
+                });
+            });
+        }
+    }
+
     void aborts_a_stream_that_may_not_be_resumed()
     {
         section("a stream that is not resumable breaks after its first event", [] {
