--- a/src/net/internal/http_client.cpp
+++ b/src/net/internal/http_client.cpp
@@ -8,6 +8,7 @@
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
+#include <strings.h>
 
 namespace tanager {
 
@@ -43,6 +44,18 @@
     return EVHTTP_REQ_GET;
 }
 
+// The framing of a call follows from its body alone.
+bool is_framing_header(const std::string& name)
+{
+    return strcasecmp(name.c_str(), "Content-Length") == 0 ||
+           strcasecmp(name.c_str(), "Transfer-Encoding") == 0 || strcasecmp(name.c_str(), "Expect") == 0;
+}
+
+bool has_usual_body(const std::string& method)
+{
+    return method == "POST" || method == "PUT" || method == "PATCH";
+}
+
 http_headers read_headers(evhttp_request* native)
 {
     http_headers headers;
@@ -170,7 +183,13 @@
             evhttp_add_header(headers, "Host", to_text(this->peer).c_str());
         }
         for (const auto& header : request.headers) {
-            evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
+            if (!is_framing_header(header.name)) {
+                evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
+            }
+        }
+        // evhttp adds a length for some methods only, but sends the body of any.
+        if (!request.body.empty() || has_usual_body(request.method)) {
+            evhttp_add_header(headers, "Content-Length", std::to_string(request.body.size()).c_str());
         }
         evbuffer_add(
             evhttp_request_get_output_buffer(this->native), request.body.data(), request.body.size());
@@ -432,8 +451,7 @@
                                               response_callback callback,
                                               head_check is_expected)
 {
-    const auto collector =
-        std::make_shared<collecting_handler>(std::move(callback), std::move(is_expected));
+    const auto collector = std::make_shared<collecting_handler>(std::move(callback), std::move(is_expected));
     auto call = this->start(peer, request, options, collector);
     collector->set_call(call);
     return call;
