--- a/src/net/internal/evhttp_exchange.h
+++ b/src/net/internal/evhttp_exchange.h
@@ -16,7 +16,8 @@
 public:
     using predicate = std::function<bool()>;
 
-    // `should_close` is evaluated when the response starts; true closes the connection after the response.
+    // `should_close` is evaluated when the response starts; true closes the connection after the response. So
+    // does a request with an ambiguous framing, whose end is not known.
     evhttp_exchange(event_loop& loop, evhttp_request* native, predicate should_close, notice on_finished);
     ~evhttp_exchange() override;
     evhttp_exchange(const evhttp_exchange&) = delete;
@@ -55,6 +56,7 @@
     evhttp_connection* connection;
     http_request received;
     predicate should_close;
+    bool has_ambiguous_framing = false;
     bool started = false;
     bool finished = false;
     bool completed = false;
--- a/src/net/internal/http_client.cpp
+++ b/src/net/internal/http_client.cpp
@@ -237,7 +237,7 @@
         const int status = evhttp_request_get_response_code(request);
         const auto headers = read_headers(request);
         call.head_received = true;
-        if (!is_framed(status, headers) && !call.accept_unframed) {
+        if (is_framing_ambiguous({}, headers) || (!is_framed(status, headers) && !call.accept_unframed)) {
             call.failure_code = result_code::reply_malformed;
             return -1;
         }
--- a/src/net/internal/http_exchange.cpp
+++ b/src/net/internal/http_exchange.cpp
@@ -45,6 +45,7 @@
       connection(evhttp_request_get_connection(native)),
       received(read_request(native)),
       should_close(std::move(should_close)),
+      has_ambiguous_framing(is_framing_ambiguous(received.method, received.headers)),
       finished_callback(std::move(on_finished))
 {
 }
@@ -176,7 +177,7 @@
     for (const auto& header : headers) {
         evhttp_add_header(output, header.name.c_str(), header.value.c_str());
     }
-    if (this->should_close()) {
+    if (this->should_close() || this->has_ambiguous_framing) {
         evhttp_add_header(output, "Connection", "close");
     }
 }
@@ -252,7 +253,10 @@
     }
     this->mark_finished();
     evbuffer* const body = evbuffer_new();
-    evbuffer_add(body, response.body.data(), response.body.size());
+    // The response to HEAD has no body; the caller would read it as another response.
+    if (this->received.method != "HEAD") {
+        evbuffer_add(body, response.body.data(), response.body.size());
+    }
     evhttp_send_reply(this->native, response.status, nullptr, body);
     evbuffer_free(body);
 }
--- a/src/net/internal/http_server.cpp
+++ b/src/net/internal/http_server.cpp
@@ -12,8 +12,9 @@
 
 namespace {
 
-constexpr unsigned served_methods = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE |
-                                    EVHTTP_REQ_HEAD | EVHTTP_REQ_PATCH;
+// evhttp rejects other methods and closes their connections, except after CONNECT.
+constexpr unsigned accepted_methods = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE |
+                                      EVHTTP_REQ_HEAD | EVHTTP_REQ_PATCH | EVHTTP_REQ_CONNECT;
 
 class evhttp_server final : public http_server {
 public:
@@ -23,7 +24,7 @@
         evhttp_set_max_headers_size(this->native, static_cast<ev_ssize_t>(limits.max_header_bytes));
         evhttp_set_max_body_size(this->native, static_cast<ev_ssize_t>(limits.max_body_bytes));
         evhttp_set_timeout(this->native, static_cast<int>(limits.idle_timeout.count()));
-        evhttp_set_allowed_methods(this->native, static_cast<ev_uint16_t>(served_methods));
+        evhttp_set_allowed_methods(this->native, static_cast<ev_uint16_t>(accepted_methods));
         evhttp_set_gencb(this->native, &evhttp_server::on_request, this);
         evhttp_set_bevcb(this->native, &evhttp_server::on_connection, this);
     }
@@ -93,6 +94,10 @@
             [server] { return server->keep_alive_disabled; },
             [server] { --server->open_exchange_count; });
         exchange->attach();
+        if (evhttp_request_get_command(request) == EVHTTP_REQ_CONNECT) {
+            exchange->abort();
+            return;
+        }
         server->serve(exchange);
     }
 
--- a/src/net/internal/http_types.cpp
+++ b/src/net/internal/http_types.cpp
@@ -11,6 +11,25 @@
 
 constexpr int status_no_content = 204;
 constexpr int status_not_modified = 304;
+// More digits do not fit into 64 bits.
+constexpr std::size_t max_length_digits = 18;
+
+bool equals_ignoring_case(std::string_view left, std::string_view right)
+{
+    return left.size() == right.size() && strncasecmp(left.data(), right.data(), left.size()) == 0;
+}
+
+std::size_t count_headers(const http_headers& headers, std::string_view name)
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        headers, [&](const auto& header) { return equals_ignoring_case(header.name, name); }));
+}
+
+bool is_length(std::string_view text)
+{
+    return !text.empty() && text.size() <= max_length_digits &&
+           text.find_first_not_of("0123456789") == std::string_view::npos;
+}
 
 } // namespace
 
@@ -37,13 +56,9 @@
 
 std::string find_header(const http_headers& headers, std::string_view name)
 {
-    for (const auto& header : headers) {
-        const bool same_length = header.name.size() == name.size();
-        if (same_length && strncasecmp(header.name.data(), name.data(), name.size()) == 0) {
-            return header.value;
-        }
-    }
-    return {};
+    const auto found = std::ranges::find_if(
+        headers, [&](const auto& header) { return equals_ignoring_case(header.name, name); });
+    return found == headers.end() ? std::string{} : found->value;
 }
 
 std::string media_type_of(const http_headers& headers)
@@ -56,6 +71,27 @@
     return media_type;
 }
 
+bool is_header_name(std::string_view name)
+{
+    constexpr std::string_view symbols = "!#$%&'*+-.^_`|~";
+    return !name.empty() && std::ranges::all_of(name, [&](unsigned char letter) {
+        return letter < 0x80 && (std::isalnum(letter) != 0 ||
+                                 symbols.find(static_cast<char>(letter)) != std::string_view::npos);
+    });
+}
+
+bool is_framing_ambiguous(std::string_view method, const http_headers& headers)
+{
+    const auto lengths = count_headers(headers, "Content-Length");
+    const auto encodings = count_headers(headers, "Transfer-Encoding");
+    const auto length = find_header(headers, "Content-Length");
+    const bool has_body = encodings > 0 || (lengths > 0 && length != "0");
+    return lengths + encodings > 1 || (lengths == 1 && !is_length(length)) ||
+           (encodings == 1 && !equals_ignoring_case(find_header(headers, "Transfer-Encoding"), "chunked")) ||
+           (method == "HEAD" && has_body) ||
+           std::ranges::any_of(headers, [](const auto& header) { return !is_header_name(header.name); });
+}
+
 bool is_framed(int status, const http_headers& headers)
 {
     return !find_header(headers, "Content-Length").empty() ||
--- a/src/net/types/http_types.h
+++ b/src/net/types/http_types.h
@@ -54,6 +54,15 @@
 // Returns the type and subtype of a message's body in lower case, or an empty string without a Content-Type.
 std::string media_type_of(const http_headers& headers);
 
+// Returns whether `name` is a token as HTTP demands of header names.
+bool is_header_name(std::string_view name);
+
+// Returns whether two HTTP implementations could disagree on where a message's body ends: two lengths, a
+// length and an encoding, a length that is no plain number, an encoding other than chunked, a header whose
+// name is no token, or the body of a HEAD request. What follows such a message on its connection must not be
+// read as another message (request smuggling). `method` is empty for a response.
+bool is_framing_ambiguous(std::string_view method, const http_headers& headers);
+
 // Returns whether a response's head tells where its body ends; otherwise only the end of its connection does.
 bool is_framed(int status, const http_headers& headers);
 
--- a/tests/tests/gateway_path_tests.cpp
+++ b/tests/tests/gateway_path_tests.cpp
@@ -114,6 +114,7 @@
     CPPUNIT_TEST_SUITE(gateway_path_tests);
     CPPUNIT_TEST(serves_each_kind_of_request);
     CPPUNIT_TEST(keeps_its_guarantees_when_servers_fail);
+    CPPUNIT_TEST(runs_no_request_that_is_the_body_of_another);
     CPPUNIT_TEST(applies_store_changes);
     CPPUNIT_TEST(keeps_serving_without_the_store);
     CPPUNIT_TEST(stops_without_cutting_requests);
@@ -189,6 +190,56 @@
         });
     }
 
+    // Guards against requests that are smuggled inside others, to backend servers and at the callers' address
+    // (review case 2).
+    void runs_no_request_that_is_the_body_of_another()
+    {
+        gateway_fixture fixture;
+        const auto make_request =
+            [](const std::string& method, const std::string& path, const std::string& rest) {
+                return method + " " + path + " HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: " + method +
+                       "\r\n" + rest;
+            };
+        const std::string hidden =
+            "POST /order/2 HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: hidden\r\nContent-Length: 0\r\n\r\n";
+        const auto length = "Content-Length: " + std::to_string(hidden.size()) + "\r\n";
+        const auto has_run_hidden = [&] {
+            return std::ranges::any_of(fixture.server_addresses, [&](const auto& server_address) {
+                return fixture.caller.get(server_address, "/runs").body.find("hidden") != std::string::npos;
+            });
+        };
+        for (const auto* const method : {"GET", "DELETE", "PATCH", "POST"}) {
+            section(std::string{method} + " has a body that is a request", [&] {
+                const raw_tcp_client caller(fixture.gateway_address);
+                caller.send(make_request(method, "/read/1", length + "\r\n" + hidden));
+                CPPUNIT_ASSERT(caller.receive_until("answer to POST").starts_with("HTTP/1.1 200"));
+                // Another request on the gateway's connections to the servers.
+                CPPUNIT_ASSERT_EQUAL(200, fixture.fetch("/order/1").status);
+                CPPUNIT_ASSERT(!has_run_hidden());
+            });
+        }
+        for (const auto& framing : {length + length,
+                                    std::string{"Content-Length: +0\r\n"},
+                                    std::string{"Transfer-Encoding: gzip\r\n"},
+                                    std::string{"Content-Length : 9\r\n"}}) {
+            section("the end of a request is not certain: " + framing, [&] {
+                const raw_tcp_client caller(fixture.gateway_address);
+                caller.send(make_request("POST", "/order/1", framing + "\r\n" + hidden));
+                const auto response = caller.receive_until("a second response");
+                CPPUNIT_ASSERT(response.starts_with("HTTP/1.1 400"));
+                CPPUNIT_ASSERT_EQUAL(response.find("HTTP/1.1"), response.rfind("HTTP/1.1"));
+                CPPUNIT_ASSERT(!has_run_hidden());
+            });
+        }
+        section("the same at the address for operators", [&] {
+            const raw_tcp_client caller(fixture.admin_address);
+            caller.send("GET /ready HTTP/1.1\r\nHost: a\r\n" + length + length + "\r\n" +
+                        "GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n");
+            const auto response = caller.receive_until("tanager_requests_open");
+            CPPUNIT_ASSERT(response.find("tanager_requests_open") == std::string::npos);
+        });
+    }
+
     void applies_store_changes()
     {
         gateway_fixture fixture;
