One object of the store no longer ends gateways or keeps them from starting (FAULT)

What callers saw: every gateway that watches ended at the same moment, and again at each restart for as long as an entry of another writer stood in the store.

Evidence: reproduced with a gateway and a store as processes on the untouched code (`"address":5` in gateways/: signal 6, "type must be string, but is number"; at each restart).

--- a/src/logging/internal/log_event.cpp
+++ b/src/logging/internal/log_event.cpp
@@ -54,6 +54,7 @@
     event_row{log_event::changes_relayed, "changes_relayed", log_level::info},
     event_row{log_event::relay_used, "relay_used", log_level::info},
     event_row{log_event::relay_lost, "relay_lost", log_level::info},
+    event_row{log_event::store_object_unreadable, "store_object_unreadable", log_level::warning},
     event_row{log_event::log_lines_dropped, "log_lines_dropped", log_level::warning},
     event_row{log_event::settings_reloaded, "settings_reloaded", log_level::info},
     event_row{log_event::request_placed, "request_placed", log_level::info},
--- a/src/logging/types/log_event.h
+++ b/src/logging/types/log_event.h
@@ -34,6 +34,7 @@
     changes_relayed = 2013,
     relay_used = 2014,
     relay_lost = 2015,
+    store_object_unreadable = 2016,
 
     // 3000: entry
     request_refused = 3001,
--- a/src/peers/internal/peer_exchange.cpp
+++ b/src/peers/internal/peer_exchange.cpp
@@ -351,20 +351,29 @@
         return watch_action::continue_watching;
     }
 
+    // Any process that reaches the store can write such an entry.
+    static std::optional<peer_entry> decode_entry(const std::string& value)
+    {
+        const auto spec = nlohmann::json::parse(value, nullptr, false);
+        const auto read_text = [&spec](const char* name) {
+            const auto field = spec.is_object() ? spec.find(name) : spec.end();
+            return field != spec.end() && field->is_string() ? field->get<std::string>() : std::string{};
+        };
+        const auto address = parse_address(read_text("address"));
+        return address ? std::optional{peer_entry{*address, read_text("data_centre")}} : std::nullopt;
+    }
+
     void apply(const stored_object& object)
     {
         if (object.name == this->own_name()) {
             return;
         }
-        const auto spec = nlohmann::json::parse(object.value, nullptr, false);
-        const auto address = spec.is_object() ? parse_address(spec.value("address", std::string{}))
-                                              : fail(result_code::address_invalid, object.name);
-        if (object.deleted || !address) {
+        const auto entry = object.deleted ? std::nullopt : decode_entry(object.value);
+        if (!entry) {
             this->peers.erase(object.name);
             return;
         }
-        this->peers.insert_or_assign(object.name,
-                                     peer_entry{*address, spec.value("data_centre", std::string{})});
+        this->peers.insert_or_assign(object.name, *entry);
     }
 
     void on_store_unavailable(const error& /*cause*/) override {}
