Relayed changes are decoded without recursion (FAULT)

What callers would see: a gateway that ends when it receives a datagram.

Cause: changes of the store were passed on as MessagePack, whose decoder calls itself for each level of nesting. A datagram holds 65,000 levels, and anybody who reaches the port of the gateways can send one.

Evidence: a test program over the same decoder ended by signal 11 with 65,000 levels and a stack of 8 MB when built with -O0 and -O2, and with 1 MB also with -O3; relay_tests ended with signal 11 at 1 MB. The gateway as it is built for the platform (-O3, 8 MB) did not end, so this is a fault that was close, not one that was seen. The new section of decodes_arbitrary_datagrams_safely runs on a stack of 256 KB and ended with signal 11 on the code before.

Why this works: the message is written with the byte codec that load reports use, which has no nesting. A gateway of another version drops the message and reads the store itself, as after a lost datagram.

--- a/src/relay/internal/change_codec.cpp
+++ b/src/relay/internal/change_codec.cpp
@@ -1,50 +1,35 @@
 #include "relay/change_codec.h"
 
-#include <nlohmann/json.hpp>
+#include "base/byte_codec.h"
 
 namespace tanager {
 
 namespace {
 
-using nlohmann::json;
-
-// The elements of a datagram, which is a MessagePack array.
-enum changes_field : std::size_t {
-    version_field,
-    sender_field,
-    prefix_field,
-    since_field,
-    revision_field,
-    omitted_field,
-    objects_field
-};
-
-constexpr std::size_t field_count = objects_field + 1;
-constexpr int codec_version = 1;
-// The objects are one flat array; each is its name, version, whether it was deleted, and its value.
-constexpr std::size_t elements_per_object = 4;
+// Version 1 was MessagePack, whose decoder calls itself for each level of nesting.
+constexpr std::uint64_t codec_version = 2;
+// The lengths of an object's name and value, its version and whether it was deleted.
+constexpr std::size_t min_object_bytes = 4;
 
 std::string encode(const relayed_changes& relayed, bool is_omitted)
 {
-    json objects = json::array();
+    byte_writer writer;
+    writer.write_number(codec_version);
+    writer.write_text(relayed.sender);
+    writer.write_text(relayed.prefix);
+    writer.write_number(relayed.changes.since);
+    writer.write_number(relayed.changes.revision);
+    writer.write_number(is_omitted ? 1 : 0);
+    writer.write_number(is_omitted ? 0 : relayed.changes.objects.size());
     if (!is_omitted) {
         for (const auto& object : relayed.changes.objects) {
-            objects.push_back(object.name);
-            objects.push_back(object.version);
-            objects.push_back(object.deleted);
-            objects.push_back(object.value);
+            writer.write_text(object.name);
+            writer.write_number(object.version);
+            writer.write_number(object.deleted ? 1 : 0);
+            writer.write_text(object.value);
         }
     }
-    const json fields{codec_version,
-                      relayed.sender,
-                      relayed.prefix,
-                      relayed.changes.since,
-                      relayed.changes.revision,
-                      is_omitted,
-                      std::move(objects)};
-    std::string datagram;
-    json::to_msgpack(fields, datagram);
-    return datagram;
+    return writer.bytes();
 }
 
 } // namespace
@@ -57,30 +42,29 @@
 
 result<relayed_changes> decode_changes(std::string_view datagram)
 {
-    const auto fields = json::from_msgpack(datagram, true, false);
-    if (!fields.is_array() || fields.size() != field_count || fields[version_field] != codec_version) {
+    byte_reader reader(datagram);
+    if (reader.read_number() != codec_version) {
         return fail(result_code::request_malformed, "not a message with changes");
     }
-    try {
-        relayed_changes relayed{fields[sender_field].get<std::string>(),
-                                fields[prefix_field].get<std::string>(),
-                                {fields[since_field].get<std::uint64_t>(),
-                                 fields[revision_field].get<std::uint64_t>(),
-                                 false,
-                                 {}},
-                                fields[omitted_field].get<bool>()};
-        const auto& objects = fields[objects_field];
-        for (std::size_t index = 0; index + elements_per_object <= objects.size();
-             index += elements_per_object) {
-            relayed.changes.objects.push_back({objects[index].get<std::string>(),
-                                               objects[index + 1].get<std::uint64_t>(),
-                                               objects[index + 2].get<bool>(),
-                                               objects[index + 3].get<std::string>()});
-        }
-        return relayed;
-    } catch (const json::exception& failure) {
-        return fail(result_code::request_malformed, failure.what());
+    relayed_changes relayed;
+    relayed.sender = reader.read_text();
+    relayed.prefix = reader.read_text();
+    relayed.changes.since = reader.read_number();
+    relayed.changes.revision = reader.read_number();
+    relayed.is_omitted = reader.read_number() != 0;
+    const auto count = reader.read_count(min_object_bytes);
+    for (std::size_t index = 0; index < count && reader.is_valid(); ++index) {
+        stored_object object;
+        object.name = reader.read_text();
+        object.version = reader.read_number();
+        object.deleted = reader.read_number() != 0;
+        object.value = reader.read_text();
+        relayed.changes.objects.push_back(std::move(object));
+    }
+    if (!reader.is_complete()) {
+        return fail(result_code::request_malformed, "malformed changes");
     }
+    return relayed;
 }
 
 } // namespace tanager
--- a/src/relay/tests/relay_tests.cpp
+++ b/src/relay/tests/relay_tests.cpp
@@ -2,6 +2,8 @@
 #include "testing/section.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <functional>
+#include <pthread.h>
 #include <random>
 #include <set>
 
@@ -171,6 +173,22 @@
     std::vector<message> messages;
 };
 
+void run_on_small_stack(std::function<void()> work)
+{
+    constexpr std::size_t stack_bytes = std::size_t{256} * 1024;
+    pthread_attr_t attributes{};
+    pthread_attr_init(&attributes);
+    pthread_attr_setstacksize(&attributes, stack_bytes);
+    const auto run = [](void* argument) -> void* {
+        (*static_cast<std::function<void()>*>(argument))();
+        return nullptr;
+    };
+    pthread_t thread{};
+    CPPUNIT_ASSERT_EQUAL(0, pthread_create(&thread, &attributes, run, &work));
+    pthread_join(thread, nullptr);
+    pthread_attr_destroy(&attributes);
+}
+
 class relay_tests : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(relay_tests);
     CPPUNIT_TEST(takes_changes_that_continue_what_is_known);
@@ -347,6 +365,16 @@
                     }
                 }
             });
+            // Guards against a decoder that calls itself for each level: a datagram holds 65,000 of them.
+            section("deeply nested values do not exhaust a stack of 256 KB", [&] {
+                for (const char opening : {'\x91', '\x81', '\xdc', '[', '{'}) {
+                    for (const auto* const innermost : {"", "\x01"}) {
+                        run_on_small_stack([&] {
+                            CPPUNIT_ASSERT(!decode_changes(std::string(65'000, opening) + innermost));
+                        });
+                    }
+                }
+            });
             section("changes that exceed the size of a message are marked as omitted", [&] {
                 const auto decoded = decode_changes(encode_changes(sent, 20));
                 CPPUNIT_ASSERT(decoded && decoded->is_omitted && decoded->changes.objects.empty());
