A value of the settings that the platform may set no longer keeps gateways from starting (FAULT)

What callers saw: no service. Where a bound has a fraction, or a host allows more descriptors than a million, no gateway started, and each restart met the same value.

Cause: any problem of the settings file ended the program with exit code 3, also where a key has a default, and the reader was narrower than the platform: whole seconds (the template wrote `{{bounds.graceS}}000`), whole milliseconds, at most 1,000,000 descriptors and 1,000,000 Mbit/s, no empty value.

An empty graceS gave a grace of zero. The new test starts_with_all_values_that_the_platform_may_set renders the template with such values.

Why this works: a key without a value counts as missing. What has no default to run with (host, the addresses for callers, pages and peers, the store) is fatal; any other problem is logged (1009) and the gateway runs with the default. `--check-config` still reports all problems and exits with 3, a reload still applies nothing from a file with a problem, and entry, agent and tanagerctl reject any problem as before.

--- a/soak/soak_cluster.cpp
+++ b/soak/soak_cluster.cpp
@@ -30,7 +30,7 @@
     std::string path = (std::filesystem::temp_directory_path() / "tanager-soak-XXXXXX").string();
     close(mkstemp(path.data()));
     std::ofstream(path) << "[gateway]\nhost = " << host
-                        << "\ndata_centre = here\nregion = r\nstop_grace_ms = 8000\n"
+                        << "\ndata_centre = here\nregion = r\nstop_grace_seconds = 8\n"
                            "[http]\nlisten = 127.0.0.1:0\n[pages]\nlisten = 127.0.0.1:0\n"
                            "[peers]\nlisten = 127.0.0.1:0\n[store]\naddress = "
                         << store << "\n";
--- a/src/gateway/internal/gateway_settings.cpp
+++ b/src/gateway/internal/gateway_settings.cpp
@@ -1,10 +1,12 @@
 #include "gateway/types/gateway_settings.h"
 
+#include <limits>
+
 namespace tanager {
 
 namespace {
 
-constexpr integer_range descriptor_range{16, 1'000'000};
+constexpr integer_range descriptor_range{16, std::numeric_limits<int>::max()};
 constexpr integer_range header_bytes_range{1'024, 1'048'576};
 constexpr integer_range body_bytes_range{1'024, 64LL * 1024 * 1024};
 constexpr integer_range idle_seconds_range{1, 3'600};
@@ -15,7 +17,8 @@
 constexpr integer_range gain_percent_range{0, 1'000};
 constexpr std::int64_t default_role_gain_percent = 15;
 constexpr double percent = 100.0;
-constexpr double max_link_megabits_per_second = 1e6;
+constexpr double max_link_megabits_per_second = 1e9;
+constexpr std::chrono::seconds max_stop_grace{600};
 
 void load_http(settings_reader& reader, http_server_limits& http)
 {
@@ -37,8 +40,8 @@
     const gateway_settings defaults;
     gateway_settings settings;
     settings.host = reader.read_required_text({"gateway", "host"});
-    settings.data_centre = reader.read_required_text({"gateway", "data_centre"});
-    settings.region = reader.read_required_text({"gateway", "region"});
+    settings.data_centre = reader.read_text({"gateway", "data_centre"}, defaults.data_centre);
+    settings.region = reader.read_text({"gateway", "region"}, defaults.region);
     settings.listen_address = reader.read_address({"http", "listen"}, "");
     settings.admin_address = reader.read_address({"pages", "listen"}, "");
     settings.peer_address = reader.read_address({"peers", "listen"}, "");
@@ -47,7 +50,7 @@
     settings.link_megabits_per_second = reader.read_decimal(
         {"gateway", "link_megabits"}, defaults.link_megabits_per_second, max_link_megabits_per_second);
     settings.stop_grace =
-        reader.read_milliseconds({"gateway", "stop_grace_ms"}, defaults.stop_grace, grace_milliseconds_range);
+        reader.read_seconds({"gateway", "stop_grace_seconds"}, defaults.stop_grace, max_stop_grace);
     settings.store_recovery_grace = reader.read_milliseconds(
         {"store", "return_grace_ms"}, defaults.store_recovery_grace, grace_milliseconds_range);
     settings.max_open_requests =
--- a/src/gateway/types/gateway_settings.h
+++ b/src/gateway/types/gateway_settings.h
@@ -12,8 +12,8 @@
 // The settings file of one gateway.
 struct gateway_settings {
     std::string host;
-    std::string data_centre;
-    std::string region;
+    std::string data_centre = "default";
+    std::string region = "default";
     std::string listen_address;          // for callers, ip:port
     std::string admin_address;           // for readiness and metrics, ip:port
     std::string peer_address;            // for load reports between gateways, ip:port
--- a/src/logging/types/log_event.h
+++ b/src/logging/types/log_event.h
@@ -17,6 +17,7 @@
     invariant_violated = 1006,
     log_lines_dropped = 1007,
     settings_reloaded = 1008,
+    settings_defaulted = 1009,
 
     // 2000: catalogue and platform
     catalogue_applied = 2001,
--- a/src/program/internal/program_runner.cpp
+++ b/src/program/internal/program_runner.cpp
@@ -3,6 +3,7 @@
 #include "logging/event_log.h"
 
 #include <CLI/CLI.hpp>
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
@@ -114,6 +115,20 @@
     return !problems.empty();
 }
 
+bool is_start_prevented(const settings_reader& reader, settings_policy policy)
+{
+    return std::ranges::any_of(reader.problems(), [policy](const auto& problem) {
+        return policy == settings_policy::reject_any || problem.is_fatal;
+    });
+}
+
+void log_settings_problems(const settings_reader& reader)
+{
+    for (const auto& problem : reader.problems()) {
+        write_event(log_event::settings_defaulted, {{"detail", to_text(problem)}});
+    }
+}
+
 void open_log_from(settings_reader& reader, const std::string& program)
 {
     const auto level = reader.read_choice({"log", "level"}, "info", {"debug", "info", "warning", "error"});
--- a/src/program/program_runner.h
+++ b/src/program/program_runner.h
@@ -49,9 +49,21 @@
 tl::expected<program_arguments, exit_code>
 parse_arguments(const std::string& program, const std::string& purpose, int argc, const char* const* argv);
 
+// Which problems of its settings file keep a program from starting.
+enum class settings_policy {
+    reject_any,  // any problem
+    reject_fatal // those without a default to run with; the others are logged
+};
+
 // Prints the problems of a settings file to standard error. Returns whether there were any.
 bool print_settings_problems(const settings_reader& reader);
 
+// Returns whether the problems of a settings file keep a program from starting.
+bool is_start_prevented(const settings_reader& reader, settings_policy policy);
+
+// Writes the problems of a settings file to the log.
+void log_settings_problems(const settings_reader& reader);
+
 // Reads the section [log], which every program has, and opens the event log with it.
 void open_log_from(settings_reader& reader, const std::string& program);
 
@@ -77,7 +89,8 @@
     int argc,
     const char* const* argv,
     const settings_loader<settings_type>& load,
-    const std::function<result<std::unique_ptr<server_process>>(event_loop&, const settings_type&)>& set_up)
+    const std::function<result<std::unique_ptr<server_process>>(event_loop&, const settings_type&)>& set_up,
+    settings_policy policy = settings_policy::reject_any)
 {
     block_signals();
     const auto arguments = parse_arguments(name, purpose, argc, argv);
@@ -90,12 +103,14 @@
     }
     open_log_from(*reader, name);
     const settings_type settings = load(*reader);
-    if (print_settings_problems(*reader)) {
-        return exit_code::settings_invalid;
-    }
+    const bool has_problems = print_settings_problems(*reader);
     if (arguments->check_config_only) {
-        return exit_code::success;
+        return has_problems ? exit_code::settings_invalid : exit_code::success;
+    }
+    if (is_start_prevented(*reader, policy)) {
+        return exit_code::settings_invalid;
     }
+    log_settings_problems(*reader);
     auto loop = event_loop::create();
     if (!loop) {
         return report_failed_start(loop.error());
--- a/src/settings/internal/settings_reader.cpp
+++ b/src/settings/internal/settings_reader.cpp
@@ -5,8 +5,10 @@
 #include <algorithm>
 #include <arpa/inet.h>
 #include <charconv>
+#include <cmath>
 #include <fstream>
 #include <ini.h>
+#include <iomanip>
 #include <optional>
 #include <sstream>
 
@@ -89,7 +91,7 @@
 {
     this->declared_keys[key] = true;
     const auto position = this->values.find(key);
-    return position == this->values.end() ? nullptr : &position->second;
+    return position == this->values.end() || position->second.empty() ? nullptr : &position->second;
 }
 
 std::string settings_reader::read_text(const settings_key& key, const std::string& fallback)
@@ -101,8 +103,8 @@
 std::string settings_reader::read_required_text(const settings_key& key)
 {
     const std::string* const value = this->find(key);
-    if (value == nullptr || value->empty()) {
-        this->add_problem(key, "is required");
+    if (value == nullptr) {
+        this->add_fatal_problem(key, "is required");
         return {};
     }
     return *value;
@@ -129,17 +131,26 @@
 }
 
 double settings_reader::read_decimal(const settings_key& key, double fallback, double max)
+{
+    return this->read_number(key, 0, max).value_or(fallback);
+}
+
+std::optional<double> settings_reader::read_number(const settings_key& key, double min, double max)
 {
     const std::string* const value = this->find(key);
     if (value == nullptr) {
-        return fallback;
+        return std::nullopt;
     }
     double number = 0;
-    std::istringstream text(*value);
-    const bool is_number = static_cast<bool>(text >> number) && text.eof();
-    if (!is_number || number < 0 || number > max) {
-        this->add_problem(key, "'" + *value + "' is not a number from 0 to " + std::to_string(max));
-        return fallback;
+    const char* const end = value->data() + value->size(); // NOLINT(*-pointer-arithmetic)
+    const auto parsed = std::from_chars(value->data(), end, number);
+    const bool is_number = parsed.ec == std::errc{} && parsed.ptr == end && std::isfinite(number);
+    if (!is_number || number < min || number > max) {
+        std::ostringstream reason;
+        reason << "'" << *value << "' is not a number from " << std::fixed << std::setprecision(0) << min
+               << " to " << max;
+        this->add_problem(key, reason.str());
+        return std::nullopt;
     }
     return number;
 }
@@ -148,7 +159,18 @@
                                                              std::chrono::milliseconds fallback,
                                                              integer_range range)
 {
-    return std::chrono::milliseconds{this->read_integer(key, fallback.count(), range)};
+    const auto number =
+        this->read_number(key, static_cast<double>(range.min), static_cast<double>(range.max));
+    return number ? std::chrono::milliseconds{static_cast<std::int64_t>(std::ceil(*number))} : fallback;
+}
+
+std::chrono::milliseconds settings_reader::read_seconds(const settings_key& key,
+                                                        std::chrono::milliseconds fallback,
+                                                        std::chrono::seconds max)
+{
+    const auto number = this->read_number(key, 0, static_cast<double>(max.count()));
+    return number ? std::chrono::ceil<std::chrono::milliseconds>(std::chrono::duration<double>{*number})
+                  : fallback;
 }
 
 bool settings_reader::read_flag(const settings_key& key, bool fallback)
@@ -182,12 +204,17 @@
     const std::string* const value = this->find(key);
     if (value == nullptr) {
         if (fallback.empty()) {
-            this->add_problem(key, "is required");
+            this->add_fatal_problem(key, "is required");
         }
         return fallback;
     }
     if (!is_ipv4_endpoint(*value)) {
-        this->add_problem(key, "'" + *value + "' is not ip:port");
+        const auto reason = "'" + *value + "' is not ip:port";
+        if (fallback.empty()) {
+            this->add_fatal_problem(key, reason);
+        } else {
+            this->add_problem(key, reason);
+        }
         return fallback;
     }
     return *value;
@@ -198,6 +225,11 @@
     this->found_problems.push_back({this->file, key.section, key.name, reason});
 }
 
+void settings_reader::add_fatal_problem(const settings_key& key, const std::string& reason)
+{
+    this->found_problems.push_back({this->file, key.section, key.name, reason, true});
+}
+
 std::string settings_reader::describe_unknown(const settings_key& key) const
 {
     std::vector<std::string> known_keys;
--- a/src/settings/settings_reader.h
+++ b/src/settings/settings_reader.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,8 +28,9 @@
 };
 
 // Typed access to one parsed file. Reading a key also declares it; `problems` reports keys in the file that
-// were never read as unknown, with the nearest declared key. A read function returns its fallback if the key
-// is missing or invalid, and adds a problem if it is invalid or is required and missing.
+// were never read as unknown, with the nearest declared key. A key without a value counts as missing. A read
+// function returns its fallback if the key is missing or invalid, and adds a problem if it is invalid, or a
+// fatal one if it is required.
 class settings_reader {
 public:
     // Parses a file. Fails with settings_unreadable if it cannot be opened; other errors are left to
@@ -43,8 +45,12 @@
     std::int64_t read_integer(const settings_key& key, std::int64_t fallback, integer_range range);
     // Reads a decimal number from 0 to `max`.
     double read_decimal(const settings_key& key, double fallback, double max);
+    // Reads a number of milliseconds, which is rounded up if it has a fraction.
     std::chrono::milliseconds
     read_milliseconds(const settings_key& key, std::chrono::milliseconds fallback, integer_range range);
+    // Reads a number of seconds, fractions allowed, from 0 to `max`.
+    std::chrono::milliseconds
+    read_seconds(const settings_key& key, std::chrono::milliseconds fallback, std::chrono::seconds max);
     bool read_flag(const settings_key& key, bool fallback);
     std::string read_choice(const settings_key& key,
                             const std::string& fallback,
@@ -65,7 +71,10 @@
 
     // Callback of the INI parser; `user_data` is the settings_reader. Returns 1 to continue.
     static int add_value(void* user_data, const char* section, const char* name, const char* value);
-    // Declares a key and returns its value, or null if the file does not have it.
+    void add_fatal_problem(const settings_key& key, const std::string& reason);
+    // Returns the value of a key if it is a number from `min` to `max`, and otherwise nothing.
+    std::optional<double> read_number(const settings_key& key, double min, double max);
+    // Declares a key and returns its value, or null if the file has none for it.
     const std::string* find(const settings_key& key);
     std::string describe_unknown(const settings_key& key) const;
 
--- a/src/settings/tests/settings_tests.cpp
+++ b/src/settings/tests/settings_tests.cpp
@@ -3,7 +3,9 @@
 
 #include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
+#include <tuple>
 
+using namespace std::chrono_literals;
 using tanager::testing::section;
 
 namespace tanager {
@@ -24,6 +26,8 @@
     CPPUNIT_TEST(ten_problems_are_reported_at_once);
     CPPUNIT_TEST(missing_file_is_reported);
     CPPUNIT_TEST(decimals_are_validated);
+    CPPUNIT_TEST(times_may_have_fractions);
+    CPPUNIT_TEST(problems_without_a_default_are_fatal);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -91,6 +95,39 @@
         }
     }
 
+    void times_may_have_fractions()
+    {
+        const auto read = [](const std::string& value) {
+            auto reader = settings_reader::parse("f", "[s]\nms = " + value + "\ns = " + value + "\n");
+            const auto milliseconds = reader.read_milliseconds({"s", "ms"}, 7ms, {0, 600'000});
+            const auto seconds = reader.read_seconds({"s", "s"}, 9ms, 600s);
+            return std::tuple{milliseconds, seconds, reader.problems().size()};
+        };
+        CPPUNIT_ASSERT(read("8") == std::tuple(8ms, 8'000ms, 0U));
+        CPPUNIT_ASSERT(read("8.5") == std::tuple(9ms, 8'500ms, 0U));
+        CPPUNIT_ASSERT(read("2500.5") == std::tuple(2'501ms, 9ms, 1U));
+        CPPUNIT_ASSERT(read("") == std::tuple(7ms, 9ms, 0U));
+        for (const auto* const invalid : {"8s", "-1", "nan", "inf", "1e9", "true"}) {
+            CPPUNIT_ASSERT(read(invalid) == std::tuple(7ms, 9ms, 2U));
+        }
+    }
+
+    void problems_without_a_default_are_fatal()
+    {
+        auto reader = settings_reader::parse(
+            "f", "[s]\nnumber = x\nempty =\nfar = far\nfallback = far\n\nunknown = 1\n");
+        reader.read_integer({"s", "number"}, 1, {0, 9});
+        reader.read_integer({"s", "empty"}, 1, {0, 9});
+        reader.read_address({"s", "fallback"}, "127.0.0.1:1");
+        const auto count_fatal = [&] {
+            return std::ranges::count_if(reader.problems(), &settings_problem::is_fatal);
+        };
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{0}, count_fatal());
+        reader.read_address({"s", "far"}, "");
+        reader.read_required_text({"s", "empty"});
+        CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{2}, count_fatal());
+    }
+
     void missing_file_is_reported()
     {
         const auto reader = settings_reader::open("no-such-file.ini");
--- a/src/settings/types/settings_problem.h
+++ b/src/settings/types/settings_problem.h
@@ -10,6 +10,7 @@
     std::string section;
     std::string key;
     std::string reason;
+    bool is_fatal = false; // the key has no default that a program could run with
 
     friend bool operator==(const settings_problem&, const settings_problem&) = default;
 };
--- a/tests/tests/process_survival_tests.cpp
+++ b/tests/tests/process_survival_tests.cpp
@@ -6,9 +6,55 @@
 
 namespace {
 
+// The settings that the platform renders from the template of the deploy file. A missing value is empty.
+class rendered_settings {
+public:
+    rendered_settings(const std::string& store_address, const std::map<std::string, std::string>& changes)
+        : path((std::filesystem::temp_directory_path() / "tanager-rendered-XXXXXX").string())
+    {
+        std::map<std::string, std::string> values{{"nodeName", "g1"},
+                                                  {"zone", "here"},
+                                                  {"region", "r"},
+                                                  {"limits.linkMbps", "1000.0"},
+                                                  {"limits.maxFds", "4100"},
+                                                  {"limits.memoryMb", "260"},
+                                                  {"bounds.graceS", "8"},
+                                                  {"bounds.leaseMs", "3000"},
+                                                  {"listen.front", "127.0.0.1:0"},
+                                                  {"listen.ready", "127.0.0.1:0"},
+                                                  {"ip", "127.0.0.1"},
+                                                  {"internalPorts.0", "0"},
+                                                  {"platform.address", store_address}};
+        for (const auto& [name, value] : changes) {
+            values[name] = value;
+        }
+        std::ifstream file(TANAGER_GATEWAY_TEMPLATE);
+        std::string text{std::istreambuf_iterator<char>(file), {}};
+        for (auto open = text.find("{{"); open != std::string::npos; open = text.find("{{")) {
+            const auto close = text.find("}}", open);
+            text.replace(open, close + 2 - open, values[text.substr(open + 2, close - open - 2)]);
+        }
+        ::close(mkstemp(this->path.data()));
+        std::ofstream(this->path) << text;
+    }
+
+    ~rendered_settings()
+    {
+        std::filesystem::remove(this->path);
+    }
+
+    rendered_settings(const rendered_settings&) = delete;
+    rendered_settings& operator=(const rendered_settings&) = delete;
+    rendered_settings(rendered_settings&&) = delete;
+    rendered_settings& operator=(rendered_settings&&) = delete;
+
+    std::string path;
+};
+
 class process_survival_tests : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(process_survival_tests);
     CPPUNIT_TEST(survives_entries_of_other_writers);
+    CPPUNIT_TEST(starts_with_all_values_that_the_platform_may_set);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -45,6 +91,48 @@
             CPPUNIT_ASSERT_EQUAL(200, group.fetch_status("g1"));
         });
     }
+
+    // Guards against bounds and limits that the platform may set and that keep every gateway from starting.
+    void starts_with_all_values_that_the_platform_may_set()
+    {
+        child_process site("standin-site", {});
+        const auto store_address = site.address("http");
+        const std::vector<std::pair<std::string, std::vector<std::string>>> values{
+            {"bounds.graceS", {"8", "8.0", "8.5", "0.25", "", "true"}},
+            {"bounds.leaseMs", {"3000", "2500.5", "2.5e3", "", "false"}},
+            {"limits.maxFds", {"1024", "1048576", "1073741816", "", "4100.0"}},
+            {"limits.memoryMb", {"160", "260.5", "1048576", ""}},
+            {"limits.linkMbps", {"10", "1000.0", "8800000.0", "1e7", ""}},
+            {"zone", {""}},
+            {"region", {""}},
+        };
+        for (const auto& [name, texts] : values) {
+            for (const auto& text : texts) {
+                section(name + " is '" + text + "'", [&] {
+                    const rendered_settings settings(store_address, {{name, text}});
+                    child_process gateway("tanager-gateway", {"--config", settings.path});
+                    gateway.wait_for_line("program_listening");
+                });
+            }
+        }
+        section("a required value is missing or wrong: the program does not start", [&] {
+            const std::vector<std::pair<std::string, std::string>> essential{{"nodeName", ""},
+                                                                             {"listen.front", ""},
+                                                                             {"listen.ready", "here"},
+                                                                             {"platform.address", "x:y"}};
+            for (const auto& [name, text] : essential) {
+                const rendered_settings settings(store_address, {{name, text}});
+                child_process gateway("tanager-gateway", {"--config", settings.path});
+                CPPUNIT_ASSERT_EQUAL(3, gateway.wait());
+            }
+        });
+        section("the check of the settings still reports what the program would pass over", [&] {
+            const rendered_settings settings(store_address, {{"bounds.graceS", "soon"}});
+            child_process check("tanager-gateway", {"--check-config", "--config", settings.path});
+            CPPUNIT_ASSERT_EQUAL(3, check.wait());
+            CPPUNIT_ASSERT(check.has_line("stop_grace_seconds: 'soon' is not a number"));
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(process_survival_tests);
