An exception in a callback no longer ends the process (FAULT)

What callers saw: a gateway that ends with all its requests, and nothing in the log that says why.

Cause: callbacks of the event loop (timers, posted tasks, datagrams, requests, responses) ran without a guard. The library between them and main() is C; an exception ended the process with signal 6. The log had no line for it, only standard error had the text of the exception.

Why this works: net/internal/callback_guard is the one place between libevent and our code. It writes 1010 `callback_failed` with the source and the text. Whoever owns the work ends it: the connection of a request is closed, a call fails. What else the callback worked on ends by its deadline. Going on is better than ending: one request is cut instead of all, and an input that stays does not end each successor too. What still reaches the end of the program writes 1005 with its text first.

--- a/src/logging/types/log_event.h
+++ b/src/logging/types/log_event.h
@@ -18,6 +18,7 @@
     log_lines_dropped = 1007,
     settings_reloaded = 1008,
     settings_defaulted = 1009,
+    callback_failed = 1010,
 
     // 2000: catalogue and platform
     catalogue_applied = 2001,
--- a/src/net/internal/datagram_socket.cpp
+++ b/src/net/internal/datagram_socket.cpp
@@ -1,5 +1,7 @@
 #include "net/datagram_socket.h"
 
+#include "net/internal/callback_guard.h"
+
 #include <arpa/inet.h>
 #include <array>
 #include <event2/event.h>
@@ -86,7 +88,9 @@
             if (length < 0) {
                 return;
             }
-            this->receive({this->buffer.data(), static_cast<std::size_t>(length)});
+            run_guarded("datagram", [&] {
+                this->receive({this->buffer.data(), static_cast<std::size_t>(length)});
+            });
         }
     }
 
--- a/src/net/internal/event_loop.cpp
+++ b/src/net/internal/event_loop.cpp
@@ -1,5 +1,7 @@
 #include "net/event_loop.h"
 
+#include "net/internal/callback_guard.h"
+
 #include <csignal>
 #include <event2/event.h>
 #include <event2/thread.h>
@@ -52,7 +54,7 @@
     {
         // The task may destroy this timer, so a copy runs.
         const task work = static_cast<event_timer*>(self)->work;
-        work();
+        run_guarded("timer", work);
     }
 
     task work;
@@ -109,7 +111,7 @@
         batch.swap(this->posted_tasks);
     }
     for (const auto& work : batch) {
-        work();
+        run_guarded("posted task", work);
     }
 }
 
--- a/src/net/internal/http_client.cpp
+++ b/src/net/internal/http_client.cpp
@@ -1,5 +1,6 @@
 #include "net/http_client.h"
 
+#include "net/internal/callback_guard.h"
 #include "net/internal/http_connection_pool.h"
 #include "net/internal/socket_options.h"
 
@@ -153,7 +154,7 @@
         const auto receiver = this->handler;
         const bool never_sent = !this->head_received && !this->sent;
         this->cancel();
-        receiver->on_failure(this->describe_failure(never_sent));
+        run_guarded("response", [&] { receiver->on_failure(this->describe_failure(never_sent)); });
     }
 
     void cancel_native_request()
@@ -242,7 +243,9 @@
             return -1;
         }
         const auto receiver = call.handler;
-        receiver->on_head(status, headers);
+        if (!run_guarded("response", [&] { receiver->on_head(status, headers); })) {
+            call.cancel_with_failure();
+        }
         return 0;
     }
 
@@ -257,7 +260,11 @@
         }
         const auto* const bytes = evbuffer_pullup(input, -1);
         const auto receiver = call.handler; // on_data may cancel the call, which resets call.handler
-        receiver->on_data({reinterpret_cast<const char*>(bytes), length}); // NOLINT(*-reinterpret-cast)
+        const std::string_view data{reinterpret_cast<const char*>(bytes),
+                                    length}; // NOLINT(*-reinterpret-cast)
+        if (!run_guarded("response", [&] { receiver->on_data(data); })) {
+            call.cancel_with_failure();
+        }
     }
 
     static void on_error(evhttp_request_error cause, void* self)
@@ -303,7 +310,7 @@
         } else {
             this->pool.discard(used_connection);
         }
-        receiver->on_end();
+        run_guarded("response", [&] { receiver->on_end(); });
     }
 
     void end_with_failure()
@@ -318,7 +325,7 @@
         const auto receiver = this->handler;
         this->release();
         this->pool.discard(used_connection);
-        receiver->on_failure(this->describe_failure(never_sent));
+        run_guarded("response", [&] { receiver->on_failure(this->describe_failure(never_sent)); });
     }
 
     http_failure describe_failure(bool never_sent) const
--- a/src/net/internal/http_exchange.cpp
+++ b/src/net/internal/http_exchange.cpp
@@ -1,5 +1,6 @@
 #include "net/internal/evhttp_exchange.h"
 
+#include "net/internal/callback_guard.h"
 #include "net/internal/socket_options.h"
 
 #include <event2/buffer.h>
@@ -111,7 +112,7 @@
         evhttp_connection_set_closecb(this->connection, nullptr, nullptr);
         this->connection = nullptr;
     }
-    this->finished_callback();
+    run_guarded("response sent", this->finished_callback);
 }
 
 void evhttp_exchange::on_sent(evhttp_request* /*request*/, void* self)
@@ -163,7 +164,7 @@
         return;
     }
     this->caller_left_reported = true;
-    this->caller_left_callback();
+    run_guarded("caller left", this->caller_left_callback);
 }
 
 const http_request& evhttp_exchange::request() const
--- a/src/net/internal/http_server.cpp
+++ b/src/net/internal/http_server.cpp
@@ -1,6 +1,7 @@
 #include "net/http_server.h"
 
 #include "net/internal/accept_limiter.h"
+#include "net/internal/callback_guard.h"
 #include "net/internal/evhttp_exchange.h"
 
 #include <arpa/inet.h>
@@ -98,7 +99,9 @@
             exchange->abort();
             return;
         }
-        server->serve(exchange);
+        if (!run_guarded("request", [&] { server->serve(exchange); })) {
+            exchange->abort();
+        }
     }
 
     static bufferevent* on_connection(event_base* base, void* self)
--- a/src/program/internal/program_runner.cpp
+++ b/src/program/internal/program_runner.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <csignal>
 #include <cstdlib>
+#include <exception>
 #include <fstream>
 #include <iostream>
 #include <iterator>
@@ -173,6 +174,24 @@
     std::_Exit(static_cast<int>(code));
 }
 
+void log_unhandled_exceptions()
+{
+    std::set_terminate([] {
+        std::string detail = "terminated without an exception";
+        try {
+            if (const auto unhandled = std::current_exception()) {
+                std::rethrow_exception(unhandled);
+            }
+        } catch (const std::exception& failure) {
+            detail = failure.what();
+        } catch (...) {
+            detail = "not a std::exception";
+        }
+        write_event(log_event::program_failed, {{"code", "0"}, {"detail", "unhandled: " + detail}});
+        std::abort();
+    });
+}
+
 exit_code report_failed_start(const error& cause)
 {
     write_event(log_event::program_failed,
--- a/src/program/program_runner.h
+++ b/src/program/program_runner.h
@@ -78,6 +78,9 @@
 // Flushes the standard streams and exits without destroying objects that other threads may still use.
 [[noreturn]] void end_process(exit_code code);
 
+// Makes an exception that nothing handles write its text to the log before it ends the process.
+void log_unhandled_exceptions();
+
 // Writes a failed start to the log and to standard error. Returns the exit code.
 exit_code report_failed_start(const error& cause);
 
@@ -102,6 +105,7 @@
         return report_failed_start(reader.error());
     }
     open_log_from(*reader, name);
+    log_unhandled_exceptions();
     const settings_type settings = load(*reader);
     const bool has_problems = print_settings_problems(*reader);
     if (arguments->check_config_only) {
