--- a/src/net/internal/http_types.cpp
+++ b/src/net/internal/http_types.cpp
@@ -1,6 +1,7 @@
 #include "net/types/http_types.h"
 
 #include <algorithm>
+#include <arpa/inet.h>
 #include <cctype>
 #include <charconv>
 #include <strings.h>
@@ -54,6 +55,12 @@
     return address.host + ":" + std::to_string(address.port);
 }
 
+bool has_ipv4_host(const socket_address& address)
+{
+    in_addr parsed{};
+    return inet_pton(AF_INET, address.host.c_str(), &parsed) == 1;
+}
+
 std::string find_header(const http_headers& headers, std::string_view name)
 {
     const auto found = std::ranges::find_if(
--- a/src/net/types/http_types.h
+++ b/src/net/types/http_types.h
@@ -48,6 +48,9 @@
 result<socket_address> parse_address(const std::string& text);
 std::string to_text(const socket_address& address);
 
+// Returns whether the host of an address is an IPv4 address. A name would have to be resolved, which blocks.
+bool has_ipv4_host(const socket_address& address);
+
 // Returns the value of the first header of that name, ignoring case, or an empty string.
 std::string find_header(const http_headers& headers, std::string_view name);
 
