A start waits for the addresses of the process before it (FAULT)

What callers saw: a gateway that ends at its start, again and again, while the process before it still serves its last requests.

Cause: a restart may overlap with the end of its predecessor, which keeps its addresses for up to the stop grace. Any address in use ended the program with exit code 4.

Evidence: on the untouched code, a gateway started on an address in use (callers, pages or peers) exited with 4 within a second. The new test waits_for_the_addresses_of_its_predecessor starts a gateway beside another with the same addresses.

Why this works: the two HTTP servers and the datagram socket try to bind for up to 10 s, which is more than the stop grace, with a log line (1011). Nothing is served in that time, so the start may sleep. A pending SIGTERM ends the wait.

--- a/src/gateway/gateway_setup.cpp
+++ b/src/gateway/gateway_setup.cpp
@@ -49,6 +49,8 @@
 constexpr std::size_t max_response_buffer_bytes = std::size_t{32} * 1024 * 1024;
 // An ended process refuses a connection within a round trip.
 constexpr std::chrono::milliseconds connect_probe_timeout{250};
+// A predecessor on the same addresses ends within its stop grace, which is 8 s on the users' sites.
+constexpr std::chrono::milliseconds max_bind_wait{10'000};
 // Retries that a service with few requests may spend at once. Small, since each gateway has as many.
 constexpr double min_retry_budget = 3;
 
@@ -181,7 +183,9 @@
 
     result<void> listen()
     {
-        auto limits = this->settings.http_limits;
+        auto admin_limits = this->settings.http_limits;
+        admin_limits.max_bind_wait = max_bind_wait;
+        auto limits = admin_limits;
         limits.max_descriptors =
             std::max(limits.max_descriptors / 2, limits.max_descriptors - reserved_descriptors);
         auto caller_server = http_server::create(
@@ -195,7 +199,7 @@
         this->server = std::move(*caller_server);
         auto operator_server = http_server::create(this->loop,
                                                    this->settings.admin_address,
-                                                   this->settings.http_limits,
+                                                   admin_limits,
                                                    [this](const std::shared_ptr<http_exchange>& exchange) {
                                                        this->handle_admin_request(*exchange);
                                                    });
@@ -208,7 +212,7 @@
             this->time,
             this->relay,
             this->random,
-            {this->settings.host, this->settings.data_centre, this->settings.peer_address},
+            {this->settings.host, this->settings.data_centre, this->settings.peer_address, max_bind_wait},
             this->link,
             [this] { return this->report_load(); },
             [this](const load_report& report) { this->pool.record_peer_prefixes(report.new_prefixes); });
--- a/src/net/datagram_socket.h
+++ b/src/net/datagram_socket.h
@@ -5,6 +5,7 @@
 #include "net/event_loop.h"
 #include "net/types/http_types.h"
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -16,9 +17,12 @@
 public:
     using receiver = std::function<void(std::string_view datagram)>;
 
-    // Binds the socket; port 0 selects a free port. Fails with listen_failed or address_invalid.
-    static result<std::unique_ptr<datagram_socket>>
-    create(event_loop& loop, const std::string& address, receiver receive);
+    // Binds the socket; port 0 selects a free port. Waits for another process to release the address for at most
+    // `max_bind_wait`. Fails with listen_failed or address_invalid.
+    static result<std::unique_ptr<datagram_socket>> create(event_loop& loop,
+                                                           const std::string& address,
+                                                           receiver receive,
+                                                           std::chrono::milliseconds max_bind_wait = {});
 
     datagram_socket() = default;
     datagram_socket(const datagram_socket&) = delete;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -18,6 +18,8 @@
     // Open descriptors of the whole process; above this, no connections are accepted.
     int max_descriptors = 4096;
     std::chrono::seconds idle_timeout{60};
+    // How long to wait, at the start, for another process to release the address.
+    std::chrono::milliseconds max_bind_wait{0};
 
     friend bool operator==(const http_server_limits&, const http_server_limits&) = default;
 };
--- a/src/net/internal/datagram_socket.cpp
+++ b/src/net/internal/datagram_socket.cpp
@@ -1,5 +1,6 @@
 #include "net/datagram_socket.h"
 
+#include "net/internal/bind_retry.h"
 #include "net/internal/callback_guard.h"
 
 #include <arpa/inet.h>
@@ -103,8 +104,10 @@
 
 } // namespace
 
-result<std::unique_ptr<datagram_socket>>
-datagram_socket::create(event_loop& loop, const std::string& address, receiver receive)
+result<std::unique_ptr<datagram_socket>> datagram_socket::create(event_loop& loop,
+                                                                 const std::string& address,
+                                                                 receiver receive,
+                                                                 std::chrono::milliseconds max_bind_wait)
 {
     const auto requested = parse_address(address);
     if (!requested) {
@@ -117,7 +120,10 @@
     const int descriptor = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     auto* const native_address = reinterpret_cast<sockaddr*>(&*native); // NOLINT(*-reinterpret-cast)
     socklen_t length = sizeof(*native);
-    if (descriptor < 0 || bind(descriptor, native_address, length) != 0) {
+    const auto try_bind = [&] {
+        return bind(descriptor, native_address, length) == 0;
+    };
+    if (descriptor < 0 || !bind_with_retry(address, max_bind_wait, try_bind)) {
         if (descriptor >= 0) {
             close(descriptor);
         }
--- a/src/net/internal/http_server.cpp
+++ b/src/net/internal/http_server.cpp
@@ -1,6 +1,7 @@
 #include "net/http_server.h"
 
 #include "net/internal/accept_limiter.h"
+#include "net/internal/bind_retry.h"
 #include "net/internal/callback_guard.h"
 #include "net/internal/evhttp_exchange.h"
 
@@ -40,10 +41,14 @@
     evhttp_server(evhttp_server&&) = delete;
     evhttp_server& operator=(evhttp_server&&) = delete;
 
-    result<void> listen(const socket_address& requested, int max_descriptors)
+    result<void> listen(const socket_address& requested, const http_server_limits& limits)
     {
-        this->socket = evhttp_bind_socket_with_handle(this->native, requested.host.c_str(), requested.port);
-        if (this->socket == nullptr) {
+        const bool is_bound = bind_with_retry(to_text(requested), limits.max_bind_wait, [&] {
+            this->socket =
+                evhttp_bind_socket_with_handle(this->native, requested.host.c_str(), requested.port);
+            return this->socket != nullptr;
+        });
+        if (!is_bound) {
             return fail(result_code::listen_failed, "cannot listen on " + to_text(requested));
         }
         sockaddr_in bound{};
@@ -54,7 +59,7 @@
                     &length);
         this->bound_address = {requested.host, ntohs(bound.sin_port)};
         auto* const listener = evhttp_bound_socket_get_listener(this->socket);
-        this->limiter = std::make_unique<accept_limiter>(this->loop, listener, max_descriptors);
+        this->limiter = std::make_unique<accept_limiter>(this->loop, listener, limits.max_descriptors);
         return {};
     }
 
@@ -135,7 +140,7 @@
         return tl::make_unexpected(requested.error());
     }
     auto server = std::make_unique<evhttp_server>(loop, limits, std::move(serve));
-    const auto listening = server->listen(*requested, limits.max_descriptors);
+    const auto listening = server->listen(*requested, limits);
     if (!listening) {
         return tl::make_unexpected(listening.error());
     }
--- a/src/peers/internal/peer_exchange.cpp
+++ b/src/peers/internal/peer_exchange.cpp
@@ -82,10 +82,11 @@
 
     result<void> listen()
     {
-        auto created =
-            datagram_socket::create(this->loop, this->settings.listen, [this](std::string_view datagram) {
-                this->on_datagram(datagram);
-            });
+        auto created = datagram_socket::create(
+            this->loop,
+            this->settings.listen,
+            [this](std::string_view datagram) { this->on_datagram(datagram); },
+            this->settings.max_bind_wait);
         if (!created) {
             return tl::make_unexpected(created.error());
         }
--- a/src/peers/peer_exchange.h
+++ b/src/peers/peer_exchange.h
@@ -19,7 +19,8 @@
 struct peer_settings {
     std::string host; // name of this gateway, unique in the store
     std::string data_centre;
-    std::string listen; // ip:port for datagrams
+    std::string listen;                         // ip:port for datagrams
+    std::chrono::milliseconds max_bind_wait{0}; // for another process to release that address
 
     friend bool operator==(const peer_settings&, const peer_settings&) = default;
 };
--- a/tests/tests/process_survival_tests.cpp
+++ b/tests/tests/process_survival_tests.cpp
@@ -55,6 +55,7 @@
     CPPUNIT_TEST_SUITE(process_survival_tests);
     CPPUNIT_TEST(survives_entries_of_other_writers);
     CPPUNIT_TEST(starts_with_all_values_that_the_platform_may_set);
+    CPPUNIT_TEST(waits_for_the_addresses_of_its_predecessor);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -133,6 +134,43 @@
             CPPUNIT_ASSERT(check.has_line("stop_grace_seconds: 'soon' is not a number"));
         });
     }
+
+    // Guards against a restart that overlaps with the end of the process before: the new process met
+    // addresses in use and ended.
+    void waits_for_the_addresses_of_its_predecessor()
+    {
+        child_process site("standin-site", {});
+        const auto store_address = site.address("http");
+        test_client caller;
+        const rendered_settings any_ports(store_address, {});
+        std::map<std::string, std::string> addresses;
+        {
+            child_process first("tanager-gateway", {"--config", any_ports.path});
+            addresses = {{"listen.front", first.address("http")}, {"listen.ready", first.address("pages")}};
+        }
+        const rendered_settings settings(store_address, addresses);
+        child_process predecessor("tanager-gateway", {"--config", settings.path});
+        predecessor.wait_for_line("program_listening");
+        child_process successor("tanager-gateway", {"--config", settings.path});
+        section("the successor waits while the predecessor runs", [&] {
+            successor.wait_for_line("address_in_use");
+            CPPUNIT_ASSERT(successor.is_running());
+        });
+        section("it listens as soon as the predecessor has ended", [&] {
+            predecessor.send_signal(SIGTERM);
+            CPPUNIT_ASSERT_EQUAL(0, predecessor.wait());
+            successor.wait_for_line("program_listening");
+            caller.poll_until(addresses.at("listen.ready"), "/ready", [](const http_response& response) {
+                return response.status == 200;
+            });
+        });
+        section("a process that is told to stop while it waits ends at once", [&] {
+            child_process third("tanager-gateway", {"--config", settings.path});
+            third.wait_for_line("address_in_use");
+            third.send_signal(SIGTERM);
+            CPPUNIT_ASSERT_EQUAL(4, third.wait());
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(process_survival_tests);
