What callers make the process hold in memory is bounded in all (FAULT)

What callers saw: a gateway that the platform kills, with all its requests, since others send long bodies without their end.

Cause: each connection had its limits (head 16 KB, body 4 MB), and all of them together had none. The HTTP library collects a body before anybody sees its request, and keeps what a caller does not read of a response.

Buffered responses of servers had their own bound already.

--- a/src/gateway/gateway_setup.cpp
+++ b/src/gateway/gateway_setup.cpp
@@ -51,6 +51,12 @@
 constexpr std::chrono::milliseconds connect_probe_timeout{250};
 // A predecessor on the same addresses ends within its stop grace, which is 8 s on the users' sites.
 constexpr std::chrono::milliseconds max_bind_wait{10'000};
+constexpr std::size_t bytes_per_megabyte = std::size_t{1024} * 1024;
+// Requests and responses on callers' connections may take a quarter of the memory. The rest is for the copies
+// of requests on their way to servers, buffered responses (`max_response_buffer_bytes`) and the process
+// itself.
+constexpr std::size_t caller_memory_divisor = 4;
+constexpr std::size_t admin_memory_divisor = 32;
 // Retries that a service with few requests may spend at once. Small, since each gateway has as many.
 constexpr double min_retry_budget = 3;
 
@@ -185,7 +191,10 @@
     {
         auto admin_limits = this->settings.http_limits;
         admin_limits.max_bind_wait = max_bind_wait;
+        const auto memory_bytes = this->settings.memory_megabytes * bytes_per_megabyte;
+        admin_limits.max_connection_memory = memory_bytes / admin_memory_divisor;
         auto limits = admin_limits;
+        limits.max_connection_memory = memory_bytes / caller_memory_divisor;
         limits.max_descriptors =
             std::max(limits.max_descriptors / 2, limits.max_descriptors - reserved_descriptors);
         auto caller_server = http_server::create(
--- a/src/gateway/internal/gateway_settings.cpp
+++ b/src/gateway/internal/gateway_settings.cpp
@@ -19,6 +19,7 @@
 constexpr double percent = 100.0;
 constexpr double max_link_megabits_per_second = 1e9;
 constexpr std::chrono::seconds max_stop_grace{600};
+constexpr double max_memory_megabytes = 1e9;
 
 void load_http(settings_reader& reader, http_server_limits& http)
 {
@@ -57,6 +58,10 @@
         static_cast<std::size_t>(reader.read_integer({"limits", "open_requests"},
                                                      static_cast<std::int64_t>(defaults.max_open_requests),
                                                      open_requests_range));
+    settings.memory_megabytes =
+        static_cast<std::size_t>(reader.read_decimal({"limits", "memory_megabytes"},
+                                                     static_cast<double>(defaults.memory_megabytes),
+                                                     max_memory_megabytes));
     settings.retry_budget_ratio = static_cast<double>(reader.read_integer(
                                       {"retries", "percent"}, default_retry_percent, percent_range)) /
                                   percent;
--- a/src/gateway/types/gateway_settings.h
+++ b/src/gateway/types/gateway_settings.h
@@ -24,6 +24,7 @@
     std::chrono::milliseconds store_recovery_grace{
         2'000}; // for server entries to reappear after the store recovers
     std::size_t max_open_requests = 2'000;
+    std::size_t memory_megabytes = 256; // that the process may use
     double retry_budget_ratio = 0.2;
     std::chrono::milliseconds role_order_lease{3'000}; // minimum time between role orders of two gateways
     double min_role_gain_ratio = 0.15; // minimum gain of a role change, relative to the service's capacity
--- a/src/logging/internal/log_event.cpp
+++ b/src/logging/internal/log_event.cpp
@@ -58,6 +58,7 @@
     event_row{log_event::log_lines_dropped, "log_lines_dropped", log_level::warning},
     event_row{log_event::settings_reloaded, "settings_reloaded", log_level::info},
     event_row{log_event::address_in_use, "address_in_use", log_level::warning},
+    event_row{log_event::connection_shed, "connection_shed", log_level::warning},
     event_row{log_event::callback_failed, "callback_failed", log_level::error},
     event_row{log_event::settings_defaulted, "settings_defaulted", log_level::warning},
     event_row{log_event::request_placed, "request_placed", log_level::info},
--- a/src/logging/types/log_event.h
+++ b/src/logging/types/log_event.h
@@ -20,6 +20,7 @@
     settings_defaulted = 1009,
     callback_failed = 1010,
     address_in_use = 1011,
+    connection_shed = 1012,
 
     // 2000: catalogue and platform
     catalogue_applied = 2001,
--- a/src/net/internal/evhttp_exchange.h
+++ b/src/net/internal/evhttp_exchange.h
@@ -28,6 +28,9 @@
     // Starts watching for a close by the caller; keeps the exchange alive until the response has been sent.
     void attach();
 
+    // Sets a function that is called when the request is no longer in memory.
+    void on_destroyed(notice callback);
+
     const http_request& request() const override;
     void start(int status, const http_headers& headers) override;
     void write(std::string_view data) override;
@@ -65,6 +68,7 @@
     event* shutdown_event = nullptr;
     evbuffer_cb_entry* output_callback_entry = nullptr;
     notice finished_callback;
+    notice destroyed_callback;
     notice drained_callback;
     notice caller_left_callback;
     std::shared_ptr<evhttp_exchange> self_reference;
--- a/src/net/internal/http_exchange.cpp
+++ b/src/net/internal/http_exchange.cpp
@@ -54,6 +54,14 @@
 evhttp_exchange::~evhttp_exchange()
 {
     this->stop_watching();
+    if (this->destroyed_callback) {
+        run_guarded("request destroyed", this->destroyed_callback);
+    }
+}
+
+void evhttp_exchange::on_destroyed(notice callback)
+{
+    this->destroyed_callback = std::move(callback);
 }
 
 http_request evhttp_exchange::read_request(evhttp_request* native)
--- a/src/net/internal/http_server.cpp
+++ b/src/net/internal/http_server.cpp
@@ -3,6 +3,7 @@
 #include "net/internal/accept_limiter.h"
 #include "net/internal/bind_retry.h"
 #include "net/internal/callback_guard.h"
+#include "net/internal/connection_watcher.h"
 #include "net/internal/evhttp_exchange.h"
 
 #include <arpa/inet.h>
@@ -21,7 +22,10 @@
 class evhttp_server final : public http_server {
 public:
     evhttp_server(event_loop& loop, const http_server_limits& limits, handler serve)
-        : loop(loop), native(evhttp_new(loop.native_handle())), serve(std::move(serve))
+        : loop(loop),
+          native(evhttp_new(loop.native_handle())),
+          serve(std::move(serve)),
+          watcher(loop, limits.max_connection_memory)
     {
         evhttp_set_max_headers_size(this->native, static_cast<ev_ssize_t>(limits.max_header_bytes));
         evhttp_set_max_body_size(this->native, static_cast<ev_ssize_t>(limits.max_body_bytes));
@@ -99,6 +103,8 @@
             request,
             [server] { return server->keep_alive_disabled; },
             [server] { --server->open_exchange_count; });
+        auto* const stream = evhttp_connection_get_bufferevent(evhttp_request_get_connection(request));
+        exchange->on_destroyed(server->watcher.hold_request(stream, exchange->request().body.size()));
         exchange->attach();
         if (evhttp_request_get_command(request) == EVHTTP_REQ_CONNECT) {
             exchange->abort();
@@ -115,12 +121,17 @@
         if (server->limiter != nullptr) {
             server->limiter->pause_if_exhausted();
         }
-        return bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+        auto* const stream = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+        if (stream != nullptr) {
+            server->watcher.watch(stream);
+        }
+        return stream;
     }
 
     event_loop& loop;
     evhttp* native;
     handler serve;
+    connection_watcher watcher;
     evhttp_bound_socket* socket = nullptr;
     socket_address bound_address;
     std::unique_ptr<accept_limiter> limiter;
--- a/tests/tests/process_survival_tests.cpp
+++ b/tests/tests/process_survival_tests.cpp
@@ -1,6 +1,7 @@
 // Guards against gateways that end by themselves, or do not start, because of what others write or send.
 #include "testing/section.h"
 #include "tests/support/gateway_group.h"
+#include "tests/support/raw_tcp_client.h"
 
 namespace tanager::testing {
 
@@ -56,6 +57,7 @@
     CPPUNIT_TEST(survives_entries_of_other_writers);
     CPPUNIT_TEST(starts_with_all_values_that_the_platform_may_set);
     CPPUNIT_TEST(waits_for_the_addresses_of_its_predecessor);
+    CPPUNIT_TEST(stays_within_its_memory);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -171,6 +173,39 @@
             CPPUNIT_ASSERT_EQUAL(4, third.wait());
         });
     }
+
+    // Guards against callers that send long bodies without their end: 80 of them held 320 MB, and the
+    // platform kills a process that exceeds its memory.
+    void stays_within_its_memory()
+    {
+        child_process site("standin-site", {});
+        const rendered_settings settings(site.address("http"), {{"limits.memoryMb", "160"}});
+        child_process gateway("tanager-gateway", {"--config", settings.path});
+        const auto address = gateway.address("http");
+        const auto admin_address = gateway.address("pages");
+        test_client caller;
+        caller.poll_until(
+            admin_address, "/ready", [](const http_response& page) { return page.status == 200; });
+        const std::string body(3'900'000, 'x');
+        std::vector<std::unique_ptr<raw_tcp_client>> stalled;
+        for (int count = 0; count < 80; ++count) {
+            stalled.push_back(std::make_unique<raw_tcp_client>(address));
+            stalled.back()->send(
+                "POST /order/1 HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 4000000\r\n\r\n" + body);
+        }
+        section("the process stays within its 160 MB", [&] {
+            const auto page = caller.get(admin_address, "/metrics");
+            CPPUNIT_ASSERT(metric_value(page, "process_resident_memory_bytes") < 160e6);
+            section("and serves other callers", [&] {
+                const http_request order{
+                    "POST",
+                    "/order/2",
+                    {{"Host", "shop.example"}, {"Attempt-Id", "r1"}, {"Deadline-Ms", "5000"}},
+                    std::string(100'000, 'y')};
+                CPPUNIT_ASSERT_EQUAL(200, caller.fetch(address, order).status);
+            });
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(process_survival_tests);
