--- a/src/net/internal/http_client.cpp
+++ b/src/net/internal/http_client.cpp
@@ -24,6 +24,8 @@
 // framing, such as a chunk size, grows to this limit.
 constexpr std::size_t max_unparsed_bytes = std::size_t{128} * 1024;
 constexpr int total_timeout_factor = 2;
+constexpr int status_continue = 100;
+constexpr int first_final_status = 200;
 
 evhttp_cmd_type to_command(const std::string& method)
 {
@@ -228,6 +230,7 @@
         });
     }
 
+    // evhttp takes other interim responses than 100 for the whole response.
     static int on_header(evhttp_request* request, void* self)
     {
         auto& call = *static_cast<evhttp_call*>(self);
@@ -237,8 +240,12 @@
         }
         const int status = evhttp_request_get_response_code(request);
         const auto headers = read_headers(request);
+        if (status == status_continue) {
+            return 0; // evhttp reads on
+        }
         call.head_received = true;
-        if (is_framing_ambiguous({}, headers) || (!is_framed(status, headers) && !call.accept_unframed)) {
+        if (status < first_final_status || is_framing_ambiguous({}, headers) ||
+            (!is_framed(status, headers) && !call.accept_unframed)) {
             call.failure_code = result_code::reply_malformed;
             return -1;
         }
@@ -260,8 +267,8 @@
         }
         const auto* const bytes = evbuffer_pullup(input, -1);
         const auto receiver = call.handler; // on_data may cancel the call, which resets call.handler
-        const std::string_view data{reinterpret_cast<const char*>(bytes),
-                                    length}; // NOLINT(*-reinterpret-cast)
+        const auto* const text = reinterpret_cast<const char*>(bytes); // NOLINT(*-reinterpret-cast)
+        const std::string_view data{text, length};
         if (!run_guarded("response", [&] { receiver->on_data(data); })) {
             call.cancel_with_failure();
         }
--- a/src/net/tests/unbounded_response_tests.cpp
+++ b/src/net/tests/unbounded_response_tests.cpp
@@ -148,6 +148,12 @@
                 [&] { assert_call_fails(chunked, "1", result_code::reply_malformed); });
         section("trailer fields follow without end",
                 [&] { assert_call_fails(chunked + "0\r\n", "A: b\r\n", result_code::reply_malformed); });
+        // Guards against an interim response that is passed on as the response.
+        section("an interim response comes first", [&] {
+            assert_call_fails("HTTP/1.1 103 Early Hints\r\n\r\n",
+                              "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+                              result_code::reply_malformed);
+        });
         section("100 Continue responses follow without end",
                 [&] { assert_call_fails("", "HTTP/1.1 100 Continue\r\n\r\n", result_code::timed_out); });
     }
--- a/src/roles/tests/roles_tests.cpp
+++ b/src/roles/tests/roles_tests.cpp
@@ -274,8 +274,8 @@
             });
             section("it reads the report, renews the lease and sends an order with a higher token", [&] {
                 first.send();
-                // Guards against a second copy of an earlier response that is taken for a report or an order's
-                // response, which carry no id (review case 3).
+                // Guards against a second copy of an earlier response that is taken for a report or an
+                // order's response, which carry no id (review case 3).
                 CPPUNIT_ASSERT(!first.last_call().options.reuse_connection);
                 first.last_call().respond(200, {}, "5");
                 CPPUNIT_ASSERT_EQUAL(std::size_t{1}, first.client.calls.size());
