--- a/src/gateway/internal/prefill_call.cpp
+++ b/src/gateway/internal/prefill_call.cpp
@@ -47,12 +47,11 @@
     }
 }
 
-// An engine may send a response twice, and the second copy then arrives where the next response is due. A handle in it
-// names the KV cache of another request.
+// An engine may send a response twice, and the second copy then arrives where the next response is due. A
+// handle in it names the KV cache of another request.
 bool prefill_call::is_answer(int status, const http_headers& headers)
 {
-    this->is_foreign =
-        !this->codec.decode_response_head(this->request, status, headers).answers_request();
+    this->is_foreign = !this->codec.decode_response_head(this->request, status, headers).answers_request();
     return !this->is_foreign;
 }
 
--- a/src/gateway/internal/prefill_call.h
+++ b/src/gateway/internal/prefill_call.h
@@ -14,6 +14,9 @@
 // itself has not been executed.
 class prefill_call final : public std::enable_shared_from_this<prefill_call> {
 public:
+    // A response names a KV cache. Many prompts may be prefilled at once.
+    static constexpr std::size_t max_response_bytes = std::size_t{64} * 1024;
+
     // Receives the KV cache of the prompt, or an error. After backend_refused and connect_failed, the engine
     // has not processed the prompt.
     using callback = std::function<void(const result<kv_cache_handle>&)>;
--- a/src/gateway/internal/request_forwarder.cpp
+++ b/src/gateway/internal/request_forwarder.cpp
@@ -315,7 +315,11 @@
     auto attempt = this->make_attempt_options(*this->grant.prefill_engine);
     attempt.prefill_only = true;
     attempt.prefix_source = this->prefix_source_address();
-    http_call_options options{attempt.time_left + call_timeout_margin, true, true, max_connection_idle};
+    const http_call_options options{attempt.time_left + call_timeout_margin,
+                                    true,
+                                    true,
+                                    max_connection_idle,
+                                    prefill_call::max_response_bytes};
     this->attempts.begin_prefill();
     this->waiting_since = this->context.time.now();
     this->attempt_sent_at = this->waiting_since;
@@ -451,17 +455,20 @@
     if (!this->unclaimed_kv_cache) {
         return;
     }
-    this->context.client.fetch(this->unclaimed_kv_cache->server_address,
-                               this->context.codec.encode_kv_cache_release(*this->unclaimed_kv_cache),
-                               {},
-                               [](const tl::expected<http_response, http_failure>& /*response*/) {
-                                   // If this call fails, the engine drops the cache after its own timeout.
-                               },
-                               [&codec = this->context.codec](int status, const http_headers& headers) {
-                                   // A response with an id answers a caller's request; the one to this call is
-                                   // still to come, and must not meet the next request on the connection.
-                                   return codec.decode_response_head({}, status, headers).matches_request;
-                               });
+    http_call_options options;
+    options.max_collected_bytes = prefill_call::max_response_bytes;
+    this->context.client.fetch(
+        this->unclaimed_kv_cache->server_address,
+        this->context.codec.encode_kv_cache_release(*this->unclaimed_kv_cache),
+        options,
+        [](const tl::expected<http_response, http_failure>& /*response*/) {
+            // If this call fails, the engine drops the cache after its own timeout.
+        },
+        [&codec = this->context.codec](int status, const http_headers& headers) {
+            // A response with an id answers a caller's request; the one to this call is
+            // still to come, and must not meet the next request on the connection.
+            return codec.decode_response_head({}, status, headers).matches_request;
+        });
     this->unclaimed_kv_cache.reset();
 }
 
@@ -508,8 +515,8 @@
     this->start_idle_timeout();
 }
 
-// Discards what earlier attempts have left of their responses, however they ended. The caller keeps the complete
-// events.
+// Discards what earlier attempts have left of their responses, however they ended. The caller keeps the
+// complete events.
 void request_forwarder::discard_earlier_response()
 {
     this->response = {};
@@ -622,8 +629,7 @@
 // follows for the rest of the stream, and its end for the end of the stream.
 bool request_forwarder::continues_stream(int status, const http_headers& headers) const
 {
-    return status == this->streamed_status &&
-           media_type_of(headers) == media_type_of(this->response_headers);
+    return status == this->streamed_status && media_type_of(headers) == media_type_of(this->response_headers);
 }
 
 // Cancels an attempt whose response cannot be forwarded, and retries or fails the request.
--- a/src/gateway/tests/gateway_tests.cpp
+++ b/src/gateway/tests/gateway_tests.cpp
@@ -406,8 +406,8 @@
         });
     }
 
-    // Guards against a stream that ends as complete when the server that should resume it answers with anything
-    // but the rest of the stream (review case 1).
+    // Guards against a stream that ends as complete when the server that should resume it answers with
+    // anything but the rest of the stream (review case 1).
     void a_response_that_does_not_continue_a_stream_does_not_complete_it()
     {
         const std::string first_event = "id: 1\ndata: a\n\n";
@@ -497,8 +497,8 @@
         });
     }
 
-    // Guards against half an event of one server that is joined with the events of the next, whatever ends the
-    // earlier attempt (review case 4).
+    // Guards against half an event of one server that is joined with the events of the next, whatever ends
+    // the earlier attempt (review case 4).
     void a_resumed_stream_has_no_bytes_of_an_incomplete_event()
     {
         struct attempt_end {
@@ -506,10 +506,18 @@
             std::function<void(forwarding_fixture&)> happen;
         };
         const std::vector<attempt_end> ends{
-            {"breaks off", [](auto& gateway) { gateway.call(0).fail(call_progress::maybe_sent); }},
-            {"ends its response", [](auto& gateway) { gateway.call(0).handler->on_end(); }},
+            {"breaks off",
+             [](auto& gateway) {
+                 gateway.call(0).fail(call_progress::maybe_sent);
+             }},
+            {"ends its response",
+             [](auto& gateway) {
+                 gateway.call(0).handler->on_end();
+             }},
             {"sends an event that is too long",
-             [](auto& gateway) { gateway.call(0).handler->on_data(std::string(300'000, 'x')); }},
+             [](auto& gateway) {
+                 gateway.call(0).handler->on_data(std::string(300'000, 'x'));
+             }},
             {"falls silent",
              [](auto& gateway) {
                  gateway.time.advance(1'100ms);
@@ -706,8 +714,9 @@
         });
     }
 
-    // Guards against a request that goes on from the KV cache of another one: a prefill engine sends a response
-    // twice, and the second copy arrives where the next response on the connection is due (review case 3).
+    // Guards against a request that goes on from the KV cache of another one: a prefill engine sends a
+    // response twice, and the second copy arrives where the next response on the connection is due (review
+    // case 3).
     void never_decodes_from_the_kv_cache_of_another_request()
     {
         const auto send_prompt = [](forwarding_fixture& gateway) {
@@ -726,9 +735,8 @@
                     forwarding_fixture gateway;
                     const auto exchange = send_prompt(gateway);
                     gateway.call(0).respond(status, headers, "h0");
-                    section("its connection is closed, since the right response may still follow", [&] {
-                        CPPUNIT_ASSERT(gateway.call(0).is_cancelled);
-                    });
+                    section("its connection is closed, since the right response may still follow",
+                            [&] { CPPUNIT_ASSERT(gateway.call(0).is_cancelled); });
                     section("the decode engine prefills the prompt itself", [&] {
                         CPPUNIT_ASSERT_EQUAL(std::string{"d"}, gateway.server_of(gateway.call(1)));
                         CPPUNIT_ASSERT_EQUAL(std::string{},
@@ -737,9 +745,8 @@
                         CPPUNIT_ASSERT_EQUAL(200, exchange->sent_response.status);
                         CPPUNIT_ASSERT(gateway.pool.local_loads().empty());
                     });
-                    section("the engine has answered, so it has not ended", [&] {
-                        CPPUNIT_ASSERT_EQUAL(0, gateway.connector.attempt_count);
-                    });
+                    section("the engine has answered, so it has not ended",
+                            [&] { CPPUNIT_ASSERT_EQUAL(0, gateway.connector.attempt_count); });
                 });
             }
         }
@@ -751,9 +758,8 @@
             const auto& release = *gateway.client.calls.back();
             CPPUNIT_ASSERT_EQUAL(std::string{"DELETE"}, release.request.method);
             release.respond(200, {{"id", "r0"}}, "h0");
-            section("the connection is closed, so that the next request on it gets its own response", [&] {
-                CPPUNIT_ASSERT(release.is_cancelled);
-            });
+            section("the connection is closed, so that the next request on it gets its own response",
+                    [&] { CPPUNIT_ASSERT(release.is_cancelled); });
         });
         section("a KV cache is released, and the engine responds: the connection stays open", [&] {
             forwarding_fixture gateway;
@@ -939,6 +945,24 @@
             CPPUNIT_ASSERT(gateway.call(0).is_cancelled);
             CPPUNIT_ASSERT_EQUAL(502, exchange->sent_response.status);
         });
+        // Guards against prefill engines whose endless responses exhaust the memory: each was collected up to
+        // 8 MB.
+        section("a prefill response is longer than any handle", [&] {
+            forwarding_fixture gateway;
+            gateway.pool.servers().replace_all({});
+            gateway.add_server("d", engine_role::decode);
+            gateway.add_server("p", engine_role::prefill);
+            gateway.prompt = {5, 6'000, 2'000, 10};
+            gateway.is_model = true;
+            gateway.send();
+            const auto handler = gateway.call(0).handler;
+            handler->on_head(200, prefill_headers);
+            for (int count = 0; count < 7 && !gateway.call(0).is_cancelled; ++count) {
+                handler->on_data(chunk);
+            }
+            CPPUNIT_ASSERT(gateway.call(0).is_cancelled);
+            CPPUNIT_ASSERT_EQUAL(std::string{}, find_header(gateway.call(1).request.headers, "cache"));
+        });
         section("the body of a refusal is not buffered, and another server gets the request", [&] {
             forwarding_fixture gateway;
             const auto exchange = gateway.send();
--- a/src/net/internal/http_client.cpp
+++ b/src/net/internal/http_client.cpp
@@ -16,8 +16,6 @@
 namespace {
 
 constexpr ev_ssize_t max_body_bytes = std::size_t{64} * 1024 * 1024;
-// The largest object of the store has 1 MB, and its pages slightly more.
-constexpr std::size_t max_collected_body_bytes = std::size_t{8} * 1024 * 1024;
 // Typical heads have a few hundred bytes.
 constexpr ev_ssize_t max_head_bytes = ev_ssize_t{64} * 1024;
 // Limits the input that evhttp has not parsed yet. evhttp removes body bytes as they arrive, so only unending
@@ -398,8 +396,10 @@
 // Collects a response in memory.
 class collecting_handler final : public http_response_handler {
 public:
-    collecting_handler(http_client::response_callback callback, http_client::head_check is_expected)
-        : callback(std::move(callback)), is_expected(std::move(is_expected))
+    collecting_handler(std::size_t max_bytes,
+                       http_client::response_callback callback,
+                       http_client::head_check is_expected)
+        : max_bytes(max_bytes), callback(std::move(callback)), is_expected(std::move(is_expected))
     {
     }
 
@@ -420,7 +420,7 @@
 
     void on_data(std::string_view data) override
     {
-        if (this->response.body.size() + data.size() <= max_collected_body_bytes) {
+        if (this->response.body.size() + data.size() <= this->max_bytes) {
             this->response.body += data;
             return;
         }
@@ -446,6 +446,7 @@
         this->on_failure({{result_code::reply_malformed, reason}, call_progress::maybe_sent});
     }
 
+    std::size_t max_bytes;
     http_client::response_callback callback;
     http_client::head_check is_expected;
     http_response response;
@@ -465,7 +466,8 @@
                                               response_callback callback,
                                               head_check is_expected)
 {
-    const auto collector = std::make_shared<collecting_handler>(std::move(callback), std::move(is_expected));
+    const auto collector = std::make_shared<collecting_handler>(
+        options.max_collected_bytes, std::move(callback), std::move(is_expected));
     auto call = this->start(peer, request, options, collector);
     collector->set_call(call);
     return call;
--- a/src/roles/internal/role_order_sender.cpp
+++ b/src/roles/internal/role_order_sender.cpp
@@ -14,17 +14,20 @@
 // After a slower update, another process may already hold the lease.
 constexpr std::chrono::milliseconds max_update_age{500};
 constexpr std::chrono::milliseconds call_timeout{1'000};
+// A report has a row for each running request.
+constexpr std::size_t max_response_bytes = std::size_t{1024} * 1024;
 // An order without a response may still be executed within this time; the engine's report is read only after
 // it.
 constexpr std::chrono::seconds max_execution_delay{15};
 
-// Reports and responses to orders carry no id. On a connection that was used before, a second copy of an earlier
-// response could be taken for them.
+// Reports and responses to orders carry no id. On a connection that was used before, a second copy of an
+// earlier response could be taken for them.
 http_call_options make_call_options()
 {
     http_call_options options;
     options.timeout = call_timeout;
     options.reuse_connection = false;
+    options.max_collected_bytes = max_response_bytes;
     return options;
 }
 
