--- a/src/gateway/internal/request_forwarder.h
+++ b/src/gateway/internal/request_forwarder.h
@@ -166,7 +166,7 @@
     response_info response;
     http_headers response_headers;
     bool is_response_framed = false;
-    int streamed_status = 0; // of the stream that the caller receives
+    int streamed_status = 0;     // of the stream that the caller receives
     duration quarantine_left{0}; // when the request was rejected for it
     bounded_text buffered_body;
     sse_event_splitter events;
--- a/src/gateway/tests/gateway_tests.cpp
+++ b/src/gateway/tests/gateway_tests.cpp
@@ -505,6 +505,14 @@
             std::string name;
             std::function<void(forwarding_fixture&)> happen;
         };
+        const auto wait = [](forwarding_fixture& gateway, std::chrono::milliseconds time) {
+            gateway.time.advance(time);
+            bool is_wait_over = false;
+            const auto timer = gateway.loop->run_after(time, [&] { is_wait_over = true; });
+            while (!is_wait_over) {
+                gateway.loop->run_once();
+            }
+        };
         const std::vector<attempt_end> ends{
             {"breaks off",
              [](auto& gateway) {
@@ -519,13 +527,8 @@
                  gateway.call(0).handler->on_data(std::string(300'000, 'x'));
              }},
             {"falls silent",
-             [](auto& gateway) {
-                 gateway.time.advance(1'100ms);
-                 bool is_wait_over = false;
-                 const auto timer = gateway.loop->run_after(1'100ms, [&] { is_wait_over = true; });
-                 while (!is_wait_over) {
-                     gateway.loop->run_once();
-                 }
+             [&](auto& gateway) {
+                 wait(gateway, 1'100ms);
              }},
         };
         for (const auto& end : ends) {
--- a/src/net/datagram_socket.h
+++ b/src/net/datagram_socket.h
@@ -17,8 +17,8 @@
 public:
     using receiver = std::function<void(std::string_view datagram)>;
 
-    // Binds the socket; port 0 selects a free port. Waits for another process to release the address for at most
-    // `max_bind_wait`. Fails with listen_failed or address_invalid.
+    // Binds the socket; port 0 selects a free port. Waits for another process to release the address for at
+    // most `max_bind_wait`. Fails with listen_failed or address_invalid.
     static result<std::unique_ptr<datagram_socket>> create(event_loop& loop,
                                                            const std::string& address,
                                                            receiver receive,
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -73,7 +73,8 @@
     bool accept_unframed = false;
     // Only connections that were idle for less than this are reused.
     std::chrono::milliseconds max_idle_time{30'000};
-    // The longest body that `fetch` collects. The largest object of the store has 1 MB, and its pages slightly more.
+    // The longest body that `fetch` collects. The largest object of the store has 1 MB, and its pages
+    // slightly more.
     std::size_t max_collected_bytes = std::size_t{8} * 1024 * 1024;
 
     friend bool operator==(const http_call_options&, const http_call_options&) = default;
@@ -102,9 +103,9 @@
     // Returns whether a response's head belongs to the call.
     using head_check = std::function<bool(int status, const http_headers& headers)>;
 
-    // Starts a call whose response is collected in memory. A body that is too long fails with reply_malformed. So does a
-    // head that `is_expected` rejects, as on a connection whose peer has sent another response twice; that
-    // connection is not used again.
+    // Starts a call whose response is collected in memory. A body that is too long fails with
+    // reply_malformed. So does a head that `is_expected` rejects, as on a connection whose peer has sent
+    // another response twice; that connection is not used again.
     std::shared_ptr<http_call> fetch(const socket_address& peer,
                                      const http_request& request,
                                      const http_call_options& options,
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -18,9 +18,9 @@
     // Open descriptors of the whole process; above this, no connections are accepted.
     int max_descriptors = 4096;
     std::chrono::seconds idle_timeout{60};
-    // What all connections together may hold in memory: requests that are not complete, requests that are being
-    // served, and responses that have not been read. Above this, connections of the first and last kind are closed,
-    // those with the most bytes first.
+    // What all connections together may hold in memory: requests that are not complete, requests that are
+    // being served, and responses that have not been read. Above this, connections of the first and last kind
+    // are closed, those with the most bytes first.
     std::size_t max_connection_memory = std::size_t{64} * 1024 * 1024;
     // How long to wait, at the start, for another process to release the address.
     std::chrono::milliseconds max_bind_wait{0};
--- a/src/net/tests/connection_memory_tests.cpp
+++ b/src/net/tests/connection_memory_tests.cpp
@@ -119,7 +119,7 @@
     }
 
     // Returns the status of a request of a caller that behaves, or 0.
-    int fetch(const std::string& body = {})
+    int fetch(const std::string& body = {}) const
     {
         std::optional<int> status;
         this->client->fetch(*parse_address(this->server->address()),
--- a/src/net/tests/request_framing_tests.cpp
+++ b/src/net/tests/request_framing_tests.cpp
@@ -1,5 +1,6 @@
 #include "net/http_client.h"
 #include "net/http_server.h"
+#include "testing/concatenate.h"
 #include "testing/section.h"
 
 #include <arpa/inet.h>
@@ -12,6 +13,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+using testing::concatenate;
 using testing::section;
 
 const std::string hidden_request = "POST /hidden HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n";
@@ -123,18 +125,19 @@
         for (const std::string method : {"GET", "POST", "PUT", "DELETE", "PATCH"}) {
             for (const auto& framed : {with_length(hidden_request), in_chunks(hidden_request)}) {
                 for (const std::string extra : {"", "Expect: 100-continue\r\n"}) {
-                    section(method + " has a body, and another request follows; " + framed.substr(0, 17) +
-                                extra,
-                            [&] {
-                                recording_server server;
-                                raw_caller caller(*server.loop, server.address());
-                                caller.send_bytes(method + " /first HTTP/1.1\r\nHost: a\r\n" + extra +
-                                                  framed + "GET /next HTTP/1.1\r\nHost: a\r\n\r\n");
-                                CPPUNIT_ASSERT(!caller.is_closed_within(100ms));
-                                const std::vector<std::string> expected{method + " /first " + hidden_request,
-                                                                        "GET /next "};
-                                CPPUNIT_ASSERT(server.requests == expected);
-                            });
+                    section(concatenate({method, " has a body; ", framed.substr(0, 17), extra}), [&] {
+                        recording_server server;
+                        raw_caller caller(*server.loop, server.address());
+                        caller.send_bytes(concatenate({method,
+                                                       " /first HTTP/1.1\r\nHost: a\r\n",
+                                                       extra,
+                                                       framed,
+                                                       "GET /next HTTP/1.1\r\nHost: a\r\n\r\n"}));
+                        CPPUNIT_ASSERT(!caller.is_closed_within(100ms));
+                        const std::vector<std::string> expected{
+                            concatenate({method, " /first ", hidden_request}), "GET /next "};
+                        CPPUNIT_ASSERT(server.requests == expected);
+                    });
                 }
             }
         }
@@ -169,11 +172,12 @@
         http_server_limits limits;
         limits.max_body_bytes = 4'000;
         for (const std::string method : {"GET", "POST", "DELETE"}) {
-            for (const auto& [name, framing] : framings) {
-                section(method + " has " + name, [&] {
+            for (const auto& each : framings) {
+                section(concatenate({method, " has ", each.first}), [&] {
                     recording_server server(limits);
                     raw_caller caller(*server.loop, server.address());
-                    caller.send_bytes(method + " /first HTTP/1.1\r\nHost: a\r\n" + framing + hidden_request);
+                    caller.send_bytes(concatenate(
+                        {method, " /first HTTP/1.1\r\nHost: a\r\n", each.second, hidden_request}));
                     const bool is_closed = caller.is_closed_within(500ms);
                     for (const auto& request : server.requests) {
                         CPPUNIT_ASSERT_MESSAGE(request, !request.starts_with("POST /hidden"));
@@ -195,7 +199,8 @@
             section("the method is " + method, [&] {
                 recording_server server;
                 raw_caller caller(*server.loop, server.address());
-                caller.send_bytes(method + " /first HTTP/1.1\r\nHost: a\r\n" + with_length(hidden_request));
+                caller.send_bytes(
+                    concatenate({method, " /first HTTP/1.1\r\nHost: a\r\n", with_length(hidden_request)}));
                 const bool is_closed = caller.is_closed_within(500ms);
                 CPPUNIT_ASSERT(server.requests.empty());
                 CPPUNIT_ASSERT_MESSAGE(caller.received, is_closed);
@@ -223,15 +228,17 @@
             {"the caller's expectation", {{"Expect", "100-continue"}}}};
         for (const std::string method : {"GET", "POST", "PUT", "DELETE", "PATCH"}) {
             for (const auto& body : {std::string{}, hidden_request}) {
-                for (const auto& [name, headers] : foreign_framings) {
-                    section(method + (body.empty() ? " without" : " with") + " a body, and " + name, [&] {
+                for (const auto& each : foreign_framings) {
+                    const auto* const has_body =
+                        body.empty() ? " without a body, and " : " with a body, and ";
+                    section(concatenate({method, has_body, each.first}), [&] {
                         recording_server server;
                         const auto client = http_client::create(*server.loop);
                         std::vector<int> statuses;
                         const auto collect = [&](const tl::expected<http_response, http_failure>& response) {
                             statuses.push_back(response ? response->status : -1);
                         };
-                        client->fetch(server.address(), {method, "/first", headers, body}, {}, collect);
+                        client->fetch(server.address(), {method, "/first", each.second, body}, {}, collect);
                         while (statuses.empty()) {
                             server.loop->run_once();
                         }
@@ -239,7 +246,8 @@
                         while (statuses.size() < 2) {
                             server.loop->run_once();
                         }
-                        const std::vector<std::string> expected{method + " /first " + body, "GET /next "};
+                        const std::vector<std::string> expected{concatenate({method, " /first ", body}),
+                                                                "GET /next "};
                         CPPUNIT_ASSERT(server.requests == expected);
                         CPPUNIT_ASSERT(statuses == (std::vector<int>{200, 200}));
                     });
--- a/tests/tests/gateway_path_tests.cpp
+++ b/tests/tests/gateway_path_tests.cpp
@@ -1,5 +1,6 @@
 // The gateway as a real process between callers, the platform's store and backend servers.
 #include "base/text.h"
+#include "testing/concatenate.h"
 #include "testing/section.h"
 #include "tests/support/child_process.h"
 #include "tests/support/raw_tcp_client.h"
@@ -211,7 +212,7 @@
         for (const auto* const method : {"GET", "DELETE", "PATCH", "POST"}) {
             section(std::string{method} + " has a body that is a request", [&] {
                 const raw_tcp_client caller(fixture.gateway_address);
-                caller.send(make_request(method, "/read/1", length + "\r\n" + hidden));
+                caller.send(make_request(method, "/read/1", concatenate({length, "\r\n", hidden})));
                 CPPUNIT_ASSERT(caller.receive_until("answer to POST").starts_with("HTTP/1.1 200"));
                 // Another request on the gateway's connections to the servers.
                 CPPUNIT_ASSERT_EQUAL(200, fixture.fetch("/order/1").status);
@@ -224,7 +225,7 @@
                                     std::string{"Content-Length : 9\r\n"}}) {
             section("the end of a request is not certain: " + framing, [&] {
                 const raw_tcp_client caller(fixture.gateway_address);
-                caller.send(make_request("POST", "/order/1", framing + "\r\n" + hidden));
+                caller.send(make_request("POST", "/order/1", concatenate({framing, "\r\n", hidden})));
                 const auto response = caller.receive_until("a second response");
                 CPPUNIT_ASSERT(response.starts_with("HTTP/1.1 400"));
                 CPPUNIT_ASSERT_EQUAL(response.find("HTTP/1.1"), response.rfind("HTTP/1.1"));
--- a/tests/tests/process_survival_tests.cpp
+++ b/tests/tests/process_survival_tests.cpp
@@ -1,4 +1,5 @@
 // Guards against gateways that end by themselves, or do not start, because of what others write or send.
+#include "testing/concatenate.h"
 #include "testing/section.h"
 #include "tests/support/gateway_group.h"
 #include "tests/support/raw_tcp_client.h"
@@ -75,12 +76,13 @@
             {"config", R"("version":"two","routes":{"a":1},"services":7)"},
         };
         int number = 0;
-        for (const auto& [kind, members] : entries) {
-            section("another writer adds to " + kind + ": " + members, [&] {
+        for (const auto& entry : entries) {
+            section(concatenate({"another writer adds to ", entry.first, ": ", entry.second}), [&] {
                 const auto name = "other-" + std::to_string(++number);
-                const auto body = R"({"metadata":{"name":")" + name + R"("},"spec":{)" + members + "}}";
+                const auto body =
+                    concatenate({R"({"metadata":{"name":")", name, R"("},"spec":{)", entry.second, "}}"});
                 const auto created =
-                    group.caller.fetch(group.store_address, {"POST", "/objects/" + kind, {}, body});
+                    group.caller.fetch(group.store_address, {"POST", "/objects/" + entry.first, {}, body});
                 CPPUNIT_ASSERT(created.status < 300);
                 // A change that is written later is applied after the entry.
                 group.apply_configuration(number + 1);
@@ -109,10 +111,10 @@
             {"zone", {""}},
             {"region", {""}},
         };
-        for (const auto& [name, texts] : values) {
-            for (const auto& text : texts) {
-                section(name + " is '" + text + "'", [&] {
-                    const rendered_settings settings(store_address, {{name, text}});
+        for (const auto& value : values) {
+            for (const auto& text : value.second) {
+                section(concatenate({value.first, " is '", text, "'"}), [&] {
+                    const rendered_settings settings(store_address, {{value.first, text}});
                     child_process gateway("tanager-gateway", {"--config", settings.path});
                     gateway.wait_for_line("program_listening");
                 });
