Test of framing at the operators' address: both requests are whole

The first request declared a body that was not sent, so the server waited for it and the test for 30 s. It now has two lengths of zero, and the assertion that the first request was answered is new.

--- a/tests/tests/gateway_path_tests.cpp
+++ b/tests/tests/gateway_path_tests.cpp
@@ -234,9 +234,11 @@
         }
         section("the same at the address for operators", [&] {
             const raw_tcp_client caller(fixture.admin_address);
-            caller.send("GET /ready HTTP/1.1\r\nHost: a\r\n" + length + length + "\r\n" +
+            const std::string two_lengths = "Content-Length: 0\r\nContent-Length: 0\r\n\r\n";
+            caller.send("GET /ready HTTP/1.1\r\nHost: a\r\n" + two_lengths +
                         "GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n");
             const auto response = caller.receive_until("tanager_requests_open");
+            CPPUNIT_ASSERT(response.starts_with("HTTP/1.1 200"));
             CPPUNIT_ASSERT(response.find("tanager_requests_open") == std::string::npos);
         });
     }
