--- a/src/gateway/crash_quarantine.h
+++ b/src/gateway/crash_quarantine.h
@@ -95,7 +95,7 @@
 
     // Records that a server has run the request to an end that it marked, in failure or in success. Only a
     // success shows that it can answer prompts with these parts.
-    void record_completion(const request_traits& request, bool is_success);
+    void record_completion(const running_request& request, bool is_success);
 
     // Records a success that ended with its connection: a completion only if the server has not ended, too.
     void record_unframed_completion(const backend_server& server, running_request request);
--- a/src/gateway/internal/crash_quarantine.cpp
+++ b/src/gateway/internal/crash_quarantine.cpp
@@ -111,14 +111,18 @@
     }
 }
 
-void crash_quarantine::record_completion(const request_traits& request, bool is_success)
+void crash_quarantine::record_completion(const running_request& request, bool is_success)
 {
     const auto quarantined_before = this->suspicions.quarantined();
     std::set<request_trait> news;
-    for (const auto& trait : request.all()) {
+    for (const auto& trait : request.traits.all()) {
         if ((is_success || trait.is_content()) && this->suspicions.clear(trait)) {
             write_event(log_event::request_cleared,
-                        {{"trait", name_of(trait)}, {"fingerprint", to_hex(trait.fingerprint)}});
+                        {{"request", request.id},
+                         {"trait", name_of(trait)},
+                         {"fingerprint", to_hex(trait.fingerprint)},
+                         {"response", is_success ? "success" : "failure"}});
+            this->metrics.increment_counter("tanager_suspicions_cleared_total");
             news.insert(trait);
         }
     }
@@ -150,7 +154,7 @@
         if (!decision.has_ended) {
             for (const auto& request : decision.requests) {
                 if (request.has_unframed_response) {
-                    this->record_completion(request.traits, true);
+                    this->record_completion(request, true);
                 }
             }
             continue;
@@ -185,10 +189,13 @@
     }
     const auto known = this->suspicions.find(content);
     write_event(log_event::request_suspected,
-                {{"content", to_hex(request.traits.content)},
+                {{"request", request.id},
+                 {"content", to_hex(request.traits.content)},
                  {"prompt_parts", to_hex_list(request.traits.prompt_parts)},
                  {"server", server_id},
-                 {"ends", std::to_string(known ? known->ends.size() : 0)}});
+                 {"refused", end.is_confirmed ? "yes" : "no"},
+                 {"ends", std::to_string(known ? known->ends.size() : 0)},
+                 {"quarantined", this->suspicions.quarantined().contains(content) ? "yes" : "no"}});
 }
 
 void crash_quarantine::log_changes(const std::set<request_trait>& quarantined_before, std::string_view source)
--- a/src/gateway/internal/request_forwarder.cpp
+++ b/src/gateway/internal/request_forwarder.cpp
@@ -208,7 +208,7 @@
 
 running_request request_forwarder::active_attempt() const
 {
-    return {this->routed.request.traits, this->attempt_sent_at};
+    return {this->routed.request.traits, this->attempt_sent_at, false, this->routed.request.id};
 }
 
 // Records an active attempt that is cancelled without a response.
@@ -748,7 +748,7 @@
         this->context.quarantine.record_unframed_completion(*this->server, this->active_attempt());
         return;
     }
-    this->context.quarantine.record_completion(this->routed.request.traits, is_successful);
+    this->context.quarantine.record_completion(this->active_attempt(), is_successful);
 }
 
 void request_forwarder::handle_refusal()
--- a/src/gateway/tests/crash_quarantine_tests.cpp
+++ b/src/gateway/tests/crash_quarantine_tests.cpp
@@ -412,7 +412,7 @@
         section("a response of failure does not prove that its prompt can be answered", [] {
             quarantine_fixture gateway;
             gateway.quarantine_part(part);
-            gateway.quarantine.record_completion({hash64("x"), {part}}, false);
+            gateway.quarantine.record_completion({{hash64("x"), {part}}, {}}, false);
             CPPUNIT_ASSERT(gateway.is_quarantined(part));
         });
     }
--- a/src/quarantine/types/request_traits.h
+++ b/src/quarantine/types/request_traits.h
@@ -5,6 +5,7 @@
 #include <compare>
 #include <cstdint>
 #include <limits>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -60,6 +61,7 @@
     time_point sent_at{};
     // The response ended with its connection, so it is complete only if the server lives on.
     bool has_unframed_response = false;
+    std::string id{}; // that its caller gave it, for logs
 
     friend bool operator==(const running_request&, const running_request&) = default;
 };
