--- a/standins/site/crashing_server.cpp
+++ b/standins/site/crashing_server.cpp
@@ -21,25 +21,23 @@
 
 } // namespace
 
-crashing_server::crashing_server(event_loop& loop,
-                                 std::string id,
-                                 std::string crash_body,
-                                 std::vector<std::string> crash_parts,
-                                 crash_mode mode)
-    : loop(loop),
-      server(loop, std::move(id)),
-      crash_body(std::move(crash_body)),
-      crash_parts(std::move(crash_parts)),
-      mode(mode)
+crashing_server::crashing_server(event_loop& loop, std::string id, crash_options options)
+    : loop(loop), server(loop, std::move(id)), options(std::move(options))
 {
 }
 
+bool crashing_server::is_fatal(const http_request& request) const
+{
+    return request.body.empty() ? request.path.find(this->options.body) != std::string::npos
+                                : request.body.starts_with(this->options.body);
+}
+
 bool crashing_server::has_crash_part(const http_request& request) const
 {
     const auto parts = split_list(find_header(request.headers, "Prompt-Prefix"));
     return std::ranges::any_of(parts, [this](const std::string& part) {
-        return std::ranges::find(this->crash_parts, part.substr(0, part.find(':'))) !=
-               this->crash_parts.end();
+        return std::ranges::find(this->options.prompt_parts, part.substr(0, part.find(':'))) !=
+               this->options.prompt_parts.end();
     });
 }
 
@@ -51,17 +49,42 @@
                          {"Response-Seal", "seal"}});
         exchange->write("id: 1\ndata: x\n\nid: 2\nda");
     }
-    this->crash_timer = this->loop.run_after(time_after_first_event, [this] { this->crash(); });
+    this->crash_after(time_after_first_event);
+}
+
+void crashing_server::run_fatal(const std::shared_ptr<http_exchange>& exchange)
+{
+    if (this->options.mode == crash_mode::midway) {
+        exchange->start(status_ok,
+                        {{"Attempt-Id", find_header(exchange->request().headers, "Attempt-Id")},
+                         {"Response-Seal", "seal"},
+                         {"Content-Length", "100"}});
+        exchange->write("the first part");
+        this->crash_after(time_after_first_event);
+        return;
+    }
+    this->crash();
+}
+
+void crashing_server::crash_after(std::chrono::milliseconds delay)
+{
+    this->crash_timer = this->loop.run_after(delay, [this] { this->crash(); });
 }
 
 void crashing_server::serve(const std::shared_ptr<http_exchange>& exchange)
 {
     const auto& request = exchange->request();
-    const bool is_fatal = request.body.empty() ? request.path.find(this->crash_body) != std::string::npos
-                                               : request.body == this->crash_body;
-    if (is_fatal) {
+    if (this->is_fatal(request)) {
         write_event(log_event::fault_switched, {{"kind", "crash"}, {"path", request.path}});
-        this->crash();
+        if (this->options.run_time.count() == 0) {
+            this->run_fatal(exchange);
+            return;
+        }
+        if (this->crash_timer == nullptr) {
+            this->crash_timer =
+                this->loop.run_after(this->options.run_time, [this, exchange] { this->run_fatal(exchange); });
+        }
+        return;
     }
     if (this->has_crash_part(request)) {
         write_event(log_event::fault_switched, {{"kind", "crash"}, {"path", request.path}});
@@ -76,10 +99,10 @@
 
 void crashing_server::crash() const
 {
-    if (this->mode == crash_mode::silent) {
+    if (this->options.mode == crash_mode::silent) {
         static_cast<void>(raise(SIGSTOP));
     }
-    if (this->mode == crash_mode::reset) {
+    if (this->options.mode == crash_mode::reset || this->options.mode == crash_mode::midway) {
         rlimit descriptors{};
         getrlimit(RLIMIT_NOFILE, &descriptors);
         // Sockets that do not linger are reset when the process ends; other descriptors refuse the option.
--- a/tests/support/crashing_fleet.h
+++ b/tests/support/crashing_fleet.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <fstream>
 #include <iterator>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -20,13 +21,16 @@
     using steady_clock = std::chrono::steady_clock;
 
     // A crashed server is back after this, with a new id and address.
-    static constexpr std::chrono::milliseconds restart_delay{1'500};
+    static constexpr std::chrono::milliseconds default_restart_delay{1'500};
     // After its restart, gateways learn of a server within this. Until then they may find only closed ports.
     static constexpr std::chrono::seconds listing_delay{2};
 
     // `server_arguments` say which requests end a server, and how.
-    crashing_fleet(gateway_group& group, int server_count, std::vector<std::string> server_arguments)
-        : group(group), server_arguments(std::move(server_arguments))
+    crashing_fleet(gateway_group& group,
+                   int server_count,
+                   std::vector<std::string> server_arguments,
+                   std::chrono::milliseconds restart_delay = default_restart_delay)
+        : group(group), server_arguments(std::move(server_arguments)), restart_delay(restart_delay)
     {
         for (int index = 0; index < server_count; ++index) {
             this->start();
@@ -43,7 +47,8 @@
                 server->crashed_at = now;
                 this->crashes.push_back(now);
             }
-            if (server->crashed_at && now - *server->crashed_at >= restart_delay) {
+            if (server->crashed_at && now - *server->crashed_at >= this->restart_delay) {
+                this->record_fatal_requests(*server);
                 this->call("DELETE", "/objects/servers/" + server->id + "?revision=" + server->revision, {});
                 server = this->servers.erase(server);
                 ++servers_to_start;
@@ -70,10 +75,13 @@
     // Returns whether all crashed servers were back at a moment, and known to be.
     bool was_whole(steady_clock::time_point moment) const
     {
-        return this->crashes.empty() || moment > this->crashes.back() + restart_delay + listing_delay;
+        return this->crashes.empty() || moment > this->crashes.back() + this->restart_delay + listing_delay;
     }
 
     std::vector<steady_clock::time_point> crashes;
+    // By path: when servers ended that had received a request which ends them. A server counts once for each
+    // arrival, after its restart.
+    std::map<std::string, std::vector<steady_clock::time_point>> fatal_arrivals;
 
 private:
     struct running_server {
@@ -95,6 +103,15 @@
         return name_end != std::string::npos && name_end + 2 < text.size() && text[name_end + 2] == 'T';
     }
 
+    void record_fatal_requests(const running_server& server)
+    {
+        for (const auto& line : server.process->matching_lines("kind=crash")) {
+            const auto begin = line.find(" path=") + std::string_view{" path="}.size();
+            const auto path = line.substr(begin, line.find(' ', begin) - begin);
+            this->fatal_arrivals[path].push_back(*server.crashed_at);
+        }
+    }
+
     void start()
     {
         const auto id = "s" + std::to_string(++this->started_count);
@@ -125,6 +142,7 @@
 
     gateway_group& group;
     std::vector<std::string> server_arguments;
+    std::chrono::milliseconds restart_delay;
     std::vector<running_server> servers;
     int started_count = 0;
 };
