A request is the same with other credentials (BUDGET)

What callers saw: a request whose caller sends other credentials with each try ended server after server (70 in 14 s, 49 late; integration_forgotten_quarantine_tests). Cause: the credentials were part of its only fingerprint, so each try was a new content with no ends. The content now stands for host, method, path and body, whoever sends it; content and credentials together are a second trait, so that completions for other callers do not excuse what one caller's requests do. Other header fields stay out: ids, timeouts and positions differ between two tries, and nothing else names the caller.

--- a/src/quarantine/internal/server_end_detector.cpp
+++ b/src/quarantine/internal/server_end_detector.cpp
@@ -107,7 +107,9 @@
     std::vector<server_end> ends;
     for (const auto& [server, state] : this->suspected) {
         const bool has_run = std::ranges::any_of(state.requests, [content](const running_request& request) {
-            return request.traits.content == content && !request.has_unframed_response;
+            const bool has_content =
+                request.traits.content == content || request.traits.caller_content == content;
+            return has_content && !request.has_unframed_response;
         });
         if (has_run) {
             ends.push_back({server, false});
--- a/src/quarantine/types/request_traits.h
+++ b/src/quarantine/types/request_traits.h
@@ -39,13 +39,19 @@
 
 // What a request has in common with others. Nothing here differs between the attempts of one request.
 struct request_traits {
-    std::uint64_t content = 0;               // equal for all repetitions of the request
+    std::uint64_t content = 0;               // equal for all repetitions of the request, whoever sends it
     std::vector<std::uint64_t> prompt_parts; // fingerprints of the parts that prompts share, in their order
+    // The content together with the caller's credentials; 0 without credentials. What one caller's requests
+    // do to servers is not excused by others with the same content, and new credentials do not hide it.
+    std::uint64_t caller_content = 0;
 
-    // Returns the content and all parts.
+    // Returns the contents, with and without credentials, and all parts.
     std::vector<request_trait> all() const
     {
         std::vector<request_trait> traits{{this->content, request_trait::content_specificity}};
+        if (this->caller_content != 0) {
+            traits.push_back({this->caller_content, request_trait::content_specificity});
+        }
         for (std::uint32_t position = 0; position < this->prompt_parts.size(); ++position) {
             traits.push_back({this->prompt_parts[position], position});
         }
