--- a/src/gateway/crash_quarantine.h
+++ b/src/gateway/crash_quarantine.h
@@ -93,8 +93,8 @@
     void record_silence(const backend_server& server, const running_request& request);
     void record_response(const backend_server& server);
 
-    // Records that a server has run the request to an end that it marked, in failure or in success. Only a
-    // success shows that it can answer prompts with these parts.
+    // Records that a server has run the request to an end that it marked. Only a success shows that it can
+    // answer prompts with these parts. A server's own failure (5xx) is no completion: it may precede the run.
     void record_completion(const running_request& request, bool is_success);
 
     // Records a success that ended with its connection: a completion only if the server has not ended, too.
--- a/src/gateway/internal/crash_quarantine.cpp
+++ b/src/gateway/internal/crash_quarantine.cpp
@@ -116,7 +116,7 @@
     const auto quarantined_before = this->suspicions.quarantined();
     std::set<request_trait> news;
     for (const auto& trait : request.traits.all()) {
-        if ((is_success || trait.is_content()) && this->suspicions.clear(trait)) {
+        if ((is_success || trait.is_content()) && this->suspicions.excuse(trait)) {
             write_event(log_event::request_cleared,
                         {{"request", request.id},
                          {"trait", name_of(trait)},
@@ -194,7 +194,7 @@
                  {"prompt_parts", to_hex_list(request.traits.prompt_parts)},
                  {"server", server_id},
                  {"refused", end.is_confirmed ? "yes" : "no"},
-                 {"ends", std::to_string(known ? known->ends.size() : 0)},
+                 {"ends", std::to_string(known ? known->unexcused_ends().size() : 0)},
                  {"quarantined", this->suspicions.quarantined().contains(content) ? "yes" : "no"}});
 }
 
@@ -209,7 +209,7 @@
                      {"fingerprint", to_hex(trait.fingerprint)},
                      {"quarantined", is_quarantined ? "yes" : "no"},
                      {"source", std::string{source}},
-                     {"ends", std::to_string(known ? known->ends.size() : 0)},
+                     {"ends", std::to_string(known ? known->unexcused_ends().size() : 0)},
                      {"age_ms", std::to_string(known ? known->age.count() : 0)},
                      {"left_ms", to_milliseconds(this->suspicions.quarantine_left(trait, {}))}});
     };
--- a/src/gateway/internal/request_forwarder.cpp
+++ b/src/gateway/internal/request_forwarder.cpp
@@ -743,6 +743,9 @@
 
 void request_forwarder::record_completion()
 {
+    if (this->response.status >= status_first_failure) {
+        return;
+    }
     const bool is_successful = is_success(this->response.status);
     if (is_successful && !this->is_response_framed) {
         this->context.quarantine.record_unframed_completion(*this->server, this->active_attempt());
--- a/src/quarantine/crash_suspicion_table.h
+++ b/src/quarantine/crash_suspicion_table.h
@@ -15,9 +15,11 @@
 
 // Load pattern: a request ends each server that begins to run it, and its caller sends it again, at any
 // gateway, under another id; or requests that are all different end servers because of one part of their
-// prompts. Traits of requests that ran beside them, and their other parts, are suspected, too. They are
-// cleared when a server completes a request that has them, and are not quarantined for ends that a trait with
-// more of them explains. Suspicions from several gateways can be merged in any order and any number of times.
+// prompts. Traits of requests that ran beside them, and their other parts, are suspected, too. A server that
+// completes a request excuses ends of its traits, and a trait is not quarantined for ends that one with more
+// of them explains; a content under which enough servers ended is quarantined even so. An end is never
+// forgotten, only excused. Suspicions from several gateways can be merged in any order and any number of
+// times.
 class crash_suspicion_table {
 public:
     // A suspicion counts for `retention` after the last server ended under the trait.
@@ -27,8 +29,10 @@
     // a server has completed another request with this prompt part since the request was sent.
     bool record_end(const request_trait& trait, const server_end& end);
 
-    // Clears a trait of a request that a server has completed. Returns whether it was suspected.
-    bool clear(const request_trait& trait);
+    // Excuses ends under a trait of a request that a server has completed: all of a prompt part, since many
+    // requests have it; the oldest one of a content, since a request may end its servers only now and then.
+    // Returns whether there was any.
+    bool excuse(const request_trait& trait);
 
     // Takes over what another gateway knows. Returns whether anything was new.
     bool merge(const crash_suspicion& received);
@@ -41,7 +45,7 @@
     std::optional<crash_suspicion> find(const request_trait& trait) const;
 
     // Returns at most `max_count` suspicions to repeat to others: quarantined traits first, and of the rest
-    // those that follow the last ones returned, so that in time every suspicion and clearance is repeated.
+    // those that follow the last ones returned, so that in time everything is repeated.
     std::vector<crash_suspicion> take_next(std::size_t max_count);
 
     // Returns the quarantined traits.
@@ -54,8 +58,7 @@
 private:
     struct suspected_trait {
         std::uint32_t specificity = 0; // the highest of the requests that it was on
-        std::uint64_t clearances = 0;
-        std::vector<server_end> ends;
+        std::vector<server_end> ends;  // in the order in which they became known
         time_point changed_at;
     };
 
@@ -67,7 +70,9 @@
 
     bool is_proven(const request_trait& trait) const;
     bool is_enough(const request_trait& trait, const std::vector<server_end>& ends) const;
+    static bool is_conclusive(const request_trait& trait, const std::vector<server_end>& ends);
     static bool add_end(std::vector<server_end>& ends, const server_end& end);
+    static std::vector<server_end> unexcused(const suspected_trait& suspected);
     static void remove_ends(std::vector<server_end>& ends, const std::vector<server_end>& explained);
     bool is_candidate(const request_trait& trait) const;
     std::vector<quarantine_candidate> candidates() const;
--- a/src/quarantine/internal/crash_suspicion_codec.cpp
+++ b/src/quarantine/internal/crash_suspicion_codec.cpp
@@ -8,12 +8,14 @@
 
 namespace {
 
-constexpr std::uint64_t codec_version = 2;
+constexpr std::uint64_t codec_version = 3;
 // The shortest encodings of a suspicion and of an end.
-constexpr std::size_t min_suspicion_bytes = 5;
+constexpr std::size_t min_suspicion_bytes = 4;
 constexpr std::size_t min_end_bytes = 4;
 // The version and the number of suspicions.
 constexpr std::size_t max_header_bytes = 4;
+constexpr std::uint64_t confirmed_flag = 1;
+constexpr std::uint64_t excused_flag = 2;
 // Longer than any suspicion counts.
 constexpr std::uint64_t max_age_ms = 86'400'000;
 
@@ -33,12 +35,11 @@
     byte_writer writer;
     writer.write_number(suspicion.trait.fingerprint);
     writer.write_number(suspicion.trait.specificity);
-    writer.write_number(suspicion.clearances);
     writer.write_number(to_milliseconds(suspicion.age));
     writer.write_number(suspicion.ends.size());
     for (const auto& end : suspicion.ends) {
         writer.write_number(end.server);
-        writer.write_number(end.is_confirmed ? 1 : 0);
+        writer.write_number((end.is_confirmed ? confirmed_flag : 0) | (end.is_excused ? excused_flag : 0));
         writer.write_number(to_milliseconds(now - end.ended_at));
         writer.write_number(to_milliseconds(end.ended_at - end.sent_at));
     }
@@ -87,12 +88,13 @@
         suspicion.trait.fingerprint = reader.read_number();
         suspicion.trait.specificity = static_cast<std::uint32_t>(
             std::min<std::uint64_t>(reader.read_number(), request_trait::content_specificity));
-        suspicion.clearances = reader.read_number();
         suspicion.age = read_milliseconds(reader);
         suspicion.ends.resize(reader.read_count(min_end_bytes));
         for (auto& end : suspicion.ends) {
             end.server = reader.read_number();
-            end.is_confirmed = reader.read_number() != 0;
+            const auto flags = reader.read_number();
+            end.is_confirmed = (flags & confirmed_flag) != 0;
+            end.is_excused = (flags & excused_flag) != 0;
             end.ended_at = now - read_milliseconds(reader);
             end.sent_at = end.ended_at - read_milliseconds(reader);
         }
--- a/src/quarantine/internal/crash_suspicion_table.cpp
+++ b/src/quarantine/internal/crash_suspicion_table.cpp
@@ -17,6 +17,8 @@
 
 // One server may end by coincidence.
 constexpr end_limits content_limits{2, 3};
+// Nothing explains that many ends under one content: it has lost every attempt of its caller and of a retry.
+constexpr end_limits conclusive_content_limits{3, 4};
 // Popular parts run on many servers at once, and quarantining one rejects requests of many callers.
 constexpr end_limits prompt_part_limits{3, 4};
 // Servers may end together for a reason of their own, under requests that have a common part. A part is
@@ -34,6 +36,12 @@
 // Shared parts in use at one gateway.
 constexpr std::size_t min_remembered_parts = 4'096;
 
+bool reaches(const end_limits& limits, const std::vector<server_end>& ends)
+{
+    return ends.size() >= limits.any ||
+           std::ranges::count_if(ends, &server_end::is_confirmed) >= limits.confirmed;
+}
+
 // Returns the length of the longest series of ends, each under a request that was sent after the end before.
 std::size_t count_successive(std::vector<server_end> ends)
 {
@@ -66,8 +74,7 @@
 bool crash_suspicion_table::is_enough(const request_trait& trait, const std::vector<server_end>& ends) const
 {
     const auto& limits = trait.is_content() ? content_limits : prompt_part_limits;
-    const bool are_many = ends.size() >= limits.any ||
-                          std::ranges::count_if(ends, &server_end::is_confirmed) >= limits.confirmed;
+    const bool are_many = reaches(limits, ends);
     if (!are_many || trait.is_content()) {
         return are_many;
     }
@@ -75,18 +82,36 @@
            (!this->is_proven(trait) && ends.size() >= min_simultaneous_ends);
 }
 
+// Returns whether a trait is quarantined whatever else may explain the ends.
+bool crash_suspicion_table::is_conclusive(const request_trait& trait, const std::vector<server_end>& ends)
+{
+    return trait.is_content() && reaches(conclusive_content_limits, ends);
+}
+
+std::vector<server_end> crash_suspicion_table::unexcused(const suspected_trait& suspected)
+{
+    auto counted = suspected.ends;
+    std::erase_if(counted, &server_end::is_excused);
+    return counted;
+}
+
 bool crash_suspicion_table::add_end(std::vector<server_end>& ends, const server_end& end)
 {
     const auto known = std::ranges::find(ends, end.server, &server_end::server);
     if (known == ends.end()) {
         if (ends.size() == max_ends) {
-            return false;
+            const auto excused = std::ranges::find(ends, true, &server_end::is_excused);
+            if (excused == ends.end()) {
+                return false;
+            }
+            ends.erase(excused);
         }
         ends.push_back(end);
         return true;
     }
-    const bool is_news = end.is_confirmed && !known->is_confirmed;
+    const bool is_news = (end.is_confirmed && !known->is_confirmed) || (end.is_excused && !known->is_excused);
     known->is_confirmed = known->is_confirmed || end.is_confirmed;
+    known->is_excused = known->is_excused || end.is_excused;
     known->ended_at = std::min(known->ended_at, end.ended_at);
     known->sent_at = std::max(known->sent_at, end.sent_at);
     return is_news;
@@ -118,18 +143,26 @@
     return true;
 }
 
-bool crash_suspicion_table::clear(const request_trait& trait)
+bool crash_suspicion_table::excuse(const request_trait& trait)
 {
-    const bool was_candidate = this->is_candidate(trait);
     if (!trait.is_content()) {
         this->completions.record(trait.fingerprint, this->time.now());
     }
     const auto found = this->suspects.find(trait);
-    if (found == this->suspects.end() || found->second.ends.empty()) {
+    if (found == this->suspects.end()) {
+        return false;
+    }
+    auto& ends = found->second.ends;
+    const bool was_candidate = this->is_candidate(trait);
+    bool has_excused = false;
+    for (auto& end : ends) {
+        const bool is_next = !end.is_excused && !(trait.is_content() && has_excused);
+        end.is_excused = end.is_excused || is_next;
+        has_excused = has_excused || is_next;
+    }
+    if (!has_excused) {
         return false;
     }
-    ++found->second.clearances;
-    found->second.ends.clear();
     found->second.changed_at = this->time.now();
     if (was_candidate) {
         this->update_quarantine();
@@ -145,30 +178,26 @@
     }
     auto& suspected = this->suspects[received.trait];
     suspected.specificity = std::max(suspected.specificity, received.trait.specificity);
-    if (received.clearances < suspected.clearances) {
-        return false;
-    }
     const bool was_candidate = this->is_candidate(received.trait);
-    bool is_news = received.clearances > suspected.clearances;
-    if (is_news) {
-        suspected.clearances = received.clearances;
-        suspected.ends.clear();
-    }
+    bool is_news = false;
     for (const auto& end : received.ends) {
         is_news = add_end(suspected.ends, end) || is_news;
     }
+    if (!is_news) {
+        return false;
+    }
     suspected.changed_at = std::max(suspected.changed_at, changed_at);
-    if (is_news && (was_candidate || this->is_candidate(received.trait))) {
+    if (was_candidate || this->is_candidate(received.trait)) {
         this->update_quarantine();
     }
     this->drop_least_relevant();
-    return is_news;
+    return true;
 }
 
 bool crash_suspicion_table::is_candidate(const request_trait& trait) const
 {
     const auto found = this->suspects.find(trait);
-    return found != this->suspects.end() && is_enough(trait, found->second.ends) &&
+    return found != this->suspects.end() && this->is_enough(trait, unexcused(found->second)) &&
            found->second.changed_at + this->retention > this->time.now();
 }
 
@@ -177,7 +206,7 @@
     std::vector<quarantine_candidate> found;
     for (const auto& [trait, suspected] : this->suspects) {
         if (this->is_candidate(trait)) {
-            found.push_back({{trait.fingerprint, suspected.specificity}, suspected.ends});
+            found.push_back({{trait.fingerprint, suspected.specificity}, unexcused(suspected)});
         }
     }
     return found;
@@ -195,6 +224,11 @@
     };
     this->quarantined_traits.clear();
     auto remaining = this->candidates();
+    for (const auto& candidate : remaining) {
+        if (is_conclusive(candidate.trait, candidate.unexplained_ends)) {
+            this->quarantined_traits.insert(candidate.trait);
+        }
+    }
     while (!remaining.empty()) {
         const auto best = rank(*std::ranges::max_element(remaining, {}, rank));
         std::vector<server_end> explained;
@@ -225,14 +259,18 @@
     }
     const bool is_known =
         found != this->suspects.end() && found->second.changed_at + this->retention > this->time.now();
-    auto ends = is_known ? found->second.ends : std::vector<server_end>{};
+    const auto known_ends = is_known ? unexcused(found->second) : std::vector<server_end>{};
+    auto unexplained_ends = known_ends;
     for (const auto& quarantined_trait : this->quarantined_traits) {
-        remove_ends(ends, this->suspects.at(quarantined_trait).ends);
+        remove_ends(unexplained_ends, this->suspects.at(quarantined_trait).ends);
     }
+    auto all_ends = known_ends;
     for (const auto& end : pending) {
-        add_end(ends, end);
+        add_end(unexplained_ends, end);
+        add_end(all_ends, end);
     }
-    return is_enough(trait, ends) ? this->retention : duration{0};
+    return this->is_enough(trait, unexplained_ends) || is_conclusive(trait, all_ends) ? this->retention
+                                                                                      : duration{0};
 }
 
 std::optional<crash_suspicion> crash_suspicion_table::find(const request_trait& trait) const
@@ -247,7 +285,7 @@
 {
     const auto age =
         std::chrono::duration_cast<std::chrono::milliseconds>(this->time.now() - suspected.changed_at);
-    return {{trait.fingerprint, suspected.specificity}, suspected.clearances, suspected.ends, age};
+    return {{trait.fingerprint, suspected.specificity}, suspected.ends, age};
 }
 
 std::vector<crash_suspicion> crash_suspicion_table::take_next(std::size_t max_count)
@@ -299,7 +337,7 @@
     }
     const auto dropped = std::ranges::min_element(this->suspects, {}, [this](const auto& suspect) {
         return std::tuple{this->quarantined_traits.contains(suspect.first),
-                          suspect.second.ends.size(),
+                          unexcused(suspect.second).size(),
                           suspect.second.changed_at};
     });
     this->quarantined_traits.erase(dropped->first);
--- a/src/quarantine/tests/crash_suspicion_tests.cpp
+++ b/src/quarantine/tests/crash_suspicion_tests.cpp
@@ -35,6 +35,13 @@
     return end;
 }
 
+server_end excused(std::uint64_t server)
+{
+    auto end = presumed(server);
+    end.is_excused = true;
+    return end;
+}
+
 server_end confirmed_between(std::uint64_t server, time_point sent_at, time_point ended_at)
 {
     return {server, true, ended_at, sent_at};
@@ -48,7 +55,8 @@
 class crash_suspicion_tests : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(crash_suspicion_tests);
     CPPUNIT_TEST(quarantines_a_request_under_which_servers_end);
-    CPPUNIT_TEST(clears_a_request_that_a_server_completes);
+    CPPUNIT_TEST(excuses_a_request_that_a_server_completes);
+    CPPUNIT_TEST(quarantines_a_request_whose_ends_another_one_explains);
     CPPUNIT_TEST(merges_suspicions_in_any_order);
     CPPUNIT_TEST(quarantines_the_prompt_part_that_explains_most_ends);
     CPPUNIT_TEST(does_not_suspect_a_prompt_part_that_was_completed_meanwhile);
@@ -107,7 +115,7 @@
         });
     }
 
-    void clears_a_request_that_a_server_completes()
+    void excuses_a_request_that_a_server_completes()
     {
         section("an innocent request ran beside the culprit twice", [] {
             manual_clock time;
@@ -116,20 +124,76 @@
             here.record_end(innocent, confirmed(1));
             elsewhere.merge(*here.find(innocent));
             section("a server completes it", [&] {
-                CPPUNIT_ASSERT(here.clear(innocent));
-                CPPUNIT_ASSERT(!here.clear(innocent));
+                CPPUNIT_ASSERT(here.excuse(innocent));
+                CPPUNIT_ASSERT(!here.excuse(innocent));
             });
+            const auto excused_end = *here.find(innocent);
             section("what others report of the time before does not count", [&] {
                 here.merge(*elsewhere.find(innocent));
                 here.record_end(innocent, confirmed(2));
                 CPPUNIT_ASSERT(here.quarantine_left(innocent, {}) == 0s);
             });
-            section("the others learn that it was cleared", [&] {
+            section("the others learn that it was completed", [&] {
                 elsewhere.record_end(innocent, confirmed(3));
                 CPPUNIT_ASSERT(elsewhere.quarantine_left(innocent, {}) > 0s);
-                elsewhere.merge(*here.find(innocent));
+                elsewhere.merge(excused_end);
                 CPPUNIT_ASSERT(elsewhere.quarantine_left(innocent, {}) == 0s);
             });
+            section("two ends since then, at two gateways, count for both", [&] {
+                elsewhere.merge(*here.find(innocent));
+                here.merge(*elsewhere.find(innocent));
+                CPPUNIT_ASSERT(elsewhere.quarantine_left(innocent, {}) > 0s);
+                CPPUNIT_ASSERT(here.quarantine_left(innocent, {}) > 0s);
+            });
+        });
+        section("a request is completed now and then, and ends its servers more often", [] {
+            manual_clock time;
+            crash_suspicion_table table(time, retention);
+            table.record_end(culprit, confirmed(1));
+            table.excuse(culprit);
+            table.record_end(culprit, confirmed(2));
+            CPPUNIT_ASSERT(table.quarantine_left(culprit, {}) == 0s);
+            table.record_end(culprit, confirmed(3));
+            CPPUNIT_ASSERT(table.quarantine_left(culprit, {}) == retention);
+        });
+        section("far more ends are excused than are kept: the next ones count all the same", [] {
+            manual_clock time;
+            crash_suspicion_table table(time, retention);
+            for (std::uint64_t server = 0; server < 200; ++server) {
+                table.record_end(culprit, confirmed(server));
+                table.excuse(culprit);
+            }
+            table.record_end(culprit, confirmed(200));
+            table.record_end(culprit, confirmed(201));
+            CPPUNIT_ASSERT(table.quarantine_left(culprit, {}) == retention);
+        });
+    }
+
+    void quarantines_a_request_whose_ends_another_one_explains()
+    {
+        section("twenty requests that end servers run on the same eight of them, again and again", [] {
+            constexpr std::uint64_t culprit_count = 20;
+            constexpr std::uint64_t servers_per_round = 8;
+            manual_clock time;
+            crash_suspicion_table table(time, retention);
+            seeded_random random(7);
+            std::map<std::uint64_t, int> ends;
+            for (std::uint64_t round = 0; round < 20; ++round) {
+                for (std::uint64_t each = 0; each < culprit_count; ++each) {
+                    const request_trait content{100 + each, request_trait::content_specificity};
+                    if (!table.quarantined().contains(content)) {
+                        ++ends[each];
+                        const auto server = round * servers_per_round + random.next() % servers_per_round;
+                        table.record_end(content, confirmed(server));
+                    }
+                }
+            }
+            section("none of them ends more than three", [&] {
+                CPPUNIT_ASSERT_EQUAL(std::size_t{culprit_count}, table.quarantined().size());
+                for (const auto& [each, count] : ends) {
+                    CPPUNIT_ASSERT(count <= 3);
+                }
+            });
         });
     }
 
@@ -146,7 +210,7 @@
                                                         crash_suspicion_table(time, retention));
             // They know of the same completed parts.
             for (auto& gateway : gateways) {
-                std::ranges::for_each(traits, [&](const auto& trait) { gateway.clear(trait); });
+                std::ranges::for_each(traits, [&](const auto& trait) { gateway.excuse(trait); });
             }
             const auto any = [&]() -> crash_suspicion_table& {
                 return gateways[random.next() % gateway_count];
@@ -163,7 +227,7 @@
                                       time.now() - std::chrono::milliseconds{random.next() % 20}});
                     break;
                 case 1:
-                    any().clear(trait);
+                    any().excuse(trait);
                     break;
                 default:
                     if (const auto known = any().find(trait)) {
@@ -198,7 +262,7 @@
                 elsewhere.record_end(common_part, confirmed(server));
             }
             here.merge(*elsewhere.find(common_part));
-            here.clear(common_part);
+            here.excuse(common_part);
             for (std::uint64_t other = 100; other < 1'100; ++other) {
                 time.advance(1ms);
                 here.record_end({other, request_trait::content_specificity}, confirmed(4));
@@ -258,14 +322,14 @@
                 CPPUNIT_ASSERT(table.quarantined() == std::set{first_part});
             });
             section("once it is completed, the other one is again", [&] {
-                table.clear(first_part);
+                table.excuse(first_part);
                 CPPUNIT_ASSERT(table.quarantined() == std::set{deadly_part});
             });
         });
         section("two parts were always together, and servers have completed one of them before", [&] {
             manual_clock time;
             crash_suspicion_table table(time, retention);
-            table.clear(deadly_part);
+            table.excuse(deadly_part);
             time.advance(1s);
             for (std::uint64_t server = 1; server <= 3; ++server) {
                 const auto end = confirmed_between(server, time.now(), time.now() + 50ms);
@@ -284,7 +348,7 @@
                 table.record_end(rare_part, confirmed(server));
                 table.record_end(deadly_part, confirmed(10 + server));
             }
-            table.clear(first_part);
+            table.excuse(first_part);
             CPPUNIT_ASSERT(table.quarantined() == (std::set{rare_part, deadly_part}));
         });
         section("servers fall silent under a part, which may be a cut: it takes four of them", [&] {
@@ -307,7 +371,7 @@
             crash_suspicion_table table(time, retention);
             const auto sent_at = time.now();
             time.advance(10ms);
-            table.clear(part);
+            table.excuse(part);
             time.advance(10ms);
             section("when its server ends, the part is not suspected", [&] {
                 CPPUNIT_ASSERT(!table.record_end(part, confirmed_between(1, sent_at, time.now())));
@@ -332,7 +396,7 @@
         section("a rack fails: ten servers end at once under requests with a common part", [&] {
             manual_clock time;
             crash_suspicion_table table(time, retention);
-            table.clear(common_part);
+            table.excuse(common_part);
             const auto failed_at = time.now() + 1s;
             std::uint64_t server = 0;
             for (; server < 10; ++server) {
@@ -393,7 +457,7 @@
                 for (std::uint64_t server = 1; server <= 60; ++server) {
                     for (int completed = 0; completed < 20; ++completed) {
                         for (const auto& part : sound_parts()) {
-                            table.clear(part);
+                            table.excuse(part);
                         }
                         time.advance(1ms);
                     }
@@ -453,7 +517,7 @@
                     [&] { CPPUNIT_ASSERT(!detector.record_lost_connection(1, request_with(innocent))); });
             section("meanwhile it counts as a possible end", [&] {
                 CPPUNIT_ASSERT(detector.pending_ends(culprit.fingerprint) ==
-                               (std::vector<server_end>{{1, false, {}, {}}}));
+                               (std::vector<server_end>{{1, false, {}, {}, false}}));
             });
             section("bytes from a third connection prove nothing, they may be old",
                     [&] { CPPUNIT_ASSERT(detector.record_response(1).empty()); });
@@ -504,8 +568,8 @@
     {
         section("suspicions are decoded as they were encoded", [] {
             const auto now = time_point{} + 1s;
-            const std::vector<crash_suspicion> sent{{culprit, 2, {confirmed(5), presumed(6)}, 70ms},
-                                                    {innocent, 0, {}, 0ms}};
+            const std::vector<crash_suspicion> sent{{culprit, {confirmed(5), excused(6)}, 70ms},
+                                                    {innocent, {}, 0ms}};
             const auto messages = encode_suspicions(sent, 3'000, now);
             CPPUNIT_ASSERT_EQUAL(std::size_t{1}, messages.size());
             const auto& message = messages.front();
