--- a/src/gateway/crash_quarantine.h
+++ b/src/gateway/crash_quarantine.h
@@ -62,6 +62,36 @@
     virtual void on_trait_quarantined() = 0;
 };
 
+// When a change is written.
+enum class write_urgency {
+    now,
+    unless_done_by_others // by the gateway that made the change, or by one of the others that know of it
+};
+
+// Keeps quarantines where they outlast the gateways.
+class quarantine_recorder {
+public:
+    quarantine_recorder() = default;
+    quarantine_recorder(const quarantine_recorder&) = delete;
+    quarantine_recorder& operator=(const quarantine_recorder&) = delete;
+    quarantine_recorder(quarantine_recorder&&) = delete;
+    quarantine_recorder& operator=(quarantine_recorder&&) = delete;
+    virtual ~quarantine_recorder() = default;
+
+    // Must not call the quarantine.
+    virtual void record(const crash_suspicion& suspicion, write_urgency urgency) = 0;
+    virtual void remove(const request_trait& trait, write_urgency urgency) = 0;
+};
+
+// Why a quarantine begins or ends.
+enum class quarantine_source {
+    server_end, // seen by this gateway
+    completion, // of a request of this gateway
+    peer,
+    store,
+    expiry
+};
+
 // Why no server may run a request.
 struct quarantine_verdict {
     request_trait trait;
@@ -80,6 +110,9 @@
     // Without a channel, nothing is sent.
     void set_channel(suspicion_channel* new_channel);
 
+    // Without a recorder, nothing outlasts the process.
+    void set_recorder(quarantine_recorder* new_recorder);
+
     // Returns why no server may run a request, or nothing if one may.
     std::optional<quarantine_verdict> find_quarantine(const request_traits& request) const;
 
@@ -103,6 +136,9 @@
     // Takes a message of another gateway. Fails with request_malformed.
     result<void> receive(std::string_view message);
 
+    // Takes what gateways have recorded.
+    void learn_stored(const std::vector<crash_suspicion>& stored);
+
     // Decides on silent servers, repeats what is known to some gateways and drops what has expired; to be
     // called several times a second.
     void check();
@@ -117,13 +153,15 @@
                     const server_end& end,
                     const std::string& server_id,
                     std::set<request_trait>& news);
-    void log_changes(const std::set<request_trait>& quarantined_before, std::string_view source);
+    void note_changes(const std::set<request_trait>& quarantined_before, quarantine_source source);
+    void note_change(const request_trait& trait, bool is_quarantined, quarantine_source source);
     void send_news(const std::set<request_trait>& traits);
 
     const clock& time;
     metrics_registry& metrics;
     server_connector& connector;
     suspicion_channel* channel = nullptr;
+    quarantine_recorder* recorder = nullptr;
     server_end_detector detector;
     std::map<std::uint64_t, backend_server> suspected_servers; // by hash
     std::set<quarantine_listener*> listeners;
--- a/src/gateway/gateway_setup.cpp
+++ b/src/gateway/gateway_setup.cpp
@@ -5,6 +5,7 @@
 #include "base/system_random.h"
 #include "gateway/crash_quarantine.h"
 #include "gateway/internal/configuration_observer.h"
+#include "gateway/internal/quarantine_archive.h"
 #include "gateway/internal/request_handler.h"
 #include "gateway/internal/role_controller.h"
 #include "gateway/internal/server_observer.h"
@@ -31,6 +32,8 @@
 constexpr std::chrono::milliseconds watch_batch_window{200};
 // Bounds for how long a change of the configuration or of a server is missed when a connection is dead.
 constexpr std::chrono::milliseconds watch_wait{2'200};
+// Gateways tell each other of quarantines at once; the store is for those that start later.
+constexpr std::chrono::milliseconds quarantine_watch_wait{10'000};
 // Time at the end of the stop grace that is reserved for sending the last responses.
 constexpr std::chrono::milliseconds shutdown_margin{400};
 constexpr std::chrono::milliseconds drain_check_interval{20};
@@ -153,6 +156,7 @@
           retries(settings.retry_budget_ratio, min_retry_budget),
           connector(loop),
           quarantine(this->time, this->metrics, this->connector),
+          quarantines(this->time, this->random, this->relay, this->quarantine),
           configuration_handler(*this->platform.object_codec, this->routes),
           server_handler(*this->platform.object_codec, this->pool.servers()),
           configuration_watcher(object_watcher::create(loop,
@@ -167,6 +171,12 @@
                                                 this->platform.object_codec->server_prefix(),
                                                 this->server_handler,
                                                 {watch_batch_window, watch_wait})),
+          quarantine_watcher(object_watcher::create(loop,
+                                                    this->relay,
+                                                    this->random,
+                                                    quarantine_archive::prefix,
+                                                    this->quarantines,
+                                                    {watch_batch_window, quarantine_watch_wait})),
           admin(
               this->metrics,
               this->invariants,
@@ -185,6 +195,7 @@
         this->cleanup_timer = loop.run_every(cleanup_interval, [this] { this->remove_unlisted(); });
         this->configuration_watcher->start();
         this->server_watcher->start();
+        this->quarantine_watcher->start();
     }
 
     result<void> listen()
@@ -341,7 +352,7 @@
 
     bool is_ready() const
     {
-        return this->routes.has_configuration() && this->server_handler.is_known();
+        return this->unknown_state().empty();
     }
 
     std::string unready_reason() const
@@ -349,7 +360,16 @@
         if (this->on_drained) {
             return "stopping";
         }
-        return this->is_ready() ? std::string{} : "no configuration is known yet";
+        return this->unknown_state();
+    }
+
+    // Returns what this gateway must learn from the store before it takes requests.
+    std::string unknown_state() const
+    {
+        if (!this->routes.has_configuration() || !this->server_handler.is_known()) {
+            return "no configuration is known yet";
+        }
+        return this->quarantines.is_known() ? std::string{} : "no quarantines are known yet";
     }
 
     void run_housekeeping()
@@ -366,6 +386,7 @@
                       std::chrono::duration_cast<std::chrono::milliseconds>(time_between_runs).count())}});
         }
         this->quarantine.check();
+        this->quarantines.check();
         for (const auto& id : this->pool.servers().expire()) {
             write_event(log_event::server_unlisted,
                         {{"server", id}, {"detail", "not back after the store returned"}});
@@ -438,10 +459,12 @@
     retry_budget retries;
     probing_connector connector;
     crash_quarantine quarantine;
+    quarantine_archive quarantines;
     configuration_observer configuration_handler;
     server_observer server_handler;
     std::shared_ptr<object_watcher> configuration_watcher;
     std::shared_ptr<object_watcher> server_watcher;
+    std::shared_ptr<object_watcher> quarantine_watcher;
     admin_endpoints admin;
     std::unique_ptr<request_handler> handler;
     std::unique_ptr<http_server> server;
--- a/src/gateway/internal/crash_quarantine.cpp
+++ b/src/gateway/internal/crash_quarantine.cpp
@@ -34,6 +34,23 @@
     return trait.is_content() ? "content" : "prompt_part";
 }
 
+std::string name_of(quarantine_source source)
+{
+    switch (source) {
+    case quarantine_source::server_end:
+        return "server_end";
+    case quarantine_source::completion:
+        return "completion";
+    case quarantine_source::peer:
+        return "peer";
+    case quarantine_source::store:
+        return "store";
+    case quarantine_source::expiry:
+        return "expiry";
+    }
+    return "unknown";
+}
+
 } // namespace
 
 error quarantine_verdict::cause() const
@@ -53,6 +70,11 @@
     this->channel = new_channel;
 }
 
+void crash_quarantine::set_recorder(quarantine_recorder* new_recorder)
+{
+    this->recorder = new_recorder;
+}
+
 std::optional<quarantine_verdict> crash_quarantine::find_quarantine(const request_traits& request) const
 {
     if (this->suspicions.is_empty() && this->detector.is_idle()) {
@@ -127,7 +149,7 @@
         }
     }
     if (!news.empty()) {
-        this->log_changes(quarantined_before, "completion");
+        this->note_changes(quarantined_before, quarantine_source::completion);
         this->send_news(news);
     }
 }
@@ -168,7 +190,7 @@
             this->record_end(
                 request, {decision.server, is_confirmed, ended_at, request.sent_at}, server_id, news);
         }
-        this->log_changes(quarantined_before, "server_end");
+        this->note_changes(quarantined_before, quarantine_source::server_end);
         this->send_news(news);
     }
 }
@@ -198,30 +220,43 @@
                  {"quarantined", this->suspicions.quarantined().contains(content) ? "yes" : "no"}});
 }
 
-void crash_quarantine::log_changes(const std::set<request_trait>& quarantined_before, std::string_view source)
+void crash_quarantine::note_change(const request_trait& trait, bool is_quarantined, quarantine_source source)
+{
+    const auto known = this->suspicions.find(trait);
+    write_event(log_event::quarantine_changed,
+                {{"trait", name_of(trait)},
+                 {"fingerprint", to_hex(trait.fingerprint)},
+                 {"quarantined", is_quarantined ? "yes" : "no"},
+                 {"source", name_of(source)},
+                 {"ends", std::to_string(known ? known->unexcused_ends().size() : 0)},
+                 {"age_ms", std::to_string(known ? known->age.count() : 0)},
+                 {"left_ms", to_milliseconds(this->suspicions.quarantine_left(trait, {}))}});
+    if (this->recorder == nullptr || source == quarantine_source::store) {
+        return;
+    }
+    const bool is_own = source == quarantine_source::server_end || source == quarantine_source::completion;
+    const auto urgency = is_own ? write_urgency::now : write_urgency::unless_done_by_others;
+    if (is_quarantined) {
+        this->recorder->record(*known, urgency);
+    } else {
+        this->recorder->remove(trait, urgency);
+    }
+}
+
+void crash_quarantine::note_changes(const std::set<request_trait>& quarantined_before,
+                                    quarantine_source source)
 {
     const auto& quarantined_now = this->suspicions.quarantined();
     bool is_any_added = false;
-    const auto write = [&](const request_trait& trait, bool is_quarantined) {
-        const auto known = this->suspicions.find(trait);
-        write_event(log_event::quarantine_changed,
-                    {{"trait", name_of(trait)},
-                     {"fingerprint", to_hex(trait.fingerprint)},
-                     {"quarantined", is_quarantined ? "yes" : "no"},
-                     {"source", std::string{source}},
-                     {"ends", std::to_string(known ? known->unexcused_ends().size() : 0)},
-                     {"age_ms", std::to_string(known ? known->age.count() : 0)},
-                     {"left_ms", to_milliseconds(this->suspicions.quarantine_left(trait, {}))}});
-    };
     for (const auto& trait : quarantined_now) {
         if (!quarantined_before.contains(trait)) {
             is_any_added = true;
-            write(trait, true);
+            this->note_change(trait, true, source);
         }
     }
     for (const auto& trait : quarantined_before) {
         if (!quarantined_now.contains(trait)) {
-            write(trait, false);
+            this->note_change(trait, false, source);
         }
     }
     if (is_any_added) {
@@ -257,10 +292,19 @@
     for (const auto& suspicion : *received) {
         this->suspicions.merge(suspicion);
     }
-    this->log_changes(quarantined_before, "peer");
+    this->note_changes(quarantined_before, quarantine_source::peer);
     return {};
 }
 
+void crash_quarantine::learn_stored(const std::vector<crash_suspicion>& stored)
+{
+    const auto quarantined_before = this->suspicions.quarantined();
+    for (const auto& suspicion : stored) {
+        this->suspicions.merge(suspicion);
+    }
+    this->note_changes(quarantined_before, quarantine_source::store);
+}
+
 void crash_quarantine::check()
 {
     this->apply(this->detector.take_silent());
@@ -272,7 +316,9 @@
         return;
     }
     this->repeated_at = now;
+    const auto quarantined_before = this->suspicions.quarantined();
     this->suspicions.remove_expired();
+    this->note_changes(quarantined_before, quarantine_source::expiry);
     if (this->channel != nullptr && !this->suspicions.is_empty()) {
         const auto repeated = this->suspicions.take_next(max_repeated_suspicions);
         for (const auto& message : encode_suspicions(repeated, max_message_bytes, now)) {
--- a/src/logging/internal/log_event.cpp
+++ b/src/logging/internal/log_event.cpp
@@ -76,6 +76,8 @@
     event_row{log_event::request_suspected, "request_suspected", log_level::warning},
     event_row{log_event::request_cleared, "request_cleared", log_level::info},
     event_row{log_event::quarantine_changed, "quarantine_changed", log_level::warning},
+    event_row{log_event::quarantines_listed, "quarantines_listed", log_level::info},
+    event_row{log_event::quarantine_recorded, "quarantine_recorded", log_level::info},
     event_row{log_event::order_authority, "order_authority", log_level::info},
     event_row{log_event::order_sent, "order_sent", log_level::info},
     event_row{log_event::order_settled, "order_settled", log_level::info},
--- a/src/logging/types/log_event.h
+++ b/src/logging/types/log_event.h
@@ -67,6 +67,8 @@
     request_suspected = 3032,
     request_cleared = 3033,
     quarantine_changed = 3034,
+    quarantines_listed = 3035,
+    quarantine_recorded = 3036,
     order_authority = 3040,
     order_sent = 3041,
     order_settled = 3042,
