--- a/src/quarantine/internal/stored_suspicion_codec.cpp
+++ b/src/quarantine/internal/stored_suspicion_codec.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
 
@@ -29,7 +30,7 @@
         return std::nullopt;
     }
     const auto& text = field->get_ref<const std::string&>();
-    const auto* const end = text.data() + text.size();
+    const auto* const end = std::to_address(text.end());
     std::uint64_t value = 0;
     const auto parsed = std::from_chars(text.data(), end, value, hexadecimal);
     return parsed.ec == std::errc{} && parsed.ptr == end ? std::optional{value} : std::nullopt;
