--- a/src/gateway/crash_quarantine.h
+++ b/src/gateway/crash_quarantine.h
@@ -146,6 +146,8 @@
     // Returns the traits under quarantine.
     const std::set<request_trait>& quarantined() const;
 
+    std::vector<crash_suspicion> quarantined_suspicions() const;
+
 private:
     void try_connect(std::uint64_t key, const socket_address& address);
     void apply(const std::vector<decided_end>& decisions);
@@ -155,6 +157,7 @@
                     std::set<request_trait>& news);
     void note_changes(const std::set<request_trait>& quarantined_before, quarantine_source source);
     void note_change(const request_trait& trait, bool is_quarantined, quarantine_source source);
+    void record_news(const std::set<request_trait>& quarantined_before, const std::set<request_trait>& news);
     void send_news(const std::set<request_trait>& traits);
 
     const clock& time;
--- a/src/gateway/internal/crash_quarantine.cpp
+++ b/src/gateway/internal/crash_quarantine.cpp
@@ -191,6 +191,7 @@
                 request, {decision.server, is_confirmed, ended_at, request.sent_at}, server_id, news);
         }
         this->note_changes(quarantined_before, quarantine_source::server_end);
+        this->record_news(quarantined_before, news);
         this->send_news(news);
     }
 }
@@ -266,6 +267,20 @@
     }
 }
 
+// Records further ends of traits that were quarantined before.
+void crash_quarantine::record_news(const std::set<request_trait>& quarantined_before,
+                                   const std::set<request_trait>& news)
+{
+    for (const auto& trait : news) {
+        const bool was_quarantined = quarantined_before.contains(trait);
+        const auto known = this->suspicions.find(trait);
+        if (this->recorder != nullptr && was_quarantined && known &&
+            this->suspicions.quarantined().contains(trait)) {
+            this->recorder->record(*known, write_urgency::now);
+        }
+    }
+}
+
 void crash_quarantine::send_news(const std::set<request_trait>& traits)
 {
     if (this->channel == nullptr) {
@@ -332,4 +347,15 @@
     return this->suspicions.quarantined();
 }
 
+std::vector<crash_suspicion> crash_quarantine::quarantined_suspicions() const
+{
+    std::vector<crash_suspicion> known;
+    for (const auto& trait : this->suspicions.quarantined()) {
+        if (const auto suspicion = this->suspicions.find(trait)) {
+            known.push_back(*suspicion);
+        }
+    }
+    return known;
+}
+
 } // namespace tanager
--- a/src/gateway/internal/quarantine_archive.cpp
+++ b/src/gateway/internal/quarantine_archive.cpp
@@ -17,6 +17,9 @@
 constexpr std::uint64_t delay_spread_ms = 1'500;
 // A reserve for an incident; a write takes some milliseconds.
 constexpr std::size_t max_concurrent_writes = 8;
+constexpr std::chrono::milliseconds search_interval{500};
+// That many suffice for a quarantine of any trait, whatever else explains some of them.
+constexpr std::size_t max_recorded_ends = 5;
 
 std::string name_of(const request_trait& trait)
 {
@@ -46,35 +49,65 @@
 
 void quarantine_archive::record(const crash_suspicion& suspicion, write_urgency urgency)
 {
-    this->schedule(name_of(suspicion.trait), encode_stored_suspicion(suspicion, this->time.now()), urgency);
+    pending_write write;
+    write.value = encode_stored_suspicion(suspicion, this->time.now());
+    write.ends = suspicion.unexcused_ends().size();
+    this->schedule(name_of(suspicion.trait), std::move(write), urgency);
 }
 
 void quarantine_archive::remove(const request_trait& trait, write_urgency urgency)
 {
-    this->schedule(name_of(trait), std::nullopt, urgency);
+    this->schedule(name_of(trait), {}, urgency);
 }
 
 // Replaces an earlier write of the object, and waits for the result of one that has been called.
-void quarantine_archive::schedule(const std::string& name,
-                                  std::optional<std::string> value,
-                                  write_urgency urgency)
+void quarantine_archive::schedule(const std::string& name, pending_write write, write_urgency urgency)
 {
-    auto due = this->time.now();
+    write.due = this->time.now();
     if (urgency == write_urgency::unless_done_by_others) {
-        due += min_delay_for_others + std::chrono::milliseconds{this->random.next() % delay_spread_ms};
+        write.due += min_delay_for_others + std::chrono::milliseconds{this->random.next() % delay_spread_ms};
     }
-    this->writes.insert_or_assign(name, pending_write{std::move(value), due, ++this->last_number});
+    write.number = ++this->last_number;
+    this->writes.insert_or_assign(name, std::move(write));
     if (urgency == write_urgency::now) {
-        this->check();
+        this->start_due_writes();
     }
 }
 
+bool quarantine_archive::is_stored(const std::string& name, std::size_t ends) const
+{
+    const auto known = this->entries.find(name);
+    return known != this->entries.end() && known->second.ends >= std::min(ends, max_recorded_ends);
+}
+
 bool quarantine_archive::is_needed(const std::string& name, const pending_write& write) const
 {
-    return write.value.has_value() != this->versions.contains(name);
+    return write.value ? !this->is_stored(name, write.ends) : this->entries.contains(name);
 }
 
 void quarantine_archive::check()
+{
+    const auto now = this->time.now();
+    if (now - this->searched_at >= search_interval) {
+        this->searched_at = now;
+        this->find_missing();
+    }
+    this->start_due_writes();
+}
+
+// An object may lack ends that became known since it was written, or another gateway may have removed it that
+// did not know of them.
+void quarantine_archive::find_missing()
+{
+    for (const auto& suspicion : this->quarantine.quarantined_suspicions()) {
+        const auto name = name_of(suspicion.trait);
+        if (!this->writes.contains(name) && !this->is_stored(name, suspicion.unexcused_ends().size())) {
+            this->record(suspicion, write_urgency::unless_done_by_others);
+        }
+    }
+}
+
+void quarantine_archive::start_due_writes()
 {
     std::map<std::string, pending_write> due_writes;
     for (const auto& [name, write] : this->writes) {
@@ -100,42 +133,43 @@
                 this->finish(name, write, written);
             }
         };
+    const auto known = this->entries.find(name);
+    const auto version = known == this->entries.end() ? 0 : known->second.version;
     if (write.value) {
-        this->store.put(name, *write.value, 0, finished);
+        this->store.put(name, *write.value, version, finished);
         return;
     }
-    this->store.remove(name, this->versions.at(name), finished);
+    this->store.remove(name, version, finished);
 }
 
 void quarantine_archive::finish(const std::string& name,
                                 const pending_write& write,
                                 const result<std::uint64_t>& written)
 {
-    const bool is_failed = !written && written.error().code == result_code::store_unavailable;
-    std::string outcome = is_failed ? "failed" : "done_by_others";
-    if (written) {
-        outcome = "written";
+    this->called_names.erase(name);
+    const bool is_gone = !written && written.error().code == result_code::object_unknown;
+    if (written && write.value) {
+        this->entries[name] = {*written, write.ends};
+    } else if (written || is_gone) {
+        this->entries.erase(name);
     }
     write_event(log_event::quarantine_recorded,
                 {{"object", name},
-                 {"change", write.value ? "created" : "removed"},
-                 {"outcome", outcome},
+                 {"change", write.value ? "put" : "removed"},
+                 {"ends", std::to_string(write.ends)},
+                 {"outcome", written ? "done" : std::string{tanager::name_of(written.error().code)}},
                  {"revision", std::to_string(written.value_or(0))}});
-    this->called_names.erase(name);
-    if (!is_failed && !write.value) {
-        this->versions.erase(name);
-    } else if (written) {
-        this->versions[name] = *written;
-    }
     const auto pending = this->writes.find(name);
     if (pending == this->writes.end() || pending->second.number != write.number) {
         return;
     }
-    if (is_failed) {
-        pending->second.due = this->time.now() + retry_delay;
+    // After a conflict, the watch shows what another gateway has written, and whether this write is still
+    // needed.
+    if (written || (is_gone && !write.value)) {
+        this->writes.erase(pending);
         return;
     }
-    this->writes.erase(pending);
+    pending->second.due = this->time.now() + retry_delay;
 }
 
 std::uint64_t quarantine_archive::known_revision() const
@@ -157,16 +191,17 @@
 watch_action quarantine_archive::on_listing(const object_listing& listing)
 {
     if (listing.is_snapshot) {
-        this->versions.clear();
+        this->entries.clear();
     }
     std::vector<crash_suspicion> suspicions;
     for (const auto& object : listing.objects) {
         if (object.deleted) {
-            this->versions.erase(object.name);
+            this->entries.erase(object.name);
             continue;
         }
-        this->versions[object.name] = object.version;
-        if (const auto suspicion = this->decode(object)) {
+        const auto suspicion = this->decode(object);
+        this->entries[object.name] = {object.version, suspicion ? suspicion->ends.size() : 0};
+        if (suspicion) {
             suspicions.push_back(*suspicion);
         }
     }
--- a/src/gateway/tests/quarantine_archive_tests.cpp
+++ b/src/gateway/tests/quarantine_archive_tests.cpp
@@ -20,6 +20,7 @@
 
 constexpr std::uint64_t seed = 3;
 constexpr request_trait culprit{100, request_trait::content_specificity};
+constexpr std::uint64_t other_content = 200;
 
 // Holds objects, and the results of writes until the test delivers them.
 class holding_store final : public object_store {
@@ -35,14 +36,16 @@
 
     void put(const std::string& name,
              const std::string& value,
-             std::uint64_t /*expected*/,
+             std::uint64_t expected,
              version_callback callback) override
     {
         ++this->call_count;
+        const auto found = this->objects.find(name);
+        const auto version = found == this->objects.end() ? 0 : found->second.version;
         result<std::uint64_t> written = this->revision + 1;
         if (!this->is_available) {
             written = fail(result_code::store_unavailable, "down");
-        } else if (this->objects.contains(name)) {
+        } else if (version != expected) {
             written = fail(result_code::version_conflict, name);
         } else {
             this->objects[name] = {name, ++this->revision, false, value};
@@ -134,6 +137,8 @@
     CPPUNIT_TEST_SUITE(quarantine_archive_tests);
     CPPUNIT_TEST(a_gateway_that_starts_knows_the_quarantines);
     CPPUNIT_TEST(another_gateway_writes_what_the_first_could_not);
+    CPPUNIT_TEST(a_quarantine_is_known_although_others_explain_its_first_ends);
+    CPPUNIT_TEST(a_quarantine_that_another_gateway_removed_is_written_again);
     CPPUNIT_TEST(writes_again_when_the_store_is_back);
     CPPUNIT_TEST(a_released_request_is_not_kept);
     CPPUNIT_TEST(objects_of_others_that_cannot_be_read_are_left_out);
@@ -234,6 +239,71 @@
         });
     }
 
+    void a_quarantine_is_known_although_others_explain_its_first_ends()
+    {
+        section("a second request ends the servers of the first one and others", [] {
+            manual_clock time;
+            holding_store store;
+            archiving_gateway gateway(time, store);
+            const auto end_under_both = [&](const std::string& id) {
+                backend_server ended;
+                ended.id = id;
+                ended.address = {id, 1};
+                gateway.quarantine.record_lost_connection(ended, {{other_content, {}}, {}});
+                gateway.end_server(id);
+            };
+            for (const auto* const id : {"x", "y"}) {
+                gateway.connector.ended.insert({id, 1});
+                end_under_both(id);
+                store.deliver();
+            }
+            for (const auto* const id : {"u", "v", "w"}) {
+                backend_server ended;
+                ended.id = id;
+                ended.address = {id, 1};
+                gateway.connector.ended.insert(ended.address);
+                gateway.quarantine.record_lost_connection(ended, {{other_content, {}}, {}});
+                store.deliver();
+            }
+            section("with a third server of its own, the first one is quarantined after a start, too", [&] {
+                gateway.end_server("z");
+                store.deliver();
+                for (int round = 0; round < 10; ++round) {
+                    time.advance(1s);
+                    gateway.archive.check();
+                    store.deliver();
+                }
+                CPPUNIT_ASSERT(gateway.is_quarantined());
+                archiving_gateway started_later(time, store);
+                started_later.archive.on_listing(store.snapshot());
+                CPPUNIT_ASSERT(started_later.is_quarantined());
+            });
+        });
+    }
+
+    void a_quarantine_that_another_gateway_removed_is_written_again()
+    {
+        section("a gateway that knows less removes the object", [] {
+            manual_clock time;
+            holding_store store;
+            archiving_gateway gateway(time, store);
+            gateway.end_server("x");
+            gateway.end_server("y");
+            store.deliver();
+            auto removed = store.objects.begin()->second;
+            removed.deleted = true;
+            store.objects.clear();
+            gateway.archive.on_listing({store.revision, store.revision + 1, false, {removed}});
+            section("the one that still refuses the request writes it after a while", [&] {
+                gateway.archive.check();
+                CPPUNIT_ASSERT(store.objects.empty());
+                time.advance(3s);
+                gateway.archive.check();
+                CPPUNIT_ASSERT_EQUAL(std::size_t{1}, store.objects.size());
+            });
+        });
+    }
+
     void writes_again_when_the_store_is_back()
     {
         section("the store is away when a request is quarantined", [] {
--- a/src/quarantine/internal/crash_suspicion_table.cpp
+++ b/src/quarantine/internal/crash_suspicion_table.cpp
@@ -18,7 +18,7 @@
 // One server may end by coincidence.
 constexpr end_limits content_limits{2, 3};
 // Nothing explains that many ends under one content: it has lost every attempt of its caller and of a retry.
-constexpr end_limits conclusive_content_limits{3, 4};
+constexpr std::size_t conclusive_content_ends = 3;
 // Popular parts run on many servers at once, and quarantining one rejects requests of many callers.
 constexpr end_limits prompt_part_limits{3, 4};
 // Servers may end together for a reason of their own, under requests that have a common part. A part is
@@ -36,12 +36,6 @@
 // Shared parts in use at one gateway.
 constexpr std::size_t min_remembered_parts = 4'096;
 
-bool reaches(const end_limits& limits, const std::vector<server_end>& ends)
-{
-    return ends.size() >= limits.any ||
-           std::ranges::count_if(ends, &server_end::is_confirmed) >= limits.confirmed;
-}
-
 // Returns the length of the longest series of ends, each under a request that was sent after the end before.
 std::size_t count_successive(std::vector<server_end> ends)
 {
@@ -74,7 +68,8 @@
 bool crash_suspicion_table::is_enough(const request_trait& trait, const std::vector<server_end>& ends) const
 {
     const auto& limits = trait.is_content() ? content_limits : prompt_part_limits;
-    const bool are_many = reaches(limits, ends);
+    const bool are_many = ends.size() >= limits.any ||
+                          std::ranges::count_if(ends, &server_end::is_confirmed) >= limits.confirmed;
     if (!are_many || trait.is_content()) {
         return are_many;
     }
@@ -85,7 +80,7 @@
 // Returns whether a trait is quarantined whatever else may explain the ends.
 bool crash_suspicion_table::is_conclusive(const request_trait& trait, const std::vector<server_end>& ends)
 {
-    return trait.is_content() && reaches(conclusive_content_limits, ends);
+    return trait.is_content() && ends.size() >= conclusive_content_ends;
 }
 
 std::vector<server_end> crash_suspicion_table::unexcused(const suspected_trait& suspected)
@@ -259,18 +254,14 @@
     }
     const bool is_known =
         found != this->suspects.end() && found->second.changed_at + this->retention > this->time.now();
-    const auto known_ends = is_known ? unexcused(found->second) : std::vector<server_end>{};
-    auto unexplained_ends = known_ends;
+    auto ends = is_known ? unexcused(found->second) : std::vector<server_end>{};
     for (const auto& quarantined_trait : this->quarantined_traits) {
-        remove_ends(unexplained_ends, this->suspects.at(quarantined_trait).ends);
+        remove_ends(ends, this->suspects.at(quarantined_trait).ends);
     }
-    auto all_ends = known_ends;
     for (const auto& end : pending) {
-        add_end(unexplained_ends, end);
-        add_end(all_ends, end);
+        add_end(ends, end);
     }
-    return this->is_enough(trait, unexplained_ends) || is_conclusive(trait, all_ends) ? this->retention
-                                                                                      : duration{0};
+    return this->is_enough(trait, ends) ? this->retention : duration{0};
 }
 
 std::optional<crash_suspicion> crash_suspicion_table::find(const request_trait& trait) const
--- a/src/quarantine/tests/crash_suspicion_tests.cpp
+++ b/src/quarantine/tests/crash_suspicion_tests.cpp
@@ -188,6 +188,16 @@
                     }
                 }
             }
+            section("silent servers count as well", [] {
+                manual_clock silent_time;
+                crash_suspicion_table silent_table(silent_time, retention);
+                for (std::uint64_t server = 1; server <= 3; ++server) {
+                    silent_table.record_end(culprit, presumed(server));
+                    silent_table.record_end(innocent, presumed(server));
+                }
+                silent_table.record_end(culprit, presumed(4));
+                CPPUNIT_ASSERT(silent_table.quarantined() == (std::set{culprit, innocent}));
+            });
             section("none of them ends more than three", [&] {
                 CPPUNIT_ASSERT_EQUAL(std::size_t{culprit_count}, table.quarantined().size());
                 for (const auto& [each, count] : ends) {
