Do not keep suspicions of other gateways that name no server

Found on reading the change: since a suspicion is kept only for its ends, one without any made an entry that was not counted against the bound of the table. Its test failed before.

--- a/src/quarantine/internal/crash_suspicion_table.cpp
+++ b/src/quarantine/internal/crash_suspicion_table.cpp
@@ -168,7 +168,7 @@
 bool crash_suspicion_table::merge(const crash_suspicion& received)
 {
     const auto changed_at = this->time.now() - received.age;
-    if (received.age >= this->retention) {
+    if (received.age >= this->retention || received.ends.empty()) {
         return false;
     }
     auto& suspected = this->suspects[received.trait];
--- a/src/quarantine/tests/crash_suspicion_tests.cpp
+++ b/src/quarantine/tests/crash_suspicion_tests.cpp
@@ -509,6 +509,10 @@
             }
             CPPUNIT_ASSERT(table.quarantine_left(culprit, {}) > 0s);
             CPPUNIT_ASSERT_EQUAL(std::size_t{1}, table.quarantined().size());
+            section("suspicions of others that name no server are not kept", [&] {
+                CPPUNIT_ASSERT(!table.merge({{77, request_trait::content_specificity}, {}, 0ms}));
+                CPPUNIT_ASSERT(!table.find({77, request_trait::content_specificity}));
+            });
             section("the oldest of the others are forgotten", [&] {
                 CPPUNIT_ASSERT_EQUAL(std::size_t{2'048}, table.take_next(20'000).size());
                 CPPUNIT_ASSERT(!table.find({first_other, request_trait::content_specificity}));
