--- a/src/base/tests/base_tests.cpp
+++ b/src/base/tests/base_tests.cpp
@@ -97,7 +97,8 @@
         });
         section("malformed bytes make the reader invalid for good", [] {
             section("a number without an end", [] {
-                byte_reader reader(std::string(12, '\xff'));
+                const std::string bytes(12, '\xff');
+                byte_reader reader(bytes);
                 CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, reader.read_number());
                 CPPUNIT_ASSERT(!reader.is_valid());
                 CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, reader.read_hash());
