Log what tells whose response a refusal is (TWICE, observability)

The log of an order that ran twice said 'refused with status 503' three times and 'runs=1'. Nothing told the hypotheses apart: whether the refusal carried an id, which connection brought it and what that had carried, how soon it came. 3046 response_judged now says so for each refusal and each response that does not name its request, with the conclusion. No logic changed.

--- a/src/gateway/internal/request_forwarder.cpp
+++ b/src/gateway/internal/request_forwarder.cpp
@@ -605,6 +605,11 @@
     if (!this->response.not_executed) {
         this->unclaimed_kv_cache.reset();
     }
+    if (this->response.not_executed || !this->response.matches_request) {
+        this->log.write_response(
+            {this->response, this->call->connection_used(), this->context.time.now() - this->attempt_sent_at},
+            this->response.not_executed ? "not_executed" : "unknown");
+    }
     if (this->response.not_executed) {
         return;
     }
--- a/src/gateway/internal/request_log.cpp
+++ b/src/gateway/internal/request_log.cpp
@@ -90,6 +90,22 @@
                  {"runs", std::to_string(executions)}});
 }
 
+void request_log::write_response(const response_evidence& evidence, std::string_view conclusion) const
+{
+    const auto since_sent = std::chrono::duration_cast<std::chrono::microseconds>(evidence.answered_after);
+    write_event(log_event::response_judged,
+                {{"request", this->request_id},
+                 {"server", this->server},
+                 {"status", std::to_string(evidence.head.status)},
+                 {"id", std::string{name_of(evidence.head.id)}},
+                 {"not_executed", evidence.head.not_executed ? "yes" : "no"},
+                 {"digest", evidence.head.has_digest ? "yes" : "no"},
+                 {"connection", std::to_string(evidence.connection.number)},
+                 {"earlier_requests", std::to_string(evidence.connection.earlier_requests)},
+                 {"answered_after_us", std::to_string(since_sent.count())},
+                 {"conclusion", std::string{conclusion}}});
+}
+
 void request_log::write_broken(const error& cause, const std::string& outcome) const
 {
     write_event(log_event::request_broken,
--- a/src/gateway/internal/request_log.h
+++ b/src/gateway/internal/request_log.h
@@ -4,6 +4,8 @@
 #include "admission/slot_share.h"
 #include "base/types/result.h"
 #include "gateway/request_scheduler.h"
+#include "gateway/types/caller_request.h"
+#include "net/http_client.h"
 #include "quarantine/types/request_traits.h"
 
 #include <chrono>
@@ -39,6 +41,13 @@
     load_counts load_on_server;          // load of all gateways on the server when the request ended
 };
 
+// What tells whether a response belongs to an attempt, and whether that attempt has been executed.
+struct response_evidence {
+    response_info head;
+    call_connection connection;
+    duration answered_after{0}; // since the attempt was sent
+};
+
 class request_log {
 public:
     // Lines name the traits, so that those of repeated requests, and of requests with a common part, can be
@@ -58,6 +67,9 @@
     // Logs a further attempt, on another server or, without the KV cache, on this one. `executions` counts
     // the attempts so far.
     void write_retry(const std::string& cause, std::uint32_t executions) const;
+    // Logs what was concluded of a response other than a success to this request.
+    void write_response(const response_evidence& evidence, std::string_view conclusion) const;
+
     // Logs a request that failed after a server may have executed it.
     void write_broken(const error& cause, const std::string& outcome) const;
     void write_rejection(const error& cause, const rejection_details& details) const;
--- a/src/gateway/mocks/fake_request_codec.h
+++ b/src/gateway/mocks/fake_request_codec.h
@@ -43,7 +43,9 @@
         constexpr int misdirected_status = 421;
         response_info head;
         head.status = status;
-        head.matches_request = find_header(headers, "id") == request.id;
+        const auto id = find_header(headers, "id");
+        head.id = id == request.id ? response_id::own : id.empty() ? response_id::none : response_id::another;
+        head.matches_request = head.id == response_id::own;
         head.has_digest = !find_header(headers, "signed").empty();
         head.is_misdirected = status == misdirected_status;
         head.not_executed = head.is_misdirected || !find_header(headers, "not-run").empty();
--- a/src/logging/internal/log_event.cpp
+++ b/src/logging/internal/log_event.cpp
@@ -84,6 +84,7 @@
     event_row{log_event::role_change_decided, "role_change_decided", log_level::info},
     event_row{log_event::role_change_ended, "role_change_ended", log_level::info},
     event_row{log_event::long_outputs_gathered, "long_outputs_gathered", log_level::info},
+    event_row{log_event::response_judged, "response_judged", log_level::info},
     event_row{log_event::fault_switched, "fault_switched", log_level::info},
 };
 
--- a/src/logging/types/log_event.h
+++ b/src/logging/types/log_event.h
@@ -75,6 +75,7 @@
     role_change_decided = 3043,
     role_change_ended = 3044,
     long_outputs_gathered = 3045,
+    response_judged = 3046,
 
     // 4000: agent
     attempt_refused = 4001,
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -42,6 +42,14 @@
     virtual void on_failure(const http_failure& failure) = 0;
 };
 
+// The connection that carries a call.
+struct call_connection {
+    std::uint64_t number = 0;           // unique in this process; 0 before there is a connection
+    std::uint32_t earlier_requests = 0; // that it has carried before this call
+
+    friend bool operator==(const call_connection&, const call_connection&) = default;
+};
+
 // A call in progress.
 class http_call {
 public:
@@ -58,6 +66,8 @@
     // Returns whether any byte of the request has been sent to the peer.
     virtual bool is_sent() const = 0;
 
+    virtual call_connection connection_used() const = 0;
+
     // Stop and resume reading the response. While reading is stopped, flow control blocks the peer.
     virtual void pause() = 0;
     virtual void resume() = 0;
--- a/src/net/internal/http_client.cpp
+++ b/src/net/internal/http_client.cpp
@@ -80,8 +80,9 @@
     void start(const http_request& request, const http_call_options& options)
     {
         this->self_reference = this->shared_from_this();
-        this->connection = this->pool.take(
+        this->used_connection = this->pool.take(
             this->peer, options.reuse_connection ? options.max_idle_time : std::chrono::milliseconds{0});
+        this->connection = this->used_connection.native;
         this->accept_unframed = options.accept_unframed;
         this->reuse_connection = options.reuse_connection;
         this->set_timeout(options.timeout);
@@ -118,6 +119,12 @@
         return this->sent;
     }
 
+    call_connection connection_used() const override
+    {
+        const auto requests = this->used_connection.requests;
+        return {this->used_connection.number, requests == 0 ? 0 : requests - 1};
+    }
+
     void cancel() override
     {
         if (this->done) {
@@ -162,9 +169,9 @@
         if (this->native != nullptr) {
             evhttp_cancel_request(std::exchange(this->native, nullptr));
         }
-        auto* const used_connection = this->connection;
+        auto* const ended_connection = this->connection;
         this->release();
-        this->pool.discard(used_connection);
+        this->pool.discard(ended_connection);
     }
 
     void set_timeout(std::chrono::milliseconds timeout)
@@ -303,7 +310,7 @@
     {
         const auto keep_alive = this->shared_from_this();
         this->done = true;
-        auto* const used_connection = this->connection;
+        auto* const ended_connection = this->connection;
         const auto receiver = this->handler;
         // Bytes after a complete response belong to no request, so the connection is not reused.
         const bool has_trailing_bytes =
@@ -311,9 +318,9 @@
             0;
         this->release();
         if (this->reuse_connection && !has_trailing_bytes) {
-            this->pool.give_back(this->peer, used_connection);
+            this->pool.give_back(this->peer, this->used_connection);
         } else {
-            this->pool.discard(used_connection);
+            this->pool.discard(ended_connection);
         }
         run_guarded("response", [&] { receiver->on_end(); });
     }
@@ -326,10 +333,10 @@
         }
         this->done = true;
         const bool never_sent = !this->head_received && !this->sent;
-        auto* const used_connection = this->connection;
+        auto* const ended_connection = this->connection;
         const auto receiver = this->handler;
         this->release();
-        this->pool.discard(used_connection);
+        this->pool.discard(ended_connection);
         run_guarded("response", [&] { receiver->on_failure(this->describe_failure(never_sent)); });
     }
 
@@ -358,7 +365,8 @@
     http_connection_pool& pool;
     socket_address peer;
     std::shared_ptr<http_response_handler> handler;
-    evhttp_connection* connection = nullptr;
+    client_connection used_connection;
+    evhttp_connection* connection = nullptr; // null once the call has ended
     evhttp_request* native = nullptr;
     evbuffer_cb_entry* output_callback_entry = nullptr;
     evbuffer_cb_entry* input_callback_entry = nullptr;
--- a/src/net/internal/http_connection_pool.h
+++ b/src/net/internal/http_connection_pool.h
@@ -4,6 +4,7 @@
 #include "net/event_loop.h"
 #include "net/types/http_types.h"
 
+#include <cstdint>
 #include <map>
 #include <vector>
 
@@ -11,6 +12,13 @@
 
 namespace tanager {
 
+// A connection to a peer, and what it has carried.
+struct client_connection {
+    evhttp_connection* native = nullptr;
+    std::uint64_t number = 0; // unique in this process
+    std::uint32_t requests = 0;
+};
+
 // Keeps idle connections for later calls to the same peer.
 class http_connection_pool {
 public:
@@ -23,22 +31,23 @@
 
     // Returns the idle connection that was used last, if it was idle for less than `max_idle_time`. Otherwise
     // returns a new one, which connects on its first request.
-    evhttp_connection* take(const socket_address& peer, duration max_idle_time);
+    client_connection take(const socket_address& peer, duration max_idle_time);
 
     // Keeps a connection for reuse; its last response must have been read completely.
-    void give_back(const socket_address& peer, evhttp_connection* connection);
+    void give_back(const socket_address& peer, const client_connection& connection);
 
     // Frees a connection later from the loop, after its current callbacks have returned.
     void discard(evhttp_connection* connection);
 
 private:
     struct idle_connection {
-        evhttp_connection* native = nullptr;
+        client_connection connection;
         time_point idle_since;
     };
 
     event_loop& loop;
     system_clock clock;
+    std::uint64_t last_number = 0;
     std::map<socket_address, std::vector<idle_connection>> idle_connections;
 };
 
--- a/src/net/mocks/fake_client.h
+++ b/src/net/mocks/fake_client.h
@@ -23,6 +23,11 @@
             return this->sent;
         }
 
+        call_connection connection_used() const override
+        {
+            return this->connection;
+        }
+
         void pause() override {}
         void resume() override {}
 
@@ -51,6 +56,7 @@
         http_request request;
         http_call_options options;
         std::shared_ptr<http_response_handler> handler;
+        call_connection connection;
         bool sent = true;
         bool is_cancelled = false;
     };
