--- a/src/gateway/internal/detachable_response_handler.h
+++ b/src/gateway/internal/detachable_response_handler.h
@@ -16,6 +16,7 @@
     response_listener& operator=(response_listener&&) = delete;
     virtual ~response_listener() = default;
 
+    virtual response_owner find_owner(int status, const http_headers& headers) = 0;
     virtual void on_response_head(int status, const http_headers& headers) = 0;
     virtual void on_response_data(std::string_view data) = 0;
     virtual void on_response_end() = 0;
@@ -35,6 +36,12 @@
         this->listener.reset();
     }
 
+    response_owner owner_of(int status, const http_headers& headers) override
+    {
+        const auto alive = this->listener.lock();
+        return alive == nullptr ? response_owner::unnamed : alive->find_owner(status, headers);
+    }
+
     void on_head(int status, const http_headers& headers) override
     {
         if (const auto alive = this->listener.lock()) {
--- a/src/gateway/internal/prefill_call.h
+++ b/src/gateway/internal/prefill_call.h
@@ -32,11 +32,15 @@
                const http_call_options& options,
                callback on_end);
 
+    // Returns the head of the response once the call has ended; status 0 without a response.
+    const response_info& response_head() const;
+
+    call_connection connection_used() const;
+
     // Cancels the call; the callback will not be called.
     void cancel();
 
 private:
-    bool is_answer(int status, const http_headers& headers);
     result<kv_cache_handle> decode_result(const tl::expected<http_response, http_failure>& response);
 
     const request_codec& codec;
@@ -44,8 +48,9 @@
     std::shared_ptr<const backend_server> prefill_engine;
     caller_request request;
     std::shared_ptr<http_call> call;
+    response_info head;
+    call_connection connection;
     callback on_end;
-    bool is_foreign = false; // the engine answered another request
 };
 
 } // namespace tanager
--- a/src/gateway/internal/request_forwarder.cpp
+++ b/src/gateway/internal/request_forwarder.cpp
@@ -273,6 +273,17 @@
     return attempt;
 }
 
+http_call_options request_forwarder::make_call_options(const attempt_options& attempt,
+                                                       duration max_idle_time) const
+{
+    http_call_options options;
+    options.timeout = attempt.time_left + call_timeout_margin;
+    options.accept_unframed = true;
+    options.request_id = this->routed.request.id;
+    options.max_idle_time = std::chrono::duration_cast<std::chrono::milliseconds>(max_idle_time);
+    return options;
+}
+
 std::optional<socket_address> request_forwarder::prefix_source_address() const
 {
     return this->grant.prefix_source == nullptr ? std::nullopt
@@ -315,11 +326,8 @@
     auto attempt = this->make_attempt_options(*this->grant.prefill_engine);
     attempt.prefill_only = true;
     attempt.prefix_source = this->prefix_source_address();
-    const http_call_options options{attempt.time_left + call_timeout_margin,
-                                    true,
-                                    true,
-                                    max_connection_idle,
-                                    prefill_call::max_response_bytes};
+    auto options = this->make_call_options(attempt, max_connection_idle);
+    options.max_collected_bytes = prefill_call::max_response_bytes;
     this->attempts.begin_prefill();
     this->waiting_since = this->context.time.now();
     this->attempt_sent_at = this->waiting_since;
@@ -340,6 +348,12 @@
 void request_forwarder::on_prefill_end(const result<kv_cache_handle>& cache)
 {
     const auto prefill_engine = this->grant.prefill_engine;
+    const auto head = this->prefill->response_head();
+    if (!cache && head.status != 0) {
+        this->log.write_response(
+            {head, this->prefill->connection_used(), this->context.time.now() - this->attempt_sent_at},
+            judge_execution(head));
+    }
     this->prefill.reset();
     this->idle_timer.reset();
     this->end_prefill(cache.has_value());
@@ -465,9 +479,8 @@
             // If this call fails, the engine drops the cache after its own timeout.
         },
         [&codec = this->context.codec](int status, const http_headers& headers) {
-            // A response with an id answers a caller's request; the one to this call is
-            // still to come, and must not meet the next request on the connection.
-            return codec.decode_response_head({}, status, headers).matches_request;
+            // A response with an id is that to a caller's request.
+            return codec.decode_response_head({}, status, headers).owner();
         });
     this->unclaimed_kv_cache.reset();
 }
@@ -500,10 +513,8 @@
     this->discard_earlier_response();
     this->handler = std::make_shared<detachable_response_handler>(this->weak_from_this());
     const bool repeatable = this->routed.chosen_route->is_repeatable();
-    const http_call_options options{attempt.time_left + call_timeout_margin,
-                                    true,
-                                    true,
-                                    repeatable ? max_connection_idle : max_connection_idle_unrepeatable};
+    const auto options =
+        this->make_call_options(attempt, repeatable ? max_connection_idle : max_connection_idle_unrepeatable);
     this->attempts.begin_run();
     this->waiting_since = this->context.time.now();
     this->attempt_sent_at = this->waiting_since;
@@ -520,6 +531,7 @@
 void request_forwarder::discard_earlier_response()
 {
     this->response = {};
+    this->execution = execution_state::unknown;
     this->is_response_framed = false;
     this->buffered_body.clear();
     static_cast<void>(this->events.take_incomplete_event());
@@ -593,27 +605,41 @@
     this->request_slot();
 }
 
+response_evidence request_forwarder::make_evidence(const response_info& head) const
+{
+    return {head, this->call->connection_used(), this->context.time.now() - this->attempt_sent_at};
+}
+
+response_owner request_forwarder::find_owner(int status, const http_headers& headers)
+{
+    const auto head = this->context.codec.decode_response_head(this->routed.request, status, headers);
+    if (head.owner() == response_owner::another_call) {
+        this->log.write_skipped_response(this->make_evidence(head));
+        this->context.metrics.increment_counter("tanager_responses_skipped_total");
+    }
+    return head.owner();
+}
+
 void request_forwarder::on_response_head(int status, const http_headers& headers)
 {
     this->response = this->context.codec.decode_response_head(this->routed.request, status, headers);
+    this->execution = judge_execution(this->response);
     this->is_response_framed = is_framed(status, headers);
     this->connect_timer.reset();
     this->waiting_since = this->context.time.now();
     if (!this->response.is_misdirected) {
         this->context.quarantine.record_response(*this->server);
     }
-    if (!this->response.not_executed) {
+    if (this->execution != execution_state::not_executed) {
         this->unclaimed_kv_cache.reset();
     }
-    if (this->response.not_executed || !this->response.matches_request) {
-        this->log.write_response(
-            {this->response, this->call->connection_used(), this->context.time.now() - this->attempt_sent_at},
-            this->response.not_executed ? "not_executed" : "unknown");
+    if (this->execution != execution_state::executed) {
+        this->log.write_response(this->make_evidence(this->response), this->execution);
     }
-    if (this->response.not_executed) {
+    if (this->execution == execution_state::not_executed) {
         return;
     }
-    if (!this->response.matches_request || (is_success(status) && !this->response.has_digest)) {
+    if (this->execution == execution_state::unknown || (is_success(status) && !this->response.has_digest)) {
         const auto code = this->response.matches_request ? result_code::backend_answer_malformed
                                                          : result_code::backend_answer_foreign;
         this->abandon_response({code, std::string{name_of(code)} + " from " + this->server->id});
@@ -641,14 +667,14 @@
 void request_forwarder::abandon_response(const error& cause)
 {
     this->cancel_attempt(server_outcome::failed);
-    if (!this->try_retry(cause, true)) {
+    if (!this->try_retry(cause, execution_state::unknown)) {
         this->fail_after_execution(cause);
     }
 }
 
 void request_forwarder::on_response_data(std::string_view data)
 {
-    if (this->response.not_executed) {
+    if (this->execution == execution_state::not_executed) {
         return; // the body of a refusal is discarded
     }
     this->waiting_since = this->context.time.now();
@@ -704,7 +730,7 @@
 
 void request_forwarder::on_response_end()
 {
-    if (this->response.not_executed) {
+    if (this->execution == execution_state::not_executed) {
         this->attempts.refund_run();
         this->handle_refusal();
         return;
@@ -772,7 +798,7 @@
     }
     const error cause{result_code::backend_refused,
                       this->server->id + " refused with status " + std::to_string(this->response.status)};
-    if (this->try_retry(cause, false)) {
+    if (this->try_retry(cause, execution_state::not_executed)) {
         return;
     }
     if (this->may_have_executed()) {
@@ -790,7 +816,7 @@
     const std::string kept_body = this->buffered_body.text();
     const error cause{result_code::backend_failed,
                       this->server->id + " answered with status " + std::to_string(status)};
-    if (this->try_retry(cause, true)) {
+    if (this->try_retry(cause, execution_state::executed)) {
         return;
     }
     this->response.status = status;
@@ -800,7 +826,8 @@
 
 void request_forwarder::on_attempt_failure(const http_failure& failure)
 {
-    const bool was_sent = failure.progress == call_progress::maybe_sent;
+    const auto execution_of_attempt = judge_execution(failure.progress);
+    const bool was_sent = execution_of_attempt != execution_state::not_executed;
     if (!was_sent) {
         this->attempts.refund_run();
         ++this->connect_failures;
@@ -811,7 +838,7 @@
     }
     const bool is_malformed = failure.cause.code == result_code::reply_malformed;
     this->end_attempt(is_malformed ? server_outcome::failed : server_outcome::unresponsive);
-    if (this->try_retry(failure.cause, was_sent)) {
+    if (this->try_retry(failure.cause, execution_of_attempt)) {
         return;
     }
     if (was_sent || this->may_have_executed()) {
@@ -831,8 +858,9 @@
     return this->state != request_state::responding || this->events.last_event_id().has_value();
 }
 
-bool request_forwarder::try_retry(const error& cause, bool attempt_may_have_executed)
+bool request_forwarder::try_retry(const error& cause, execution_state attempt)
 {
+    const bool attempt_may_have_executed = attempt != execution_state::not_executed;
     const bool is_connect_failure = cause.code == result_code::connect_failed && !attempt_may_have_executed;
     const bool may_retry =
         attempt_may_have_executed || this->may_have_executed() ? this->may_execute_again() : true;
--- a/src/gateway/internal/request_forwarder.h
+++ b/src/gateway/internal/request_forwarder.h
@@ -74,6 +74,7 @@
 
     void on_slot_granted(const slot_grant& granted) override;
     void on_slot_denied(placement_error reason) override;
+    response_owner find_owner(int status, const http_headers& headers) override;
     void on_response_head(int status, const http_headers& headers) override;
     void on_response_data(std::string_view data) override;
     void on_response_end() override;
@@ -92,6 +93,7 @@
     slot_request make_slot_request(time_point now) const;
     void request_slot();
     attempt_options make_attempt_options(const backend_server& target) const;
+    http_call_options make_call_options(const attempt_options& attempt, duration max_idle_time) const;
     std::optional<socket_address> prefix_source_address() const;
     http_request encode_attempt(const attempt_options& attempt);
     void start_prefill();
@@ -120,7 +122,7 @@
     void end_attempt(server_outcome outcome);
     void cancel_attempt(server_outcome outcome);
     void abandon_response(const error& cause);
-    bool try_retry(const error& cause, bool attempt_may_have_executed);
+    bool try_retry(const error& cause, execution_state attempt);
     bool may_execute_again() const;
     void handle_refusal();
     void handle_server_failure();
@@ -134,6 +136,7 @@
     void end_quarantined(const quarantine_verdict& verdict);
     void stop_if_quarantined();
     running_request active_attempt() const;
+    response_evidence make_evidence(const response_info& head) const;
     void record_completion();
     bool is_stream() const;
     bool is_stream_broken_off() const;
@@ -164,6 +167,7 @@
     std::uint32_t connect_failures = 0;
     std::uint32_t kv_cache_refusals = 0;
     response_info response;
+    execution_state execution = execution_state::unknown; // by the current response
     http_headers response_headers;
     bool is_response_framed = false;
     int streamed_status = 0;     // of the stream that the caller receives
--- a/src/gateway/internal/request_log.cpp
+++ b/src/gateway/internal/request_log.cpp
@@ -90,7 +90,17 @@
                  {"runs", std::to_string(executions)}});
 }
 
-void request_log::write_response(const response_evidence& evidence, std::string_view conclusion) const
+void request_log::write_response(const response_evidence& evidence, execution_state conclusion) const
+{
+    this->write_evidence(evidence, name_of(conclusion));
+}
+
+void request_log::write_skipped_response(const response_evidence& evidence) const
+{
+    this->write_evidence(evidence, "skipped");
+}
+
+void request_log::write_evidence(const response_evidence& evidence, std::string_view conclusion) const
 {
     const auto since_sent = std::chrono::duration_cast<std::chrono::microseconds>(evidence.answered_after);
     write_event(log_event::response_judged,
@@ -98,7 +108,7 @@
                  {"server", this->server},
                  {"status", std::to_string(evidence.head.status)},
                  {"id", std::string{name_of(evidence.head.id)}},
-                 {"not_executed", evidence.head.not_executed ? "yes" : "no"},
+                 {"not_executed", evidence.head.states_not_executed ? "yes" : "no"},
                  {"digest", evidence.head.has_digest ? "yes" : "no"},
                  {"connection", std::to_string(evidence.connection.number)},
                  {"earlier_requests", std::to_string(evidence.connection.earlier_requests)},
--- a/src/gateway/internal/request_log.h
+++ b/src/gateway/internal/request_log.h
@@ -4,7 +4,7 @@
 #include "admission/slot_share.h"
 #include "base/types/result.h"
 #include "gateway/request_scheduler.h"
-#include "gateway/types/caller_request.h"
+#include "gateway/types/response_info.h"
 #include "net/http_client.h"
 #include "quarantine/types/request_traits.h"
 
@@ -67,8 +67,11 @@
     // Logs a further attempt, on another server or, without the KV cache, on this one. `executions` counts
     // the attempts so far.
     void write_retry(const std::string& cause, std::uint32_t executions) const;
-    // Logs what was concluded of a response other than a success to this request.
-    void write_response(const response_evidence& evidence, std::string_view conclusion) const;
+    // Logs what was concluded of a response that refuses the attempt or is not certainly its response.
+    void write_response(const response_evidence& evidence, execution_state conclusion) const;
+
+    // Logs that another request's response was skipped.
+    void write_skipped_response(const response_evidence& evidence) const;
 
     // Logs a request that failed after a server may have executed it.
     void write_broken(const error& cause, const std::string& outcome) const;
@@ -81,6 +84,8 @@
     void set_server(const std::string& id);
 
 private:
+    void write_evidence(const response_evidence& evidence, std::string_view conclusion) const;
+
     std::string request_id;
     std::string content;
     std::string prompt_parts;
--- a/src/gateway/mocks/fake_request_codec.h
+++ b/src/gateway/mocks/fake_request_codec.h
@@ -44,11 +44,12 @@
         response_info head;
         head.status = status;
         const auto id = find_header(headers, "id");
-        head.id = id == request.id ? response_id::own : id.empty() ? response_id::none : response_id::another;
-        head.matches_request = head.id == response_id::own;
+        head.id = id.empty() ? response_id::none : id == request.id ? response_id::own : response_id::another;
+        head.matches_request =
+            head.id == response_id::own || (head.id == response_id::none && request.id.empty());
         head.has_digest = !find_header(headers, "signed").empty();
         head.is_misdirected = status == misdirected_status;
-        head.not_executed = head.is_misdirected || !find_header(headers, "not-run").empty();
+        head.states_not_executed = head.is_misdirected || !find_header(headers, "not-run").empty();
         return head;
     }
 
--- a/src/gateway/request_codec.h
+++ b/src/gateway/request_codec.h
@@ -3,6 +3,7 @@
 
 #include "base/types/result.h"
 #include "gateway/types/caller_request.h"
+#include "gateway/types/response_info.h"
 #include "net/types/http_types.h"
 
 namespace tanager {
--- a/src/gateway/tests/attempt_tests.cpp
+++ b/src/gateway/tests/attempt_tests.cpp
@@ -161,6 +161,7 @@
             return;
         case server_behaviour::respond_to_another_request:
             call.respond(200, {{"id", "another"}}, "cache");
+            call.fail(call_progress::maybe_sent);
             return;
         default:
             call.respond(200, {{"id", id}}, "cache");
@@ -190,6 +191,7 @@
             return;
         case server_behaviour::respond_to_another_request:
             call.respond(200, {{"id", "another"}, {"signed", "1"}}, event);
+            call.fail(call_progress::maybe_sent);
             return;
         case server_behaviour::break_stream:
         case server_behaviour::stall_stream: {
--- a/src/gateway/types/caller_request.h
+++ b/src/gateway/types/caller_request.h
@@ -9,7 +9,6 @@
 #include <cstdint>
 #include <optional>
 #include <string>
-#include <string_view>
 
 namespace tanager {
 
@@ -47,27 +46,4 @@
     friend bool operator==(const attempt_options&, const attempt_options&) = default;
 };
 
-// Which request's id a response carries.
-enum class response_id { own, another, none };
-
-std::string_view name_of(response_id id);
-
-// The facts decoded from the head of a server's response.
-struct response_info {
-    int status = 0;
-    response_id id = response_id::none;
-    bool matches_request = false; // carries the id of this request
-    bool has_digest = false;      // carries a digest set by the server
-    bool not_executed = false;    // the server states that it did not execute the request
-    bool is_misdirected = false;  // another server now uses the address
-
-    // Returns whether this is the response to the request. A server that refuses need not repeat the id.
-    bool answers_request() const
-    {
-        return this->matches_request || this->not_executed;
-    }
-
-    friend bool operator==(const response_info&, const response_info&) = default;
-};
-
 } // namespace tanager
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -24,7 +24,17 @@
     friend bool operator==(const http_failure&, const http_failure&) = default;
 };
 
+// Whose response has arrived. A peer may send a response twice, and the copy arrives where the response to
+// the next request of the connection is due.
+enum class response_owner {
+    this_call,
+    another_call, // it names another request
+    unnamed       // it names no request, so that a copy of it could not be told from other responses
+};
+
 // Receives the parts of one response in order; the last callback is exactly one of `on_end` and `on_failure`.
+// A connection that has brought a response of another call is not used again; a call that meets more than
+// eight of them fails with reply_malformed.
 // The call fails with reply_malformed if the head (64 KB), unparsed framing (128 KB) or the body (64 MB)
 // exceeds its limit. The body limit is much higher because a streamed body is not held in memory.
 class http_response_handler {
@@ -36,6 +46,14 @@
     http_response_handler& operator=(http_response_handler&&) = delete;
     virtual ~http_response_handler() = default;
 
+    // Decides whose response begins with a head, before any other callback for it. One of another call is
+    // skipped: the response to this call may still follow. After an unnamed one, the connection is not used
+    // again.
+    virtual response_owner owner_of(int /*status*/, const http_headers& /*headers*/)
+    {
+        return response_owner::this_call;
+    }
+
     virtual void on_head(int status, const http_headers& headers) = 0;
     virtual void on_data(std::string_view data) = 0;
     virtual void on_end() = 0;
@@ -86,6 +104,9 @@
     // The longest body that `fetch` collects. The largest object of the store has 1 MB, and its pages
     // slightly more.
     std::size_t max_collected_bytes = std::size_t{8} * 1024 * 1024;
+    // The id that the peer repeats in its response; empty for calls without one. No connection carries two
+    // requests with the same id, since the id could not tell their responses apart.
+    std::string request_id;
 
     friend bool operator==(const http_call_options&, const http_call_options&) = default;
 };
@@ -110,17 +131,15 @@
 
     using response_callback = std::function<void(const tl::expected<http_response, http_failure>&)>;
 
-    // Returns whether a response's head belongs to the call.
-    using head_check = std::function<bool(int status, const http_headers& headers)>;
+    using owner_check = std::function<response_owner(int status, const http_headers& headers)>;
 
     // Starts a call whose response is collected in memory. A body that is too long fails with
-    // reply_malformed. So does a head that `is_expected` rejects, as on a connection whose peer has sent
-    // another response twice; that connection is not used again.
+    // reply_malformed. `owner_of` is that of http_response_handler.
     std::shared_ptr<http_call> fetch(const socket_address& peer,
                                      const http_request& request,
                                      const http_call_options& options,
                                      response_callback callback,
-                                     head_check is_expected = {});
+                                     owner_check owner_of = {});
 };
 
 } // namespace tanager
--- a/src/net/internal/http_client.cpp
+++ b/src/net/internal/http_client.cpp
@@ -22,6 +22,7 @@
 // framing, such as a chunk size, grows to this limit.
 constexpr std::size_t max_unparsed_bytes = std::size_t{128} * 1024;
 constexpr int total_timeout_factor = 2;
+constexpr int max_skipped_responses = 8;
 constexpr int status_continue = 100;
 constexpr int first_final_status = 200;
 
@@ -80,8 +81,10 @@
     void start(const http_request& request, const http_call_options& options)
     {
         this->self_reference = this->shared_from_this();
-        this->used_connection = this->pool.take(
-            this->peer, options.reuse_connection ? options.max_idle_time : std::chrono::milliseconds{0});
+        this->used_connection =
+            this->pool.take(this->peer,
+                            options.reuse_connection ? options.max_idle_time : std::chrono::milliseconds{0},
+                            options.request_id);
         this->connection = this->used_connection.native;
         this->accept_unframed = options.accept_unframed;
         this->reuse_connection = options.reuse_connection;
@@ -94,21 +97,10 @@
             this->failure_code = result_code::timed_out;
             this->cancel_with_failure();
         });
-        this->native = evhttp_request_new(&evhttp_call::on_complete, this);
-        evhttp_request_set_header_cb(this->native, &evhttp_call::on_header);
-        evhttp_request_set_chunked_cb(this->native, &evhttp_call::on_chunk);
-        evhttp_request_set_error_cb(this->native, &evhttp_call::on_error);
+        this->command = to_command(request.method);
+        this->create_native_request();
         this->fill_request(request);
-        // evhttp_make_request takes ownership of the request, even if it fails.
-        this->is_starting = true;
-        const int start_result = evhttp_make_request(
-            this->connection, this->native, to_command(request.method), request.path.c_str());
-        this->is_starting = false;
-        // Without a free descriptor, evhttp_make_request returns an error or calls on_complete before it
-        // returns.
-        if (start_result != 0 || this->native == nullptr) {
-            this->native = nullptr;
-            this->loop.post([self = this->shared_from_this()] { self->end_with_failure(); });
+        if (!this->dispatch_native_request(request.path)) {
             return;
         }
         set_connection_options(bufferevent_getfd(evhttp_connection_get_bufferevent(this->connection)));
@@ -174,6 +166,51 @@
         this->pool.discard(ended_connection);
     }
 
+    void create_native_request()
+    {
+        this->native = evhttp_request_new(&evhttp_call::on_complete, this);
+        evhttp_request_set_header_cb(this->native, &evhttp_call::on_header);
+        evhttp_request_set_chunked_cb(this->native, &evhttp_call::on_chunk);
+        evhttp_request_set_error_cb(this->native, &evhttp_call::on_error);
+    }
+
+    // Returns false if the call fails, which it then reports later from the loop.
+    bool dispatch_native_request(const std::string& path)
+    {
+        // evhttp_make_request takes ownership of the request, even if it fails.
+        this->is_starting = true;
+        const int result = evhttp_make_request(this->connection, this->native, this->command, path.c_str());
+        this->is_starting = false;
+        // Without a free descriptor, evhttp_make_request returns an error or calls on_complete before it
+        // returns.
+        if (result == 0 && this->native != nullptr) {
+            return true;
+        }
+        this->native = nullptr;
+        this->loop.post([self = this->shared_from_this()] { self->end_with_failure(); });
+        return false;
+    }
+
+    // Reads another response without sending another request. evhttp reads one response for each request that
+    // it has sent, so the request that it writes is taken out of the buffer before it leaves.
+    void read_next_response()
+    {
+        this->is_skipping = false;
+        this->head_received = false;
+        this->create_native_request();
+        if (!this->dispatch_native_request("/")) {
+            return;
+        }
+        evbuffer_unfreeze(this->output(), 1);
+        evbuffer_drain(this->output(), evbuffer_get_length(this->output()));
+        evbuffer_freeze(this->output(), 1);
+    }
+
+    bool is_connected() const
+    {
+        return bufferevent_getfd(evhttp_connection_get_bufferevent(this->connection)) >= 0;
+    }
+
     void set_timeout(std::chrono::milliseconds timeout)
     {
         constexpr std::int64_t milliseconds_per_second = 1000;
@@ -254,9 +291,27 @@
             call.failure_code = result_code::reply_malformed;
             return -1;
         }
-        const auto receiver = call.handler;
-        if (!run_guarded("response", [&] { receiver->on_head(status, headers); })) {
-            call.cancel_with_failure();
+        return call.receive_head(status, headers);
+    }
+
+    // Returns a negative number to end the connection.
+    int receive_head(int status, const http_headers& headers)
+    {
+        const auto receiver = this->handler;
+        const bool is_accepted = run_guarded("response", [&] {
+            this->owner = receiver->owner_of(status, headers);
+            this->is_skipping = this->owner == response_owner::another_call;
+            if (!this->is_skipping) {
+                receiver->on_head(status, headers);
+            }
+        });
+        if (!is_accepted) {
+            this->cancel_with_failure();
+            return 0;
+        }
+        if (this->is_skipping && ++this->skipped_responses > max_skipped_responses) {
+            this->failure_code = result_code::reply_malformed;
+            return -1;
         }
         return 0;
     }
@@ -267,7 +322,7 @@
         const auto keep_alive = call.shared_from_this();
         evbuffer* const input = evhttp_request_get_input_buffer(request);
         const std::size_t length = evbuffer_get_length(input);
-        if (call.done || length == 0) {
+        if (call.done || call.is_skipping || length == 0) {
             return;
         }
         const auto* const bytes = evbuffer_pullup(input, -1);
@@ -299,7 +354,11 @@
         }
         const bool is_complete = request != nullptr && evhttp_request_get_response_code(request) != 0 &&
                                  call.head_received && call.failure_code == result_code::connection_lost;
-        if (!is_complete) {
+        if (is_complete && call.is_skipping && call.is_connected()) {
+            call.read_next_response();
+            return;
+        }
+        if (!is_complete || call.is_skipping) {
             call.end_with_failure();
             return;
         }
@@ -317,7 +376,8 @@
             evbuffer_get_length(bufferevent_get_input(evhttp_connection_get_bufferevent(this->connection))) >
             0;
         this->release();
-        if (this->reuse_connection && !has_trailing_bytes) {
+        const bool is_certain = this->owner == response_owner::this_call && this->skipped_responses == 0;
+        if (this->reuse_connection && is_certain && !has_trailing_bytes) {
             this->pool.give_back(this->peer, this->used_connection);
         } else {
             this->pool.discard(ended_connection);
@@ -375,6 +435,10 @@
     bool is_starting = false;
     bool reuse_connection = true;
     bool accept_unframed = false;
+    bool is_skipping = false; // the current response is that of another call
+    int skipped_responses = 0;
+    response_owner owner = response_owner::this_call; // of the current response
+    evhttp_cmd_type command = EVHTTP_REQ_GET;
     bool head_received = false;
     bool sent = false;
     bool done = false;
@@ -406,17 +470,18 @@
 public:
     collecting_handler(std::size_t max_bytes,
                        http_client::response_callback callback,
-                       http_client::head_check is_expected)
-        : max_bytes(max_bytes), callback(std::move(callback)), is_expected(std::move(is_expected))
+                       http_client::owner_check check)
+        : max_bytes(max_bytes), callback(std::move(callback)), check(std::move(check))
+    {
+    }
+
+    response_owner owner_of(int status, const http_headers& headers) override
     {
+        return this->check ? this->check(status, headers) : response_owner::this_call;
     }
 
     void on_head(int status, const http_headers& headers) override
     {
-        if (this->is_expected && !this->is_expected(status, headers)) {
-            this->abandon("a response to another request");
-            return;
-        }
         this->response.status = status;
         this->response.headers = headers;
     }
@@ -456,7 +521,7 @@
 
     std::size_t max_bytes;
     http_client::response_callback callback;
-    http_client::head_check is_expected;
+    http_client::owner_check check;
     http_response response;
     std::weak_ptr<http_call> call;
 };
@@ -472,10 +537,10 @@
                                               const http_request& request,
                                               const http_call_options& options,
                                               response_callback callback,
-                                              head_check is_expected)
+                                              owner_check owner_of)
 {
     const auto collector = std::make_shared<collecting_handler>(
-        options.max_collected_bytes, std::move(callback), std::move(is_expected));
+        options.max_collected_bytes, std::move(callback), std::move(owner_of));
     auto call = this->start(peer, request, options, collector);
     collector->set_call(call);
     return call;
--- a/src/net/internal/http_connection_pool.cpp
+++ b/src/net/internal/http_connection_pool.cpp
@@ -1,12 +1,35 @@
 #include "net/internal/http_connection_pool.h"
 
+#include "base/digest.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/http.h>
+#include <sys/socket.h>
 
 namespace tanager {
 
 namespace {
 
 constexpr std::size_t max_idle_connections_per_peer = 256;
+// Bounds the memory of a connection.
+constexpr std::size_t max_request_ids_per_connection = 500;
+
+// Returns whether an idle connection is open and nothing waits to be read: no request is under way whose
+// response that could be.
+bool is_quiet(evhttp_connection* connection)
+{
+    bufferevent* const buffer = evhttp_connection_get_bufferevent(connection);
+    const auto socket = bufferevent_getfd(buffer);
+    if (socket < 0 || evbuffer_get_length(bufferevent_get_input(buffer)) > 0) {
+        return false;
+    }
+    char byte = 0;
+    const auto received = recv(socket, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
+    return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
 
 } // namespace
 
@@ -21,26 +44,51 @@
     }
 }
 
-client_connection http_connection_pool::take(const socket_address& peer, duration max_idle_time)
+client_connection
+http_connection_pool::take(const socket_address& peer, duration max_idle_time, const std::string& request_id)
+{
+    const auto id = request_id.empty() ? 0 : hash64(request_id);
+    auto connection = this->take_idle(peer, max_idle_time, id);
+    if (!connection) {
+        auto* const native =
+            evhttp_connection_base_new(this->loop.native_handle(), nullptr, peer.host.c_str(), peer.port);
+        evhttp_connection_set_retries(native, 0);
+        connection = client_connection{native, ++this->last_number, 0, {}};
+    }
+    ++connection->requests;
+    if (id != 0) {
+        connection->request_ids.push_back(id);
+    }
+    return *std::move(connection);
+}
+
+std::optional<client_connection>
+http_connection_pool::take_idle(const socket_address& peer, duration max_idle_time, std::uint64_t request_id)
 {
     auto& connections = this->idle_connections[peer];
     const auto idle_limit = this->clock.now() - max_idle_time;
-    if (!connections.empty() && connections.back().idle_since > idle_limit) {
-        auto connection = connections.back().connection;
-        ++connection.requests;
-        connections.pop_back();
-        return connection;
+    for (auto index = connections.size(); index > 0 && connections[index - 1].idle_since > idle_limit;
+         --index) {
+        const auto& candidate = connections[index - 1].connection;
+        if (request_id != 0 &&
+            std::ranges::find(candidate.request_ids, request_id) != candidate.request_ids.end()) {
+            continue;
+        }
+        auto connection = std::move(connections[index - 1].connection);
+        connections.erase(connections.begin() + static_cast<std::ptrdiff_t>(index - 1));
+        if (is_quiet(connection.native)) {
+            return connection;
+        }
+        this->discard(connection.native);
     }
-    auto* const native =
-        evhttp_connection_base_new(this->loop.native_handle(), nullptr, peer.host.c_str(), peer.port);
-    evhttp_connection_set_retries(native, 0);
-    return {native, ++this->last_number, 1};
+    return std::nullopt;
 }
 
 void http_connection_pool::give_back(const socket_address& peer, const client_connection& connection)
 {
     auto& connections = this->idle_connections[peer];
-    if (connections.size() >= max_idle_connections_per_peer) {
+    if (connections.size() >= max_idle_connections_per_peer ||
+        connection.request_ids.size() >= max_request_ids_per_connection) {
         this->discard(connection.native);
         return;
     }
--- a/src/net/internal/http_connection_pool.h
+++ b/src/net/internal/http_connection_pool.h
@@ -6,6 +6,8 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <string>
 #include <vector>
 
 struct evhttp_connection;
@@ -17,6 +19,7 @@
     evhttp_connection* native = nullptr;
     std::uint64_t number = 0; // unique in this process
     std::uint32_t requests = 0;
+    std::vector<std::uint64_t> request_ids; // hashes of those that requests have carried
 };
 
 // Keeps idle connections for later calls to the same peer.
@@ -29,9 +32,11 @@
     http_connection_pool(http_connection_pool&&) = delete;
     http_connection_pool& operator=(http_connection_pool&&) = delete;
 
-    // Returns the idle connection that was used last, if it was idle for less than `max_idle_time`. Otherwise
-    // returns a new one, which connects on its first request.
-    client_connection take(const socket_address& peer, duration max_idle_time);
+    // Returns the idle connection that was used last among those that were idle for less than `max_idle_time`
+    // and have not carried `request_id`, unless that is empty. Otherwise returns a new one, which connects on
+    // its first request. Connections that the peer has closed, or on which it has sent bytes without a
+    // request, are discarded.
+    client_connection take(const socket_address& peer, duration max_idle_time, const std::string& request_id);
 
     // Keeps a connection for reuse; its last response must have been read completely.
     void give_back(const socket_address& peer, const client_connection& connection);
@@ -45,6 +50,9 @@
         time_point idle_since;
     };
 
+    std::optional<client_connection>
+    take_idle(const socket_address& peer, duration max_idle_time, std::uint64_t request_id);
+
     event_loop& loop;
     system_clock clock;
     std::uint64_t last_number = 0;
--- a/src/net/mocks/fake_client.h
+++ b/src/net/mocks/fake_client.h
@@ -31,10 +31,14 @@
         void pause() override {}
         void resume() override {}
 
-        // Delivers a complete response.
-        void respond(int status, const http_headers& headers, const std::string& body) const
+        // Delivers a complete response, or skips it if it is another call's.
+        void respond(int status, const http_headers& headers, const std::string& body)
         {
             const auto receiver = this->handler;
+            this->owner = receiver->owner_of(status, headers);
+            if (this->owner == response_owner::another_call) {
+                return;
+            }
             receiver->on_head(status, headers);
             if (this->handler != nullptr && !body.empty()) {
                 receiver->on_data(body);
@@ -57,6 +61,7 @@
         http_call_options options;
         std::shared_ptr<http_response_handler> handler;
         call_connection connection;
+        response_owner owner = response_owner::this_call; // of the last response
         bool sent = true;
         bool is_cancelled = false;
     };
