--- a/src/net/internal/http_client.cpp
+++ b/src/net/internal/http_client.cpp
@@ -10,6 +10,7 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 #include <strings.h>
+#include <sys/socket.h>
 
 namespace tanager {
 
@@ -133,6 +134,10 @@
         this->done = true;
         this->handler.reset();
         // evhttp may be inside a callback for this request, so the request is cancelled later from the loop.
+        // An event that is due before that must not send the request, of which no byte may have left so far.
+        if (this->native != nullptr) { // else the connection has no descriptor of its own
+            shutdown(bufferevent_getfd(evhttp_connection_get_bufferevent(this->connection)), SHUT_WR);
+        }
         this->loop.post([self = this->shared_from_this()] { self->cancel_native_request(); });
     }
 
