--- a/src/gateway/internal/prefill_call.cpp
+++ b/src/gateway/internal/prefill_call.cpp
@@ -76,7 +76,7 @@
         this->pool.record_outcome(this->prefill_engine->id, server_outcome::inconclusive);
         const bool is_refused = execution == execution_state::not_executed;
         if (is_refused && this->head.is_misdirected) {
-            this->pool.servers().mark_draining(this->prefill_engine->id);
+            this->pool.record_misdirected(*this->prefill_engine);
         }
         return fail(is_refused ? result_code::backend_refused : result_code::backend_failed,
                     "prompt not read by " + this->prefill_engine->id);
