--- a/src/gateway/tests/gateway_tests.cpp
+++ b/src/gateway/tests/gateway_tests.cpp
@@ -178,7 +178,7 @@
         });
         section("a response has another request's id", [] {
             const auto respond_to_another = [](forwarding_fixture& gateway, int status) {
-                const auto exchange = gateway.send();
+                auto exchange = gateway.send();
                 gateway.call(0).respond(status, {{"id", "r0"}, {"signed", "1"}, {"not-run", "1"}}, "alien");
                 CPPUNIT_ASSERT(!exchange->is_finished);
                 CPPUNIT_ASSERT(!gateway.call(0).is_cancelled);
