--- a/src/gateway/tests/gateway_tests.cpp
+++ b/src/gateway/tests/gateway_tests.cpp
@@ -707,6 +707,52 @@
             CPPUNIT_ASSERT_EQUAL(503, exchange->sent_response.status);
             CPPUNIT_ASSERT(gateway.pool.local_loads().empty());
         });
+        // Guards against a retry that pays for one arrival and causes two: the prompt is prefilled on a
+        // separate engine again, and runs again.
+        section("a run fails after its prefill, and one retry is left", [&] {
+            forwarding_fixture gateway;
+            add_engines(gateway);
+            gateway.add_server("e", engine_role::decode);
+            gateway.add_server("q", engine_role::prefill);
+            gateway.active_route.is_resumable = true;
+            gateway.active_route.max_attempts = 3;
+            gateway.retries = retry_budget{0.0, 1.0};
+            const auto exchange = gateway.send();
+            gateway.call(0).respond(200, prefill_headers, "h7");
+            gateway.call(1).respond(500, valid_response_headers, "failed");
+            section("it pays for a run on an engine that prefills the prompt itself", [&] {
+                CPPUNIT_ASSERT_EQUAL(std::size_t{3}, gateway.client.calls.size());
+                CPPUNIT_ASSERT_EQUAL(std::string{},
+                                     find_header(gateway.call(2).request.headers, "prefill-only"));
+                gateway.call(2).respond(200, valid_response_headers, "id: 1\ndata: a\n\n");
+                CPPUNIT_ASSERT(exchange->is_finished);
+            });
+        });
+        section("a run fails after its prefill, and two retries are left", [&] {
+            forwarding_fixture gateway;
+            add_engines(gateway);
+            gateway.add_server("e", engine_role::decode);
+            gateway.add_server("q", engine_role::prefill);
+            gateway.active_route.is_resumable = true;
+            gateway.active_route.max_attempts = 3;
+            gateway.retries = retry_budget{0.0, 2.0};
+            const auto exchange = gateway.send();
+            gateway.call(0).respond(200, prefill_headers, "h7");
+            gateway.call(1).respond(500, valid_response_headers, "failed");
+            section("they pay for a further prefill on a separate engine and for the run", [&] {
+                CPPUNIT_ASSERT_EQUAL(std::size_t{3}, gateway.client.calls.size());
+                CPPUNIT_ASSERT_EQUAL(std::string{"1"},
+                                     find_header(gateway.call(2).request.headers, "prefill-only"));
+                gateway.call(2).respond(200, prefill_headers, "h8");
+                gateway.call(3).respond(200, valid_response_headers, "id: 1\ndata: a\n\n");
+                CPPUNIT_ASSERT(exchange->is_finished);
+            });
+            section("none is left for the next request", [&] {
+                const auto next = gateway.send();
+                gateway.client.calls.back()->respond(503, {{"not-run", "1"}}, "");
+                CPPUNIT_ASSERT_EQUAL(503, next->sent_response.status);
+            });
+        });
         section("a KV cache that no decode engine takes is released", [&] {
             forwarding_fixture gateway;
             add_engines(gateway);
