Retries: each gateway takes its part of what the fleet may repeat, and starts without any (BUDGET)

Cause: each process had a reserve of three retries a service, full at each start. It was neither derived from the slack of the site nor from the number of gateways: thirty of them hold 90 retries where the slack is 54, and each kill gives three more.

The bound now comes from the platform's settings (ratio, slack, window). A gateway's share is four fifths of the slack, divided by the number of gateways; half of it is the most that it may hold, the other half is what a window of time adds. A new process starts with nothing and earns by its requests; time adds something once it has had the list of the gateways for two seconds. The number of gateways is the largest of the last five to ten minutes, by the list in the store in the first five; so gateways that are being restarted or cannot be reached still count. In any window, a gateway and those that started in its place repeat at most what they held at its beginning, what time added and a fifth of their requests, which sums up to the bound; a fifth of the slack is left for gateways that join and for requests that are counted in an earlier window. Where the slack has less than one retry for each gateway there is none; with one to two, a gateway holds one, and time adds what remains.

The first five requests after a start cannot be retried.

The entries keep their older budget, whose buckets start full.

--- a/src/gateway/gateway_setup.cpp
+++ b/src/gateway/gateway_setup.cpp
@@ -9,6 +9,7 @@
 #include "gateway/internal/request_handler.h"
 #include "gateway/internal/role_controller.h"
 #include "gateway/internal/server_observer.h"
+#include "limits/fleet_retry_share.h"
 #include "logging/event_log.h"
 #include "logging/logging_invariant_monitor.h"
 #include "net/connect_probe.h"
@@ -60,8 +61,6 @@
 // itself.
 constexpr std::size_t caller_memory_divisor = 4;
 constexpr std::size_t admin_memory_divisor = 32;
-// Retries that a service with few requests may spend at once. Small, since each gateway has as many.
-constexpr double min_retry_budget = 3;
 
 // The loads reported by the other gateways; empty until the exchange with them has been set up.
 class peer_exchange_load_view final : public peer_load_view {
@@ -153,7 +152,7 @@
           link(this->time, settings.link_megabits_per_second),
           demand(this->time),
           scheduler(this->time, this->random, this->pool, this->link, this->demand),
-          retries(settings.retry_budget_ratio, min_retry_budget),
+          retries(share_of_fleet(settings.retry_bound, std::nullopt)),
           connector(loop),
           quarantine(this->time, this->metrics, this->connector),
           quarantines(this->time, this->random, this->relay, this->quarantine),
@@ -385,6 +384,7 @@
                   std::to_string(
                       std::chrono::duration_cast<std::chrono::milliseconds>(time_between_runs).count())}});
         }
+        this->update_retry_share(time_between_runs);
         this->quarantine.check();
         this->quarantines.check();
         for (const auto& id : this->pool.servers().expire()) {
@@ -393,6 +393,17 @@
         }
     }
 
+    // Counts the gateways and takes this one's share of the retries that all may use.
+    void update_retry_share(duration elapsed)
+    {
+        const auto now = this->time.now();
+        this->retries.add_time(elapsed);
+        this->gateway_count.record(
+            now, this->peers->known_loads().live_peer_count(), this->peers->listed_peer_count());
+        this->retries.set_allowance(
+            share_of_fleet(this->settings.retry_bound, this->gateway_count.count(now)));
+    }
+
     // Drops the measurements of servers and routes that no longer exist.
     void remove_unlisted()
     {
@@ -457,6 +468,7 @@
     demand_meter demand;
     request_scheduler scheduler;
     retry_budget retries;
+    gateway_count_tracker gateway_count;
     probing_connector connector;
     crash_quarantine quarantine;
     quarantine_archive quarantines;
--- a/src/gateway/internal/gateway_settings.cpp
+++ b/src/gateway/internal/gateway_settings.cpp
@@ -14,6 +14,9 @@
 constexpr integer_range open_requests_range{1, 1'000'000};
 constexpr integer_range percent_range{0, 100};
 constexpr std::int64_t default_retry_percent = 20;
+constexpr double max_retries_per_request = 1.0;
+constexpr double max_retry_slack = 1e6;
+constexpr std::chrono::seconds max_retry_window{3'600};
 constexpr integer_range gain_percent_range{0, 1'000};
 constexpr std::int64_t default_role_gain_percent = 15;
 constexpr double percent = 100.0;
@@ -34,6 +37,18 @@
         reader.read_integer({"http", "idle_seconds"}, defaults.idle_timeout.count(), idle_seconds_range)};
 }
 
+void load_retry_bound(settings_reader& reader, fleet_retry_bound& bound)
+{
+    const fleet_retry_bound defaults;
+    const double ratio = static_cast<double>(reader.read_integer(
+                             {"retries", "percent"}, default_retry_percent, percent_range)) /
+                         percent;
+    bound.retries_per_request =
+        reader.read_decimal({"retries", "per_request"}, ratio, max_retries_per_request);
+    bound.slack = reader.read_decimal({"retries", "slack"}, defaults.slack, max_retry_slack);
+    bound.window = reader.read_seconds({"retries", "window_seconds"}, defaults.window, max_retry_window);
+}
+
 } // namespace
 
 gateway_settings load_gateway_settings(settings_reader& reader)
@@ -62,9 +77,7 @@
         static_cast<std::size_t>(reader.read_decimal({"limits", "memory_megabytes"},
                                                      static_cast<double>(defaults.memory_megabytes),
                                                      max_memory_megabytes));
-    settings.retry_budget_ratio = static_cast<double>(reader.read_integer(
-                                      {"retries", "percent"}, default_retry_percent, percent_range)) /
-                                  percent;
+    load_retry_bound(reader, settings.retry_bound);
     settings.role_order_lease = reader.read_milliseconds(
         {"roles", "order_lease_ms"}, defaults.role_order_lease, grace_milliseconds_range);
     settings.min_role_gain_ratio =
--- a/src/gateway/types/gateway_settings.h
+++ b/src/gateway/types/gateway_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "limits/fleet_retry_share.h"
 #include "net/http_server.h"
 #include "settings/settings_reader.h"
 
@@ -25,7 +26,7 @@
         2'000}; // for server entries to reappear after the store recovers
     std::size_t max_open_requests = 2'000;
     std::size_t memory_megabytes = 256; // that the process may use
-    double retry_budget_ratio = 0.2;
+    fleet_retry_bound retry_bound;
     std::chrono::milliseconds role_order_lease{3'000}; // minimum time between role orders of two gateways
     double min_role_gain_ratio = 0.15; // minimum gain of a role change, relative to the service's capacity
 
--- a/src/peers/internal/peer_exchange.cpp
+++ b/src/peers/internal/peer_exchange.cpp
@@ -103,6 +103,11 @@
         return this->received_loads;
     }
 
+    std::optional<std::size_t> listed_peer_count() const override
+    {
+        return this->is_list_known ? std::optional{this->peers.size()} : std::nullopt;
+    }
+
     duration max_report_age() const override
     {
         return 2 * this->interval() + transit_time;
@@ -349,6 +354,7 @@
             this->apply(object);
         }
         this->revision = std::max(this->revision, listing.revision);
+        this->is_list_known = true;
         return watch_action::continue_watching;
     }
 
@@ -398,6 +404,7 @@
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
     std::vector<std::uint32_t> role_change_servers;
+    bool is_list_known = false;
     bool is_load_changed = false;
     bool is_leaving = false;
     bool is_watcher = true;
--- a/src/peers/peer_exchange.h
+++ b/src/peers/peer_exchange.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -57,6 +58,10 @@
 
     virtual const peer_loads& known_loads() const = 0;
 
+    // Returns the number of other gateways in the store's list, which keeps those that have been killed;
+    // nullopt before the list is known.
+    virtual std::optional<std::size_t> listed_peer_count() const = 0;
+
     // Returns the maximum age of a peer's last report when none was lost.
     virtual duration max_report_age() const = 0;
 
