Retries: a further prefill is paid for (BUDGET)

What users see: more repeated arrivals than retries, when engines fail runs of prompts that were prefilled elsewhere. Cause: the retry after a failed run paid for one arrival; a prompt whose KV cache was used up is then prefilled on a separate engine and run, two arrivals, as soon as its route allows three servers. A further prefill is now paid for when it is granted, the first that an engine accepts is free as the rule has it. While no second retry is left, no separate prefill is asked for; one that was granted and cannot be paid any more is dropped, and the decode engine prefills the prompt. So callers lose no request by it.

--- a/src/gateway/internal/request_forwarder.cpp
+++ b/src/gateway/internal/request_forwarder.cpp
@@ -154,7 +154,9 @@
     slot.may_have_executed = this->may_have_executed();
     slot.has_missed_objective = !slot.may_have_executed && this->has_missed_objective();
     slot.is_prefilled = this->unclaimed_kv_cache.has_value();
-    slot.allows_separate_prefill = this->attempts.may_prefill_and_run();
+    slot.allows_separate_prefill =
+        this->attempts.may_prefill_and_run() &&
+        (!this->attempts.has_prefilled() || this->context.retries.has_retry(this->routed.service));
     slot.tried_server_ids = this->tried_server_ids;
     return slot;
 }
@@ -248,9 +250,14 @@
         this->end_quarantined(*verdict);
         return;
     }
+    // A further prefill is an arrival besides the run, for which the retry has paid. Without a retry for it,
+    // the decode engine prefills the prompt.
     if (granted.prefill_engine != nullptr) {
-        this->start_prefill();
-        return;
+        if (!this->attempts.has_prefilled() || this->context.retries.try_spend(this->routed.service)) {
+            this->start_prefill();
+            return;
+        }
+        this->end_prefill(false);
     }
     this->send(this->unclaimed_kv_cache);
 }
--- a/src/limits/attempt_limit.h
+++ b/src/limits/attempt_limit.h
@@ -18,6 +18,9 @@
     // Returns whether the limit allows a prefill on a separate engine and then a run.
     bool may_prefill_and_run() const;
 
+    // Returns whether a prefill has begun that was not refunded; a further one is an arrival besides its run.
+    bool has_prefilled() const;
+
     void begin_run();
     void refund_run();
     void begin_prefill();
--- a/src/limits/internal/attempt_limit.cpp
+++ b/src/limits/internal/attempt_limit.cpp
@@ -20,6 +20,11 @@
     return this->used + needed <= this->max_attempts;
 }
 
+bool attempt_limit::has_prefilled() const
+{
+    return this->prefills > 0;
+}
+
 void attempt_limit::begin_run()
 {
     ++this->used;
