Retries that are denied are logged and counted, and so is what the share was derived from (BUDGET)

What on-call saw: nothing. A request that was not retried for want of budget ended like one whose servers all refused it. Event 3048 `retry_denied` now names the request, the balance and the share; 3047 `retry_share_changed` the gateways that were counted, how long ago so many were seen, and the live and listed ones; /metrics has `tanager_retries_denied_total`, the lowest and the largest possible balance, the gateways counted and their age. Seen with four processes, 65% refused: 3047 with `gateways=4 live=4 listed=4 max_balance=5.4 per_second=0.54`, then 3048 with balances below one. Test: gateway_tests counts the seven of ten requests that get none. integration_process_survival_tests starts a gateway with every value that the platform may set for the three new keys.

--- a/src/gateway/gateway_setup.cpp
+++ b/src/gateway/gateway_setup.cpp
@@ -397,11 +397,25 @@
     void update_retry_share(duration elapsed)
     {
         const auto now = this->time.now();
+        const auto live_peers = this->peers->known_loads().live_peer_count();
+        const auto listed_peers = this->peers->listed_peer_count();
         this->retries.add_time(elapsed);
-        this->gateway_count.record(
-            now, this->peers->known_loads().live_peer_count(), this->peers->listed_peer_count());
-        this->retries.set_allowance(
-            share_of_fleet(this->settings.retry_bound, this->gateway_count.count(now)));
+        this->gateway_count.record(now, live_peers, listed_peers);
+        const auto share = share_of_fleet(this->settings.retry_bound, this->gateway_count.count(now));
+        if (share == this->retries.allowance()) {
+            return;
+        }
+        this->retries.set_allowance(share);
+        write_event(log_event::retry_share_changed,
+                    {{"gateways", std::to_string(share.gateway_count)},
+                     {"age_ms",
+                      std::to_string(
+                          std::chrono::duration_cast<std::chrono::milliseconds>(this->gateway_count.age(now))
+                              .count())},
+                     {"live", std::to_string(live_peers + 1)},
+                     {"listed", std::to_string(listed_peers.value_or(0) + 1)},
+                     {"max_balance", std::to_string(share.max_balance)},
+                     {"per_second", std::to_string(share.retries_per_second)}});
     }
 
     // Drops the measurements of servers and routes that no longer exist.
@@ -425,6 +439,13 @@
         this->metrics.set_gauge("tanager_requests_quarantined", static_cast<double>(contents));
         this->metrics.set_gauge("tanager_prompt_parts_quarantined",
                                 static_cast<double>(std::ssize(quarantined) - contents));
+        const auto& share = this->retries.allowance();
+        const auto counted_age = this->gateway_count.age(this->time.now());
+        this->metrics.set_gauge("tanager_retry_balance_min", this->retries.min_balance());
+        this->metrics.set_gauge("tanager_retry_balance_max", share.max_balance);
+        this->metrics.set_gauge("tanager_retry_gateways_counted", static_cast<double>(share.gateway_count));
+        this->metrics.set_gauge("tanager_retry_gateways_age_seconds",
+                                std::chrono::duration<double>(counted_age).count());
         this->metrics.set_gauge("tanager_servers_taking_work",
                                 static_cast<double>(this->pool.servers().serving().size()));
     }
--- a/src/gateway/internal/request_forwarder.cpp
+++ b/src/gateway/internal/request_forwarder.cpp
@@ -253,7 +253,7 @@
     // A further prefill is an arrival besides the run, for which the retry has paid. Without a retry for it,
     // the decode engine prefills the prompt.
     if (granted.prefill_engine != nullptr) {
-        if (!this->attempts.has_prefilled() || this->context.retries.try_spend(this->routed.service)) {
+        if (!this->attempts.has_prefilled() || this->try_spend_retry("another prefill")) {
             this->start_prefill();
             return;
         }
@@ -398,7 +398,7 @@
     const bool is_connect_failure = cause.code == result_code::connect_failed;
     this->connect_failures += is_connect_failure ? 1 : 0;
     const bool may_retry = is_connect_failure ? this->connect_failures < max_connect_failures
-                                              : this->context.retries.try_spend(this->routed.service);
+                                              : this->try_spend_retry(cause.detail);
     if (may_retry) {
         this->log.write_retry(cause.detail, this->attempts.attempts_used());
         this->tried_server_ids.push_back(prefill_engine.id);
@@ -418,7 +418,7 @@
 {
     this->context.metrics.increment_counter("tanager_prompts_not_read_total");
     this->log.write_retry(cause, this->attempts.attempts_used());
-    if (this->attempts.may_run() && this->context.retries.try_spend(this->routed.service)) {
+    if (this->attempts.may_run() && this->try_spend_retry(cause)) {
         this->send_after_prefill();
         return;
     }
@@ -590,8 +590,7 @@
     other_server_slot.tried_server_ids.push_back(this->server->id);
     // A slow response is better than none, so the attempt continues unless another server has a free slot.
     if (!this->may_execute_again() || this->find_quarantine() ||
-        !this->context.scheduler.has_free_slot(other_server_slot) ||
-        !this->context.retries.try_spend(this->routed.service)) {
+        !this->context.scheduler.has_free_slot(other_server_slot) || !this->try_spend_retry("silent")) {
         return;
     }
     this->cancel_attempt(server_outcome::inconclusive);
@@ -833,6 +832,17 @@
     return this->state != request_state::responding || this->events.last_event_id().has_value();
 }
 
+// Pays for a further arrival of the request at a server; returns false when the budget is spent.
+bool request_forwarder::try_spend_retry(const std::string& cause)
+{
+    if (this->context.retries.try_spend(this->routed.service)) {
+        return true;
+    }
+    this->context.metrics.increment_counter("tanager_retries_denied_total");
+    this->log.write_retry_denied(this->routed.service, cause, this->context.retries);
+    return false;
+}
+
 bool request_forwarder::try_retry(const error& cause, bool attempt_may_have_executed)
 {
     const bool is_connect_failure = cause.code == result_code::connect_failed && !attempt_may_have_executed;
@@ -842,7 +852,7 @@
         this->context.time.now() >= this->routed.deadline || this->find_quarantine()) {
         return false;
     }
-    if (!is_connect_failure && !this->context.retries.try_spend(this->routed.service)) {
+    if (!is_connect_failure && !this->try_spend_retry(cause.detail)) {
         return false;
     }
     this->log.write_retry(cause.detail, this->attempts.attempts_used());
--- a/src/gateway/internal/request_forwarder.h
+++ b/src/gateway/internal/request_forwarder.h
@@ -120,6 +120,7 @@
     void end_attempt(server_outcome outcome);
     void cancel_attempt(server_outcome outcome);
     void abandon_response(const error& cause);
+    bool try_spend_retry(const std::string& cause);
     bool try_retry(const error& cause, bool attempt_may_have_executed);
     bool may_execute_again() const;
     void handle_refusal();
--- a/src/gateway/internal/request_log.cpp
+++ b/src/gateway/internal/request_log.cpp
@@ -90,6 +90,21 @@
                  {"runs", std::to_string(executions)}});
 }
 
+void request_log::write_retry_denied(const std::string& service,
+                                     const std::string& cause,
+                                     const retry_budget& retries) const
+{
+    const auto& allowance = retries.allowance();
+    write_event(log_event::retry_denied,
+                {{"request", this->request_id},
+                 {"service", service},
+                 {"cause", cause},
+                 {"balance", std::to_string(retries.balance(service))},
+                 {"max_balance", std::to_string(allowance.max_balance)},
+                 {"per_second", std::to_string(allowance.retries_per_second)},
+                 {"gateways", std::to_string(allowance.gateway_count)}});
+}
+
 void request_log::write_broken(const error& cause, const std::string& outcome) const
 {
     write_event(log_event::request_broken,
--- a/src/gateway/internal/request_log.h
+++ b/src/gateway/internal/request_log.h
@@ -4,6 +4,7 @@
 #include "admission/slot_share.h"
 #include "base/types/result.h"
 #include "gateway/request_scheduler.h"
+#include "limits/retry_budget.h"
 #include "quarantine/types/request_traits.h"
 
 #include <chrono>
@@ -58,6 +59,9 @@
     // Logs a further attempt, on another server or, without the KV cache, on this one. `executions` counts
     // the attempts so far.
     void write_retry(const std::string& cause, std::uint32_t executions) const;
+    void write_retry_denied(const std::string& service,
+                            const std::string& cause,
+                            const retry_budget& retries) const;
     // Logs a request that failed after a server may have executed it.
     void write_broken(const error& cause, const std::string& outcome) const;
     void write_rejection(const error& cause, const rejection_details& details) const;
--- a/src/gateway/tests/gateway_tests.cpp
+++ b/src/gateway/tests/gateway_tests.cpp
@@ -160,6 +160,10 @@
                 }
             }
             CPPUNIT_ASSERT_EQUAL(std::size_t{13}, gateway.client.calls.size());
+            section("the seven that get none are counted", [&] {
+                CPPUNIT_ASSERT_EQUAL(std::uint64_t{7},
+                                     gateway.metrics.counter_value("tanager_retries_denied_total"));
+            });
         });
     }
 
--- a/src/limits/internal/retry_budget.cpp
+++ b/src/limits/internal/retry_budget.cpp
@@ -69,9 +69,13 @@
     return found == this->member_balances.end() ? this->unused_balance : found->second;
 }
 
-const std::map<std::string, double>& retry_budget::balances() const
+double retry_budget::min_balance() const
 {
-    return this->member_balances;
+    double lowest = this->unused_balance;
+    for (const auto& [member, balance] : this->member_balances) {
+        lowest = std::min(lowest, balance);
+    }
+    return lowest;
 }
 
 } // namespace tanager
--- a/src/limits/retry_budget.h
+++ b/src/limits/retry_budget.h
@@ -51,8 +51,8 @@
 
     double balance(const std::string& member) const;
 
-    // Returns the balances of all members that have had a request or a retry.
-    const std::map<std::string, double>& balances() const;
+    // Returns the lowest balance of all members.
+    double min_balance() const;
 
 private:
     double& balance_of(const std::string& member);
--- a/src/limits/tests/retry_budget_tests.cpp
+++ b/src/limits/tests/retry_budget_tests.cpp
@@ -423,6 +423,9 @@
             budget.set_allowance(share_of_fleet({retries_per_request, 54, window}, 30));
             CPPUNIT_ASSERT_EQUAL(1.0, budget.balance(service));
             CPPUNIT_ASSERT_EQUAL(1.0, budget.balance("not seen before"));
+            CPPUNIT_ASSERT_EQUAL(1.0, budget.min_balance());
+            CPPUNIT_ASSERT(budget.try_spend(service));
+            CPPUNIT_ASSERT_EQUAL(0.0, budget.min_balance());
         });
     }
 
--- a/src/logging/internal/log_event.cpp
+++ b/src/logging/internal/log_event.cpp
@@ -84,6 +84,8 @@
     event_row{log_event::role_change_decided, "role_change_decided", log_level::info},
     event_row{log_event::role_change_ended, "role_change_ended", log_level::info},
     event_row{log_event::long_outputs_gathered, "long_outputs_gathered", log_level::info},
+    event_row{log_event::retry_share_changed, "retry_share_changed", log_level::info},
+    event_row{log_event::retry_denied, "retry_denied", log_level::info},
     event_row{log_event::fault_switched, "fault_switched", log_level::info},
 };
 
--- a/src/logging/types/log_event.h
+++ b/src/logging/types/log_event.h
@@ -75,6 +75,8 @@
     role_change_decided = 3043,
     role_change_ended = 3044,
     long_outputs_gathered = 3045,
+    retry_share_changed = 3047,
+    retry_denied = 3048,
 
     // 4000: agent
     attempt_refused = 4001,
--- a/tests/tests/process_survival_tests.cpp
+++ b/tests/tests/process_survival_tests.cpp
@@ -105,6 +105,9 @@
         const std::vector<std::pair<std::string, std::vector<std::string>>> values{
             {"bounds.graceS", {"8", "8.0", "8.5", "0.25", "", "true"}},
             {"bounds.leaseMs", {"3000", "2500.5", "2.5e3", "", "false"}},
+            {"bounds.retryBudgetRatio", {"0.2", "0", "1", "2e-1", "2", "", "true"}},
+            {"bounds.retrySlack", {"54", "54.5", "0", "", "false"}},
+            {"bounds.budgetWindowS", {"10", "2.5", "0", "", "true"}},
             {"limits.maxFds", {"1024", "1048576", "1073741816", "", "4100.0"}},
             {"limits.memoryMb", {"160", "260.5", "1048576", ""}},
             {"limits.linkMbps", {"10", "1000.0", "8800000.0", "1e7", ""}},
