--- a/src/gateway/gateway_setup.cpp
+++ b/src/gateway/gateway_setup.cpp
@@ -9,6 +9,7 @@
 #include "gateway/internal/request_handler.h"
 #include "gateway/internal/role_controller.h"
 #include "gateway/internal/server_observer.h"
+#include "limits/fleet_retry_share.h"
 #include "logging/event_log.h"
 #include "logging/logging_invariant_monitor.h"
 #include "net/connect_probe.h"
@@ -60,8 +61,6 @@
 // itself.
 constexpr std::size_t caller_memory_divisor = 4;
 constexpr std::size_t admin_memory_divisor = 32;
-// Retries that a service with few requests may spend at once. Small, since each gateway has as many.
-constexpr double min_retry_budget = 3;
 
 // The loads reported by the other gateways; empty until the exchange with them has been set up.
 class peer_exchange_load_view final : public peer_load_view {
@@ -153,7 +152,7 @@
           link(this->time, settings.link_megabits_per_second),
           demand(this->time),
           scheduler(this->time, this->random, this->pool, this->link, this->demand),
-          retries(settings.retry_budget_ratio, min_retry_budget),
+          retries(share_of_fleet(settings.retry_bound, std::nullopt)),
           connector(loop),
           quarantine(this->time, this->metrics, this->connector),
           quarantines(this->time, this->random, this->relay, this->quarantine),
@@ -385,6 +384,7 @@
                   std::to_string(
                       std::chrono::duration_cast<std::chrono::milliseconds>(time_between_runs).count())}});
         }
+        this->update_retry_share(time_between_runs);
         this->quarantine.check();
         this->quarantines.check();
         for (const auto& id : this->pool.servers().expire()) {
@@ -393,6 +393,31 @@
         }
     }
 
+    // Counts the gateways and takes this one's share of the retries that all may use.
+    void update_retry_share(duration elapsed)
+    {
+        const auto now = this->time.now();
+        const auto live_peers = this->peers->known_loads().live_peer_count();
+        const auto listed_peers = this->peers->listed_peer_count();
+        this->retries.add_time(elapsed);
+        this->gateway_count.record(now, live_peers, listed_peers);
+        const auto share = share_of_fleet(this->settings.retry_bound, this->gateway_count.count(now));
+        if (share == this->retries.allowance()) {
+            return;
+        }
+        this->retries.set_allowance(share);
+        write_event(log_event::retry_share_changed,
+                    {{"gateways", std::to_string(share.gateway_count)},
+                     {"age_ms",
+                      std::to_string(
+                          std::chrono::duration_cast<std::chrono::milliseconds>(this->gateway_count.age(now))
+                              .count())},
+                     {"live", std::to_string(live_peers + 1)},
+                     {"listed", std::to_string(listed_peers.value_or(0) + 1)},
+                     {"max_balance", std::to_string(share.max_balance)},
+                     {"per_second", std::to_string(share.retries_per_second)}});
+    }
+
     // Drops the measurements of servers and routes that no longer exist.
     void remove_unlisted()
     {
@@ -414,6 +439,13 @@
         this->metrics.set_gauge("tanager_requests_quarantined", static_cast<double>(contents));
         this->metrics.set_gauge("tanager_prompt_parts_quarantined",
                                 static_cast<double>(std::ssize(quarantined) - contents));
+        const auto& share = this->retries.allowance();
+        const auto counted_age = this->gateway_count.age(this->time.now());
+        this->metrics.set_gauge("tanager_retry_balance_min", this->retries.min_balance());
+        this->metrics.set_gauge("tanager_retry_balance_max", share.max_balance);
+        this->metrics.set_gauge("tanager_retry_gateways_counted", static_cast<double>(share.gateway_count));
+        this->metrics.set_gauge("tanager_retry_gateways_age_seconds",
+                                std::chrono::duration<double>(counted_age).count());
         this->metrics.set_gauge("tanager_servers_taking_work",
                                 static_cast<double>(this->pool.servers().serving().size()));
     }
@@ -457,6 +489,7 @@
     demand_meter demand;
     request_scheduler scheduler;
     retry_budget retries;
+    gateway_count_tracker gateway_count;
     probing_connector connector;
     crash_quarantine quarantine;
     quarantine_archive quarantines;
--- a/src/gateway/internal/request_forwarder.cpp
+++ b/src/gateway/internal/request_forwarder.cpp
@@ -154,7 +154,9 @@
     slot.may_have_executed = this->may_have_executed();
     slot.has_missed_objective = !slot.may_have_executed && this->has_missed_objective();
     slot.is_prefilled = this->unclaimed_kv_cache.has_value();
-    slot.allows_separate_prefill = this->attempts.may_prefill_and_run();
+    slot.allows_separate_prefill =
+        this->attempts.may_prefill_and_run() &&
+        (!this->attempts.has_prefilled() || this->context.retries.has_retry(this->routed.service));
     slot.tried_server_ids = this->tried_server_ids;
     return slot;
 }
@@ -248,9 +250,14 @@
         this->end_quarantined(*verdict);
         return;
     }
+    // A further prefill is an arrival besides the run, for which the retry has paid. Without a retry for it,
+    // the decode engine prefills the prompt.
     if (granted.prefill_engine != nullptr) {
-        this->start_prefill();
-        return;
+        if (!this->attempts.has_prefilled() || this->try_spend_retry("another prefill")) {
+            this->start_prefill();
+            return;
+        }
+        this->end_prefill(false);
     }
     this->send(this->unclaimed_kv_cache);
 }
@@ -405,7 +412,7 @@
     const bool is_connect_failure = cause.code == result_code::connect_failed;
     this->connect_failures += is_connect_failure ? 1 : 0;
     const bool may_retry = is_connect_failure ? this->connect_failures < max_connect_failures
-                                              : this->context.retries.try_spend(this->routed.service);
+                                              : this->try_spend_retry(cause.detail);
     if (may_retry) {
         this->log.write_retry(cause.detail, this->attempts.attempts_used());
         this->tried_server_ids.push_back(prefill_engine.id);
@@ -425,7 +432,7 @@
 {
     this->context.metrics.increment_counter("tanager_prompts_not_read_total");
     this->log.write_retry(cause, this->attempts.attempts_used());
-    if (this->attempts.may_run() && this->context.retries.try_spend(this->routed.service)) {
+    if (this->attempts.may_run() && this->try_spend_retry(cause)) {
         this->send_after_prefill();
         return;
     }
@@ -595,8 +602,7 @@
     other_server_slot.tried_server_ids.push_back(this->server->id);
     // A slow response is better than none, so the attempt continues unless another server has a free slot.
     if (!this->may_execute_again() || this->find_quarantine() ||
-        !this->context.scheduler.has_free_slot(other_server_slot) ||
-        !this->context.retries.try_spend(this->routed.service)) {
+        !this->context.scheduler.has_free_slot(other_server_slot) || !this->try_spend_retry("silent")) {
         return;
     }
     this->cancel_attempt(server_outcome::inconclusive);
@@ -859,6 +865,17 @@
     return this->state != request_state::responding || this->events.last_event_id().has_value();
 }
 
+// Pays for a further arrival of the request at a server; returns false when the budget is spent.
+bool request_forwarder::try_spend_retry(const std::string& cause)
+{
+    if (this->context.retries.try_spend(this->routed.service)) {
+        return true;
+    }
+    this->context.metrics.increment_counter("tanager_retries_denied_total");
+    this->log.write_retry_denied(this->routed.service, cause, this->context.retries);
+    return false;
+}
+
 bool request_forwarder::try_retry(const error& cause, execution_state attempt)
 {
     const bool attempt_may_have_executed = attempt != execution_state::not_executed;
@@ -869,7 +886,7 @@
         this->context.time.now() >= this->routed.deadline || this->find_quarantine()) {
         return false;
     }
-    if (!is_connect_failure && !this->context.retries.try_spend(this->routed.service)) {
+    if (!is_connect_failure && !this->try_spend_retry(cause.detail)) {
         return false;
     }
     this->log.write_retry(cause.detail, this->attempts.attempts_used());
--- a/src/gateway/internal/request_forwarder.h
+++ b/src/gateway/internal/request_forwarder.h
@@ -123,6 +123,7 @@
     void cancel_attempt(server_outcome outcome);
     void abandon_response(const error& cause);
     bool try_retry(const error& cause, execution_state attempt);
+    bool try_spend_retry(const std::string& cause);
     bool may_execute_again() const;
     void handle_refusal();
     void handle_server_failure();
--- a/src/gateway/internal/request_log.h
+++ b/src/gateway/internal/request_log.h
@@ -5,6 +5,7 @@
 #include "base/types/result.h"
 #include "gateway/request_scheduler.h"
 #include "gateway/types/response_info.h"
+#include "limits/retry_budget.h"
 #include "net/http_client.h"
 #include "quarantine/types/request_traits.h"
 
@@ -73,6 +74,9 @@
     // Logs that another request's response was skipped.
     void write_skipped_response(const response_evidence& evidence) const;
 
+    void write_retry_denied(const std::string& service,
+                            const std::string& cause,
+                            const retry_budget& retries) const;
     // Logs a request that failed after a server may have executed it.
     void write_broken(const error& cause, const std::string& outcome) const;
     void write_rejection(const error& cause, const rejection_details& details) const;
