Count and log the calls to the store by kind and prefix (observability)

`observed_object_store` stands before the platform's store: `tanager_store_calls_total{call,prefix,outcome}` and event 2017 `store_called`, one line a call.

--- a/src/gateway/gateway_setup.cpp
+++ b/src/gateway/gateway_setup.cpp
@@ -15,6 +15,7 @@
 #include "net/http_server.h"
 #include "peers/peer_exchange.h"
 #include "program/admin_endpoints.h"
+#include "store/observed_object_store.h"
 
 #include <algorithm>
 
@@ -147,8 +148,9 @@
           platform(std::move(platform)),
           client(http_client::create(loop)),
           store_client(http_client::create(loop)),
-          store(this->platform.make_store(*this->store_client, store_address)),
-          relay(this->relay_time, this->random, *this->store),
+          platform_store(this->platform.make_store(*this->store_client, store_address)),
+          store(this->time, this->metrics, *this->platform_store),
+          relay(this->relay_time, this->random, this->store),
           pool(this->time, settings.data_centre, settings.store_recovery_grace, this->peer_loads),
           link(this->time, settings.link_megabits_per_second),
           demand(this->time),
@@ -254,7 +256,7 @@
             this->demand,
             *this->peers,
             role_order_sender::create(this->time,
-                                      *this->store,
+                                      this->store,
                                       *this->client,
                                       *this->platform.engines,
                                       {this->settings.host, this->settings.role_order_lease}),
@@ -445,7 +447,8 @@
     metrics_registry metrics;
     std::unique_ptr<http_client> client;
     std::unique_ptr<http_client> store_client;
-    std::unique_ptr<object_store> store;
+    std::unique_ptr<object_store> platform_store;
+    observed_object_store store;
     boot_time_clock relay_time;
     watch_relay relay;
     peer_exchange_load_view peer_loads;
--- a/src/logging/internal/log_event.cpp
+++ b/src/logging/internal/log_event.cpp
@@ -55,6 +55,7 @@
     event_row{log_event::relay_used, "relay_used", log_level::info},
     event_row{log_event::relay_lost, "relay_lost", log_level::info},
     event_row{log_event::store_object_unreadable, "store_object_unreadable", log_level::warning},
+    event_row{log_event::store_called, "store_called", log_level::info},
     event_row{log_event::log_lines_dropped, "log_lines_dropped", log_level::warning},
     event_row{log_event::settings_reloaded, "settings_reloaded", log_level::info},
     event_row{log_event::address_in_use, "address_in_use", log_level::warning},
--- a/src/logging/types/log_event.h
+++ b/src/logging/types/log_event.h
@@ -39,6 +39,7 @@
     relay_used = 2014,
     relay_lost = 2015,
     store_object_unreadable = 2016,
+    store_called = 2017,
 
     // 3000: entry
     request_refused = 3001,
--- /dev/null
+++ b/src/store/tests/observed_object_store_tests.cpp
@@ -0,0 +1,72 @@
+// Tests that the calls to the store can be told apart. Guards against a number of calls that grows unseen.
+#include "base/mocks/manual_clock.h"
+#include "store/mocks/watch_only_store.h"
+#include "store/observed_object_store.h"
+#include "testing/section.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace tanager {
+
+namespace {
+
+using testing::section;
+
+class answering_store final : public watch_only_store {
+public:
+    void list(const std::string& /*prefix*/, listing_callback callback) override
+    {
+        callback(object_listing{0, 1, true, {}});
+    }
+
+    void watch(const std::string& /*prefix*/,
+               std::uint64_t /*since*/,
+               std::chrono::milliseconds /*max_wait*/,
+               listing_callback callback) override
+    {
+        callback(fail(result_code::store_unavailable, "down"));
+    }
+};
+
+class observed_object_store_tests : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(observed_object_store_tests);
+    CPPUNIT_TEST(counts_calls_by_kind_prefix_and_outcome);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void counts_calls_by_kind_prefix_and_outcome()
+    {
+        section("a process lists, watches in vain, and reads two objects that do not exist", [] {
+            const manual_clock time;
+            metrics_registry metrics;
+            answering_store answering;
+            observed_object_store store(time, metrics, answering);
+            int results = 0;
+            const auto count = [&results](const auto& /*outcome*/) {
+                ++results;
+            };
+            store.list("servers/", count);
+            store.watch("servers/", 1, std::chrono::milliseconds{1}, count);
+            store.get("gateways/a", count);
+            store.get("gateways/b", count);
+            section("every call has its result", [&] { CPPUNIT_ASSERT_EQUAL(4, results); });
+            section("each kind has its counter", [&] {
+                const auto calls = [&metrics](const std::string& series) {
+                    return metrics.counter_value("tanager_store_calls_total", series);
+                };
+                CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
+                                     calls(R"(call="list",prefix="servers/",outcome="done")"));
+                CPPUNIT_ASSERT_EQUAL(std::uint64_t{1},
+                                     calls(R"(call="watch",prefix="servers/",outcome="store_unavailable")"));
+                CPPUNIT_ASSERT_EQUAL(std::uint64_t{2},
+                                     calls(R"(call="get",prefix="gateways/",outcome="object_unknown")"));
+            });
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(observed_object_store_tests);
+
+} // namespace
+
+} // namespace tanager
