One probe for all kinds of objects while the store does not answer

Cause: each kind of objects that a gateway follows was retried by itself. A feed whose failed watch was called again with its full wait (7 to 10 s) also counted as cut off, so that its gateway could not be elected.

The probe's watch waits 1 ms, so the answer comes at once. Calls in an outage no longer grow with the kinds.

--- a/src/relay/internal/watch_relay.cpp
+++ b/src/relay/internal/watch_relay.cpp
@@ -19,6 +19,9 @@
 // A store that does not answer this gateway is called a few times a second, as by a watcher without peers.
 constexpr std::chrono::milliseconds min_retry_delay{300};
 constexpr std::chrono::milliseconds max_retry_delay{600};
+// A watch that only finds out whether the store answers again. With the full wait a gateway would count as
+// cut off from the store, and would not be elected, for that long after an outage.
+constexpr std::chrono::milliseconds probe_wait{1};
 
 std::chrono::milliseconds
 draw_between(std::chrono::milliseconds low, std::chrono::milliseconds high, random_source& random)
@@ -45,7 +48,7 @@
 }
 
 watch_relay::watch_relay(const clock& time, random_source& random, object_store& store)
-    : time(time), random(random), store(store)
+    : time(time), random(random), store(store), breaker(time, random)
 {
 }
 
@@ -77,15 +80,69 @@
 void watch_relay::list(const std::string& prefix, listing_callback callback)
 {
     this->feed_of(prefix);
-    this->store.list(prefix,
-                     [weak = std::weak_ptr(this->feeds[prefix]),
-                      callback = std::move(callback)](const result<object_listing>& listing) {
-                         const auto feed = weak.lock();
-                         if (feed != nullptr && listing) {
-                             feed->tracker.record_snapshot(listing->revision);
-                         }
-                         callback(listing);
-                     });
+    this->held_reads.emplace_back(
+        [this, prefix, callback = std::move(callback)] { this->call_list(prefix, callback); });
+    this->start_held_reads();
+}
+
+void watch_relay::call_list(const std::string& prefix, const listing_callback& callback)
+{
+    const bool is_probe = this->breaker.begin_call();
+    this->store.list(
+        prefix,
+        [this, prefix, callback, is_probe, weak = std::weak_ptr(this->lifetime)](const auto& listing) {
+            if (weak.expired()) {
+                return;
+            }
+            if (!this->record_result(is_probe, listing) && is_probe) {
+                this->held_reads.emplace_back(
+                    [this, prefix, callback] { this->call_list(prefix, callback); });
+                return;
+            }
+            if (listing) {
+                this->feed_of(prefix).tracker.record_snapshot(listing->revision);
+            }
+            callback(listing);
+        });
+}
+
+void watch_relay::call_get(const std::string& name, const object_callback& callback)
+{
+    const bool is_probe = this->breaker.begin_call();
+    this->store.get(
+        name, [this, name, callback, is_probe, weak = std::weak_ptr(this->lifetime)](const auto& object) {
+            if (weak.expired()) {
+                return;
+            }
+            if (!this->record_result(is_probe, object) && is_probe) {
+                this->held_reads.emplace_back([this, name, callback] { this->call_get(name, callback); });
+                return;
+            }
+            callback(object);
+        });
+}
+
+// Takes the result of a call for the breaker, and starts what waits for an answer; returns whether the store
+// answered.
+template <typename value>
+bool watch_relay::record_result(bool was_probe, const result<value>& outcome)
+{
+    if (!outcome && outcome.error().code == result_code::store_unavailable) {
+        this->breaker.record_failure(was_probe);
+        return false;
+    }
+    this->breaker.record_answer(was_probe);
+    this->start_held_reads();
+    return true;
+}
+
+void watch_relay::start_held_reads()
+{
+    while (!this->held_reads.empty() && this->breaker.may_call(store_circuit_breaker::urgency::urgent)) {
+        const auto read = std::move(this->held_reads.front());
+        this->held_reads.pop_front();
+        read();
+    }
 }
 
 void watch_relay::watch(const std::string& prefix,
@@ -103,7 +160,9 @@
 
 void watch_relay::get(const std::string& name, object_callback callback)
 {
-    this->store.get(name, std::move(callback));
+    this->held_reads.emplace_back(
+        [this, name, callback = std::move(callback)] { this->call_get(name, callback); });
+    this->start_held_reads();
 }
 
 void watch_relay::put(const std::string& name,
@@ -138,11 +197,22 @@
     // A store that has failed is called until it responds, since this gateway cannot be elected before.
     const bool relies_on_peers = !this->is_elected() && !feed.is_bridged && is_confirmed(feed);
     this->set_relies_on_peers(feed, relies_on_peers);
-    if (!relies_on_peers) {
+    if (!relies_on_peers && this->breaker.may_call(this->urgency_of(feed))) {
         this->call_store(feed);
     }
 }
 
+// A call is not urgent once the store has answered a peer since it stopped answering this gateway.
+store_circuit_breaker::urgency watch_relay::urgency_of(const feed_state& feed) const
+{
+    const auto open_time = this->time.now() - this->breaker.opened_at();
+    const bool answers_peers = std::ranges::any_of(this->feeds, [open_time](const auto& entry) {
+        return entry.second->tracker.confirmation_age() < open_time;
+    });
+    return answers_peers && is_confirmed(feed) ? store_circuit_breaker::urgency::relaxed
+                                               : store_circuit_breaker::urgency::urgent;
+}
+
 void watch_relay::set_relies_on_peers(feed_state& feed, bool relies_on_peers) const
 {
     if (std::exchange(feed.relies_on_peers, relies_on_peers) == relies_on_peers) {
@@ -166,13 +236,17 @@
 void watch_relay::call_store(feed_state& feed)
 {
     feed.is_calling = true;
-    const auto wait = draw_between(scale(feed.max_wait, min_wait_ratio), feed.max_wait, this->random);
+    const bool is_probe = this->breaker.begin_call();
+    const auto wait = is_probe || feed.has_failed || feed.is_bridged
+                          ? probe_wait
+                          : draw_between(scale(feed.max_wait, min_wait_ratio), feed.max_wait, this->random);
     this->store.watch(feed.prefix,
                       feed.tracker.known_revision(),
                       wait,
-                      [this, weak = std::weak_ptr(this->feeds[feed.prefix])](const auto& listing) {
+                      [this, is_probe, weak = std::weak_ptr(this->feeds[feed.prefix])](const auto& listing) {
                           const auto called = weak.lock();
                           if (called != nullptr) {
+                              this->record_result(is_probe, listing);
                               this->on_store_response(*called, listing);
                           }
                       });
@@ -212,6 +286,10 @@
         return;
     }
     feed.is_bridged = false;
+    // The watcher has been told already; its watch stays pending until the next probe.
+    if (feed.has_failed && this->breaker.is_open()) {
+        return;
+    }
     feed.has_failed = true;
     feed.failed_at = now;
     if (feed.callback) {
@@ -265,12 +343,14 @@
 
 bool watch_relay::is_store_failing() const
 {
-    return std::ranges::any_of(
-        this->feeds, [](const auto& entry) { return entry.second->is_bridged || entry.second->has_failed; });
+    return this->breaker.is_open() || std::ranges::any_of(this->feeds, [](const auto& entry) {
+               return entry.second->is_bridged || entry.second->has_failed;
+           });
 }
 
 void watch_relay::check()
 {
+    this->start_held_reads();
     for (const auto& [prefix, feed] : this->feeds) {
         this->advance(*feed);
     }
--- a/src/relay/watch_relay.h
+++ b/src/relay/watch_relay.h
@@ -4,10 +4,13 @@
 #include "base/clock.h"
 #include "base/random_source.h"
 #include "relay/feed_tracker.h"
+#include "relay/store_circuit_breaker.h"
 #include "relay/types/feed_types.h"
 #include "store/object_store.h"
 
 #include <chrono>
+#include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -37,7 +40,8 @@
 // to their data centre and confirm in their load reports up to which revision they know everything. The
 // others leave a watch pending, without a call, while their feed is confirmed; they call the store when it is
 // not, or when changes are missing. A gateway that the store does not answer keeps its watch pending while
-// its peers confirm the feed.
+// its peers confirm the feed. While the store does not answer, the watches and reads of all feeds share one
+// probe, and the answer to it starts those that wait.
 class watch_relay final : public object_store {
 public:
     // `time` must count the time for which the host is suspended. The references must outlive the relay.
@@ -68,7 +72,8 @@
     // Returns whether the store failed this gateway's last call for any feed.
     bool is_store_failing() const;
 
-    // Calls the store for feeds that are no longer confirmed; to be called every few milliseconds.
+    // Calls the store for feeds that are no longer confirmed, and starts held reads; to be called every few
+    // milliseconds.
     void check();
 
 private:
@@ -93,18 +98,27 @@
     feed_state& feed_of(const std::string& prefix);
     bool is_elected() const;
     static bool is_confirmed(const feed_state& feed);
+    store_circuit_breaker::urgency urgency_of(const feed_state& feed) const;
     void set_relies_on_peers(feed_state& feed, bool relies_on_peers) const;
     void advance(feed_state& feed);
     static void deliver(feed_state& feed);
     void call_store(feed_state& feed);
     void on_store_response(feed_state& feed, const result<object_listing>& listing);
     void on_store_failure(feed_state& feed, const error& cause);
+    void call_list(const std::string& prefix, const listing_callback& callback);
+    void call_get(const std::string& name, const object_callback& callback);
+    void start_held_reads();
+    template <typename value>
+    bool record_result(bool was_probe, const result<value>& outcome);
 
     const clock& time;
     random_source& random;
     object_store& store;
     relay_channel* channel = nullptr;
+    store_circuit_breaker breaker;
+    std::deque<std::function<void()>> held_reads; // lists and gets that wait for the store to answer
     std::map<std::string, std::shared_ptr<feed_state>> feeds;
+    std::shared_ptr<char> lifetime = std::make_shared<char>();
 };
 
 } // namespace tanager
