A gateway that starts probes the store each 100 to 200 ms

Lists and reads, which only a gateway that starts makes, are probed each 100 to 200 ms; what is followed already, as before.

--- a/src/relay/internal/store_circuit_breaker.cpp
+++ b/src/relay/internal/store_circuit_breaker.cpp
@@ -8,6 +8,9 @@
 
 // A single call may be cut off by a store that answers.
 constexpr unsigned failures_to_open = 2;
+// While a gateway starts, its callers are served by nobody if all gateways started in the same outage.
+constexpr std::chrono::milliseconds min_starting_delay{100};
+constexpr std::uint64_t starting_delay_spread_ms = 100;
 constexpr std::chrono::milliseconds min_urgent_delay{300};
 constexpr std::uint64_t urgent_delay_spread_ms = 300;
 // Peers pass all changes on meanwhile, and others are elected to watch.
@@ -39,7 +42,10 @@
 
 bool store_circuit_breaker::may_call(urgency wanted) const
 {
-    const auto probe_at = wanted == urgency::urgent ? this->urgent_probe_at : this->relaxed_probe_at;
+    auto probe_at = wanted == urgency::urgent ? this->urgent_probe_at : this->relaxed_probe_at;
+    if (wanted == urgency::starting) {
+        probe_at = this->starting_probe_at;
+    }
     return !this->is_open() || (!this->is_probing && this->time.now() >= probe_at);
 }
 
@@ -64,10 +70,13 @@
     this->is_probing = this->is_probing && !was_probe;
     if (!this->is_open()) {
         ++this->failures_in_row;
-        this->last_opened_at = this->urgent_probe_at = this->relaxed_probe_at = this->time.now();
+        this->last_opened_at = this->starting_probe_at = this->urgent_probe_at = this->relaxed_probe_at =
+            this->time.now();
     }
     if (was_probe) {
         const auto now = this->time.now();
+        this->starting_probe_at =
+            now + draw_delay(min_starting_delay, starting_delay_spread_ms, this->random);
         this->urgent_probe_at = now + draw_delay(min_urgent_delay, urgent_delay_spread_ms, this->random);
         this->relaxed_probe_at = now + draw_delay(min_relaxed_delay, relaxed_delay_spread_ms, this->random);
     }
--- a/src/relay/internal/watch_relay.cpp
+++ b/src/relay/internal/watch_relay.cpp
@@ -138,7 +138,7 @@
 
 void watch_relay::start_held_reads()
 {
-    while (!this->held_reads.empty() && this->breaker.may_call(store_circuit_breaker::urgency::urgent)) {
+    while (!this->held_reads.empty() && this->breaker.may_call(store_circuit_breaker::urgency::starting)) {
         const auto read = std::move(this->held_reads.front());
         this->held_reads.pop_front();
         read();
--- a/src/relay/store_circuit_breaker.h
+++ b/src/relay/store_circuit_breaker.h
@@ -14,8 +14,9 @@
 // time is made as a probe; the answer to any call closes it.
 class store_circuit_breaker {
 public:
-    // Whether the caller lacks something as long as the store does not answer it.
-    enum class urgency { urgent, relaxed };
+    // What the caller lacks while the store does not answer it: all that a gateway needs before it takes
+    // requests, changes, or nothing.
+    enum class urgency { starting, urgent, relaxed };
 
     // The references must outlive the breaker.
     store_circuit_breaker(const clock& time, random_source& random);
@@ -41,6 +42,7 @@
     unsigned failures_in_row = 0;
     bool is_probing = false;
     time_point last_opened_at;
+    time_point starting_probe_at;
     time_point urgent_probe_at;
     time_point relaxed_probe_at;
 };
