--- a/src/net/tests/repeated_response_tests.cpp
+++ b/src/net/tests/repeated_response_tests.cpp
@@ -300,7 +300,7 @@
     void gives_no_response_the_status_of_a_copy_that_was_cut_off()
     {
         const auto own = make_response(200, "r1", "own");
-        const std::string copy = "HTTP/1.1 503 Busy\r\nServer: x\r\nNot-Executed: 1\r\nId: r0\r\n"
+        const std::string copy = "HTTP/1.1 503 Busy\r\nServer: x\r\nRefused: 1\r\nId: r0\r\n"
                                  "Content-Length: 0\r\n\r\n";
         std::string wrong;
         for (std::size_t size = 1; size <= copy.size(); ++size) {
@@ -318,7 +318,7 @@
     {
         section("a refusal goes on with a response that has no signature, in any of its headers", [] {
             CPPUNIT_ASSERT(is_joined_head("Busy",
-                                          {{"Not-Executed", "1"},
+                                          {{"Refused", "1"},
                                            {"Content-Type", "text/plHTTP/1.1 500 Internal Server Error"},
                                            {"Id", "r1"}}));
         });
