Messages between gateways have a topic and may go to one peer; requests carry an organisation

Cause: one handler received all messages between gateways, so only one part could use them; further parts (usage, shares) need messages of their own. Requests carry the name of their caller's organisation to the scheduler and forwarder.

Built only (gateway and peers).

--- a/src/gateway/gateway_setup.cpp
+++ b/src/gateway/gateway_setup.cpp
@@ -124,12 +124,12 @@
 
     void send_to_all(const std::string& message) override
     {
-        this->exchange.send_to_all(message);
+        this->exchange.send_to_all(message_topic::suspicions, message);
     }
 
     void send_to_some(const std::string& message) override
     {
-        this->exchange.send_to_some(message);
+        this->exchange.send_to_some(message_topic::suspicions, message);
     }
 
 private:
@@ -244,8 +244,9 @@
         this->peer_loads.set_exchange(*this->peers);
         this->suspicions = std::make_unique<peer_suspicion_channel>(*this->peers);
         this->quarantine.set_channel(this->suspicions.get());
-        this->peers->set_message_handler(
-            [this](std::string_view message) { this->receive_suspicions(message); });
+        this->peers->set_message_handler(message_topic::suspicions, [this](std::string_view message) {
+            this->receive_suspicions(message);
+        });
         this->pool.set_load_change_callback([this] { this->peers->mark_load_changed(); });
         this->roles = std::make_unique<role_controller>(
             this->time,
--- a/src/gateway/internal/request_forwarder.h
+++ b/src/gateway/internal/request_forwarder.h
@@ -50,6 +50,7 @@
     std::shared_ptr<const route> chosen_route;
     std::string service;
     bool is_model = false;
+    std::string organisation; // that the caller belongs to; empty if the request needs none
     std::uint64_t configuration_version = 0;
     time_point received;
     time_point deadline; // after the caller's or the route's timeout, whichever is shorter
--- a/src/gateway/internal/request_handler.cpp
+++ b/src/gateway/internal/request_handler.cpp
@@ -101,11 +101,17 @@
     const auto deadline = received + timeout_of(*chosen_route, request);
     const bool is_model = service_entry != nullptr && service_entry->is_model;
     ++this->open_request_count;
-    const auto forwarder = std::make_shared<request_forwarder>(
-        this->context,
-        routed_request{
-            exchange, request, chosen_route, service, is_model, this->routes.version(), received, deadline},
-        [this] { --this->open_request_count; });
+    const auto forwarder = std::make_shared<request_forwarder>(this->context,
+                                                               routed_request{exchange,
+                                                                              request,
+                                                                              chosen_route,
+                                                                              service,
+                                                                              is_model,
+                                                                              {},
+                                                                              this->routes.version(),
+                                                                              received,
+                                                                              deadline},
+                                                               [this] { --this->open_request_count; });
     forwarder->start();
 }
 
--- a/src/gateway/request_scheduler.h
+++ b/src/gateway/request_scheduler.h
@@ -22,6 +22,7 @@
 
 struct slot_request {
     std::string service;
+    std::string organisation; // empty if the request needs none
     bool is_model = false;
     prompt_shape prompt;
     std::uint32_t priority = 0;
--- a/src/peers/internal/peer_exchange.cpp
+++ b/src/peers/internal/peer_exchange.cpp
@@ -42,7 +42,6 @@
 // The first byte of a datagram.
 constexpr char report_message = 'L';
 constexpr char changes_message = 'C';
-constexpr char opaque_message = 'M';
 // Peers that get a message for some: after a few rounds, all have it.
 constexpr std::size_t some_peers = 3;
 
@@ -139,22 +138,22 @@
         return this->is_elected();
     }
 
-    void set_message_handler(message_handler callback) override
+    void set_message_handler(message_topic topic, message_handler callback) override
     {
-        this->message_callback = std::move(callback);
+        this->message_callbacks[static_cast<char>(topic)] = std::move(callback);
     }
 
-    void send_to_all(const std::string& message) override
+    void send_to_all(message_topic topic, const std::string& message) override
     {
-        const auto datagram = opaque_message + message;
+        const auto datagram = static_cast<char>(topic) + message;
         for (const auto& [name, peer] : this->peers) {
             this->send_message(peer.address, datagram);
         }
     }
 
-    void send_to_some(const std::string& message) override
+    void send_to_some(message_topic topic, const std::string& message) override
     {
-        const auto datagram = opaque_message + message;
+        const auto datagram = static_cast<char>(topic) + message;
         const auto count = std::min(some_peers, this->peers.size());
         const auto first = this->peers.empty() ? 0 : this->random.next() % this->peers.size();
         for (std::size_t index = 0; index < count; ++index) {
@@ -163,6 +162,14 @@
         }
     }
 
+    void send_to(const std::string& peer, message_topic topic, const std::string& message) override
+    {
+        const auto found = this->peers.find(peer);
+        if (found != this->peers.end()) {
+            this->send_message(found->second.address, static_cast<char>(topic) + message);
+        }
+    }
+
     void leave() override
     {
         this->is_leaving = true;
@@ -238,8 +245,9 @@
     void on_datagram(std::string_view datagram)
     {
         const char kind = datagram.empty() ? '\0' : datagram.front();
-        if (kind == opaque_message) {
-            this->message_callback(datagram.substr(1));
+        const auto handler = this->message_callbacks.find(kind);
+        if (handler != this->message_callbacks.end()) {
+            handler->second(datagram.substr(1));
             return;
         }
         if (kind == changes_message) {
@@ -394,8 +402,7 @@
     uplink_queue_model& link;
     load_source local_load;
     report_handler report_callback;
-    message_handler message_callback = [](std::string_view /*message*/) {
-    };
+    std::map<char, message_handler> message_callbacks; // by the first byte of the datagram
     peer_loads received_loads;
     std::shared_ptr<object_watcher> peer_watcher;
     std::unique_ptr<datagram_socket> socket;
--- a/src/peers/peer_exchange.h
+++ b/src/peers/peer_exchange.h
@@ -5,6 +5,7 @@
 #include "net/datagram_socket.h"
 #include "net/event_loop.h"
 #include "peers/peer_loads.h"
+#include "peers/types/message_topic.h"
 #include "relay/watch_relay.h"
 #include "uplink/uplink.h"
 
@@ -79,12 +80,15 @@
 
     using message_handler = std::function<void(std::string_view)>;
 
-    // Sets the function that receives other gateways' messages, which may be lost, repeated and reordered.
-    virtual void set_message_handler(message_handler callback) = 0;
+    // Sets the function that receives other gateways' messages on a topic, which may be lost, repeated and
+    // reordered.
+    virtual void set_message_handler(message_topic topic, message_handler callback) = 0;
 
-    // Send a message to all peers, or to a few that are drawn at random.
-    virtual void send_to_all(const std::string& message) = 0;
-    virtual void send_to_some(const std::string& message) = 0;
+    // Send a message to all peers, to a few that are drawn at random, or to the one with this name if it is
+    // known.
+    virtual void send_to_all(message_topic topic, const std::string& message) = 0;
+    virtual void send_to_some(message_topic topic, const std::string& message) = 0;
+    virtual void send_to(const std::string& peer, message_topic topic, const std::string& message) = 0;
 
     // Reports an empty load, removes this gateway's object from the store and ends the reports.
     virtual void leave() = 0;
