Usage of organisations is counted and reported by one holder of the duty

New module src/duties: lease and fencing token of a duty in one object of the store, counts from every gateway to the holder and a deputy, sums fixed by the holder's conditional update before they are sent, and a time of day that jumps don't move. The forwarder counts a request at its first event or at the head of its response. send_to of the exchange between peers found no peer, since its map is keyed by object name.

--- /dev/null
+++ b/src/duties/internal/usage_reporter.cpp
@@ -0,0 +1,470 @@
+#include "duties/usage_reporter.h"
+
+#include "duties/usage_messages.h"
+#include "logging/event_log.h"
+
+#include <algorithm>
+
+namespace tanager {
+
+namespace {
+
+constexpr const char* usage_subject = "usage";
+// How much of a killed gateway's counts is lost at most.
+constexpr std::chrono::milliseconds min_counts_interval{500};
+// So that a silent holder is noticed within a lease even if messages are lost.
+constexpr std::chrono::milliseconds min_announcement_interval{500};
+// With more peers, the intervals grow in proportion, which bounds the bytes that the holder sends.
+constexpr std::size_t max_peers_at_full_rate = 50;
+// Part of the time until a report is due that is left for late counts. The rest is for a change of the
+// holder: until it is noticed, and its lease.
+constexpr int settling_delay_divisor = 5;
+// Windows that are kept while the store or the platform is away; a minute with windows of five seconds.
+constexpr window_number max_open_windows = 12;
+// A call takes up to twice its timeout, and has to end before the lease does.
+constexpr int call_timeout_lease_divisor = 3;
+constexpr std::chrono::milliseconds retry_delay{1'000};
+// A report that the platform has refused so often is given up, for the later ones to go on.
+constexpr int max_refusals = 5;
+constexpr double milliseconds_per_second = 1'000;
+
+std::string text_of(std::uint64_t number)
+{
+    return std::to_string(number);
+}
+
+} // namespace
+
+struct usage_reporter::reporter_state : std::enable_shared_from_this<usage_reporter::reporter_state> {
+    reporter_state(const clock& time,
+                   object_store& store,
+                   http_client& client,
+                   const usage_codec& codec,
+                   duty_channel& channel,
+                   metrics_registry& metrics,
+                   random_source& random,
+                   const usage_settings& settings)
+        : time(time),
+          store(store),
+          client(client),
+          codec(codec),
+          channel(channel),
+          metrics(metrics),
+          settings(settings),
+          instance(std::max<std::uint64_t>(1, random.next())),
+          truth(time,
+                std::chrono::duration_cast<duration>(settings.windows.length * settings.windows.tolerance))
+    {
+        this->first_window = this->current_window();
+    }
+
+    void start()
+    {
+        this->owner = std::make_shared<duty_owner>(this->time,
+                                                   this->store,
+                                                   usage_subject,
+                                                   this->instance,
+                                                   this->settings.duty,
+                                                   [weak = this->weak_from_this()](const auto& text) {
+                                                       if (const auto alive = weak.lock()) {
+                                                           alive->continue_from(text);
+                                                       }
+                                                   });
+    }
+
+    window_number current_window() const
+    {
+        return window_of(this->settings.windows, this->truth.now());
+    }
+
+    usage_sender make_sender() const
+    {
+        return {this->settings.duty.holder, this->instance, this->truth.now()};
+    }
+
+    bool is_plausible(window_number window) const
+    {
+        const auto current = this->current_window();
+        return window + max_open_windows >= current && window <= current + 1;
+    }
+
+    void continue_from(const std::string& text)
+    {
+        const auto found = decode_usage_state(text);
+        if (!found) {
+            write_event(log_event::store_object_unreadable,
+                        {{"object", usage_subject}, {"detail", found.error().detail}});
+        }
+        // Without a state, windows that this process knows as fixed still must not be fixed again.
+        this->fixed = found.value_or(usage_state{});
+        this->fixed.fixed_through = std::max(this->fixed.fixed_through, this->known_fixed_through);
+        this->drop_through(this->fixed.fixed_through);
+        this->retry_at = {};
+        this->refusals = 0;
+        this->announce(false);
+    }
+
+    // Windows that a gateway with a wrong time says it has fixed are still needed.
+    void drop_through(window_number window)
+    {
+        const auto last = std::min(window, this->current_window() - 1);
+        this->known_fixed_through = std::max(this->known_fixed_through, last);
+        this->outbox.drop_through(last);
+        this->ledger.drop_through(last);
+    }
+
+    duration scaled(duration interval, std::size_t peers) const
+    {
+        const auto factor = std::max<std::size_t>(1, peers / max_peers_at_full_rate);
+        return std::min<duration>(interval * factor, this->settings.windows.length / 2);
+    }
+
+    void check()
+    {
+        auto peers = this->channel.live_gateways();
+        std::ranges::sort(peers);
+        this->owner->check(peers);
+        this->update_receivers(peers);
+        const auto now = this->time.now();
+        if (now - this->counts_sent_at >= this->scaled(min_counts_interval, peers.size())) {
+            this->counts_sent_at = now;
+            this->send_counts();
+        }
+        if (!this->owner->lease().is_holder()) {
+            return;
+        }
+        if (now - this->announced_at >= this->scaled(min_announcement_interval, peers.size())) {
+            this->agree_on_time();
+            this->announce(false);
+        }
+        this->work();
+    }
+
+    void update_receivers(const std::vector<std::string>& sorted_peers)
+    {
+        const auto holder = this->owner->lease().holder();
+        std::optional<std::string> deputy;
+        for (const auto& peer : sorted_peers) {
+            if (peer != holder) {
+                deputy = peer;
+                break;
+            }
+        }
+        const auto& own_name = this->settings.duty.holder;
+        // The gateway that would be the deputy of all others needs none for itself.
+        if (deputy && holder != own_name && own_name < *deputy) {
+            deputy.reset();
+        }
+        this->outbox.set_receiver(usage_outbox::receiver::holder, holder == own_name ? std::nullopt : holder);
+        this->outbox.set_receiver(usage_outbox::receiver::deputy, deputy);
+    }
+
+    void send_counts()
+    {
+        for (const auto role : {usage_outbox::receiver::holder, usage_outbox::receiver::deputy}) {
+            const auto gateway = this->outbox.gateway_of(role);
+            if (!gateway) {
+                continue;
+            }
+            const auto batch = this->outbox.next_batch(role, max_usage_entry_bytes);
+            if (!batch.entries.empty()) {
+                this->channel.send_to(*gateway,
+                                      encode_usage_message(usage_counts_message{
+                                          this->make_sender(), batch.sequence, batch.entries}));
+            }
+        }
+    }
+
+    void announce(bool is_resigning)
+    {
+        this->announced_at = this->time.now();
+        this->channel.send_to_all(encode_usage_message(usage_announcement{this->make_sender(),
+                                                                          this->owner->lease().token(),
+                                                                          this->truth.voters(),
+                                                                          this->fixed.fixed_through,
+                                                                          is_resigning}));
+    }
+
+    void agree_on_time()
+    {
+        const auto before = this->truth.now();
+        if (this->truth.agree()) {
+            this->log_time_change(before, this->truth.voters());
+        }
+    }
+
+    void log_time_change(wall_time_point before, std::uint64_t voters) const
+    {
+        const auto change = std::chrono::duration_cast<std::chrono::milliseconds>(this->truth.now() - before);
+        write_event(log_event::time_corrected,
+                    {{"by_ms", std::to_string(change.count())}, {"gateways", text_of(voters)}});
+    }
+
+    void work()
+    {
+        const auto now = this->time.now();
+        if (!this->owner->is_ready() || this->is_call_in_flight || now < this->retry_at ||
+            !this->owner->lease().is_predecessor_gone()) {
+            return;
+        }
+        const auto next = this->with_ended_windows();
+        const bool is_fixed = next == this->fixed;
+        if (is_fixed && next.unsent.empty()) {
+            return;
+        }
+        if (is_fixed && this->owner->lease().may_act()) {
+            this->send_report();
+            return;
+        }
+        this->owner->update(encode_usage_state(next), [self = this->shared_from_this(), next](bool is_held) {
+            if (!is_held) {
+                return;
+            }
+            self->log_fixed(next);
+            self->fixed = next;
+            self->drop_through(next.fixed_through);
+            if (!next.unsent.empty() && self->owner->lease().may_act() && !self->is_call_in_flight) {
+                self->send_report();
+            }
+        });
+    }
+
+    // Returns the state with the counts of the windows that have ended and settled.
+    usage_state with_ended_windows()
+    {
+        usage_state next = this->fixed;
+        const auto settling_delay = this->settings.windows.max_delay / settling_delay_divisor;
+        const auto end = window_of(this->settings.windows, this->truth.now() - settling_delay);
+        auto first = next.fixed_through + 1;
+        if (next.fixed_through == 0) {
+            first = std::min(this->first_window, this->ledger.first_window().value_or(this->first_window));
+        }
+        first = std::max(first, end - std::min(end, max_open_windows));
+        if (first >= end) {
+            return next;
+        }
+        for (const auto& [window, counts] : this->outbox.counts()) {
+            for (const auto& [organisation, count] : counts) {
+                this->ledger.record(this->instance, {window, organisation, count});
+            }
+        }
+        for (auto window = first; window < end; ++window) {
+            next.unsent.push_back({window, this->ledger.counts_in(window)});
+            next.fixed_through = window;
+        }
+        while (next.unsent.size() > max_open_windows) {
+            write_event(log_event::usage_given_up,
+                        {{"window", text_of(next.unsent.front().window)}, {"cause", "too old"}});
+            next.unsent.erase(next.unsent.begin());
+        }
+        return next;
+    }
+
+    void log_fixed(const usage_state& next) const
+    {
+        for (const auto& usage : next.unsent) {
+            if (usage.window <= this->fixed.fixed_through) {
+                continue;
+            }
+            std::uint64_t requests = 0;
+            for (const auto& [organisation, count] : usage.counts) {
+                requests += count;
+            }
+            write_event(log_event::usage_fixed,
+                        {{"window", text_of(usage.window)},
+                         {"organisations", text_of(usage.counts.size())},
+                         {"requests", text_of(requests)},
+                         {"token", text_of(this->owner->lease().token())}});
+        }
+    }
+
+    // Reports the first unsent window. The holder has confirmed itself a moment ago.
+    void send_report()
+    {
+        const auto& usage = this->fixed.unsent.front();
+        const auto timeout = std::chrono::duration_cast<std::chrono::milliseconds>(
+            this->settings.duty.lease / call_timeout_lease_divisor);
+        http_call_options options;
+        options.timeout = timeout;
+        // On a connection that was used before, a second copy of an earlier response could be taken for this
+        // one's.
+        options.reuse_connection = false;
+        this->is_call_in_flight = true;
+        const auto spacing = std::chrono::duration<double, std::milli>{
+            milliseconds_per_second / std::max(this->settings.max_calls_per_second, 1e-3)};
+        this->retry_at = this->time.now() + std::chrono::duration_cast<duration>(spacing);
+        this->client.fetch(
+            this->settings.address,
+            this->codec.encode_usage(usage, this->settings.duty.holder, this->owner->lease().token()),
+            options,
+            [self = this->shared_from_this(), window = usage.window](const auto& response) {
+                self->on_response(window, response);
+            });
+    }
+
+    void on_response(window_number window, const tl::expected<http_response, http_failure>& response)
+    {
+        this->is_call_in_flight = false;
+        const auto outcome =
+            response.has_value() ? this->codec.decode_outcome(*response) : report_outcome::postponed;
+        // Another holder may have been in between, and may have sent it.
+        const bool is_pending = !this->fixed.unsent.empty() && this->fixed.unsent.front().window == window;
+        if (!is_pending) {
+            return;
+        }
+        if (outcome == report_outcome::accepted) {
+            this->refusals = 0;
+            const auto delay = std::chrono::duration_cast<std::chrono::milliseconds>(
+                this->truth.now() - end_of(this->settings.windows, window));
+            const bool is_late = delay > this->settings.windows.max_delay;
+            write_event(is_late ? log_event::usage_late : log_event::usage_sent,
+                        {{"window", text_of(window)}, {"after_ms", std::to_string(delay.count())}});
+            this->metrics.increment_counter("tanager_usage_reports_total",
+                                            is_late ? "outcome=\"late\"" : "outcome=\"in_time\"");
+            this->fixed.unsent.erase(this->fixed.unsent.begin());
+            return;
+        }
+        const std::string cause = response.has_value() ? "status " + std::to_string(response->status)
+                                                       : response.error().cause.detail;
+        write_event(log_event::usage_postponed, {{"window", text_of(window)}, {"cause", cause}});
+        this->metrics.increment_counter("tanager_usage_reports_total", "outcome=\"postponed\"");
+        this->retry_at = std::max(this->retry_at, this->time.now() + retry_delay);
+        this->refusals += outcome == report_outcome::refused ? 1 : 0;
+        if (this->refusals >= max_refusals) {
+            this->refusals = 0;
+            write_event(log_event::usage_given_up, {{"window", text_of(window)}, {"cause", cause}});
+            this->fixed.unsent.erase(this->fixed.unsent.begin());
+        }
+    }
+
+    void receive(const usage_counts_message& message)
+    {
+        this->truth.record_claim(message.sender.gateway, message.sender.time);
+        for (const auto& entry : message.entries) {
+            if (!this->is_plausible(entry.window) || !this->ledger.record(message.sender.instance, entry)) {
+                this->metrics.increment_counter("tanager_usage_counts_dropped_total");
+            }
+        }
+        this->channel.send_to(
+            message.sender.gateway,
+            encode_usage_message(usage_acknowledgement{this->make_sender(), message.sequence}));
+    }
+
+    void receive(const usage_acknowledgement& message)
+    {
+        this->truth.record_claim(message.sender.gateway, message.sender.time);
+        this->outbox.acknowledge(message.sender.gateway, message.sender.instance, message.sequence);
+    }
+
+    void receive(const usage_announcement& message)
+    {
+        const bool was_holder = this->owner->lease().is_holder();
+        const auto token = this->owner->lease().token();
+        this->owner->lease().record_holder(message.sender.gateway, message.token, message.is_resigning);
+        if (was_holder && !this->owner->lease().is_holder()) {
+            write_event(log_event::duty_lost,
+                        {{"subject", usage_subject},
+                         {"token", text_of(token)},
+                         {"cause", "held by " + message.sender.gateway}});
+        }
+        if (this->owner->lease().holder() != message.sender.gateway) {
+            return;
+        }
+        const auto before = this->truth.now();
+        if (this->truth.record_agreed(message.sender.time, message.voters)) {
+            this->log_time_change(before, message.voters);
+        }
+        this->drop_through(message.fixed_through);
+    }
+
+    void leave()
+    {
+        if (this->owner->lease().is_holder()) {
+            this->owner->resign();
+            this->announce(true);
+        }
+        this->owner->resign();
+        this->send_counts();
+    }
+
+    const clock& time;
+    object_store& store;
+    http_client& client;
+    const usage_codec& codec;
+    duty_channel& channel;
+    metrics_registry& metrics;
+    usage_settings settings;
+    std::uint64_t instance;
+    true_time truth;
+    std::shared_ptr<duty_owner> owner;
+    usage_outbox outbox;
+    usage_ledger ledger;
+    usage_state fixed; // as it was last written or read by the holder, less what has been sent since
+    window_number first_window = 0;
+    window_number known_fixed_through = 0;
+    time_point counts_sent_at;
+    time_point announced_at;
+    time_point retry_at;
+    bool is_call_in_flight = false;
+    int refusals = 0; // of the first unsent window
+};
+
+usage_reporter::usage_reporter(const clock& time,
+                               object_store& store,
+                               http_client& client,
+                               const usage_codec& codec,
+                               duty_channel& channel,
+                               metrics_registry& metrics,
+                               random_source& random,
+                               const usage_settings& settings)
+    : state(std::make_shared<reporter_state>(time, store, client, codec, channel, metrics, random, settings))
+{
+    this->state->start();
+}
+
+usage_reporter::~usage_reporter() = default;
+
+void usage_reporter::record_began(const std::string& organisation)
+{
+    this->state->outbox.record(this->state->current_window(), organisation);
+}
+
+void usage_reporter::check()
+{
+    this->state->check();
+}
+
+result<void> usage_reporter::receive(std::string_view message)
+{
+    const auto decoded = decode_usage_message(message);
+    if (!decoded) {
+        return tl::make_unexpected(decoded.error());
+    }
+    std::visit([this](const auto& received) { this->state->receive(received); }, *decoded);
+    return {};
+}
+
+void usage_reporter::leave()
+{
+    this->state->leave();
+}
+
+void usage_reporter::flush()
+{
+    this->state->send_counts();
+}
+
+void usage_reporter::refresh_gauges() const
+{
+    const auto& lease = this->state->owner->lease();
+    const std::string series = std::string{"subject=\""} + usage_subject + "\"";
+    this->state->metrics.set_gauge("tanager_duty_held", lease.is_holder() ? 1 : 0, series);
+    const std::chrono::duration<double> held_for = this->state->time.now() - lease.held_since();
+    this->state->metrics.set_gauge(
+        "tanager_duty_held_seconds", lease.is_holder() ? held_for.count() : 0, series);
+    this->state->metrics.set_gauge("tanager_usage_windows_unsent",
+                                   lease.is_holder() ? static_cast<double>(this->state->fixed.unsent.size())
+                                                     : 0);
+}
+
+} // namespace tanager
--- /dev/null
+++ b/src/duties/tests/duties_tests.cpp
@@ -0,0 +1,588 @@
+#include "base/mocks/manual_clock.h"
+#include "base/mocks/seeded_random.h"
+#include "duties/usage_messages.h"
+#include "duties/usage_reporter.h"
+#include "net/mocks/fake_client.h"
+#include "store/mocks/fault_injecting_store.h"
+#include "testing/section.h"
+
+#include <algorithm>
+#include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
+
+namespace tanager {
+
+namespace {
+
+using namespace std::chrono_literals;
+using testing::section;
+
+constexpr auto lease = 3'000ms;
+constexpr auto check_interval = 100ms;
+constexpr int status_ok = 200;
+constexpr int status_unavailable = 503;
+
+// A host's clock, whose time of day may differ from the others'.
+class host_clock final : public clock {
+public:
+    host_clock(const manual_clock& base, duration step) : base(base), step(step) {}
+
+    time_point now() const override
+    {
+        return this->base.now();
+    }
+
+    wall_time_point wall_now() const override
+    {
+        return this->base.wall_now() + std::chrono::duration_cast<wall_time_point::duration>(this->step);
+    }
+
+    const manual_clock& base;
+    duration step;
+};
+
+class fake_usage_codec final : public usage_codec {
+public:
+    http_request
+    encode_usage(const window_usage& usage, const std::string& holder, std::uint64_t token) const override
+    {
+        return {"POST",
+                "/" + std::to_string(usage.window),
+                {{"holder", holder}, {"token", std::to_string(token)}},
+                nlohmann::json(usage.counts).dump()};
+    }
+
+    report_outcome decode_outcome(const http_response& response) const override
+    {
+        return response.status == status_ok ? report_outcome::accepted : report_outcome::postponed;
+    }
+};
+
+// What the platform has seen.
+struct platform_call {
+    time_point at;
+    std::string window;
+    std::string holder;
+    std::uint64_t token = 0;
+    std::string counts;
+};
+
+class gateway_fleet;
+
+// One process of a gateway.
+class gateway final : public duty_channel {
+public:
+    gateway(gateway_fleet& fleet, const std::string& name, std::uint64_t seed, duration wall_step);
+
+    void send_to_all(const std::string& message) override;
+    void send_to(const std::string& receiver, const std::string& message) override;
+    std::vector<std::string> live_gateways() const override;
+
+    gateway_fleet& fleet;
+    std::string name;
+    host_clock time;
+    seeded_random random;
+    fake_client client;
+    fake_usage_codec codec;
+    metrics_registry metrics;
+    usage_reporter reporter;
+    std::size_t answered_calls = 0;
+    bool is_frozen = false;
+};
+
+// Gateways that share a store and a platform. Messages arrive at once unless their receiver is frozen.
+class gateway_fleet {
+public:
+    explicit gateway_fleet(std::uint64_t seed) : seed(seed), store(seed) {}
+
+    gateway& start(const std::string& name, duration wall_step = 0s)
+    {
+        auto& started = this->gateways[name];
+        started = std::make_unique<gateway>(*this, name, ++this->seed, wall_step);
+        return *started;
+    }
+
+    void kill(const std::string& name)
+    {
+        this->gateways.erase(name);
+    }
+
+    void run(duration span)
+    {
+        for (duration passed{0}; passed < span; passed += check_interval) {
+            this->time.advance(check_interval);
+            for (auto& [name, member] : this->gateways) {
+                if (!member->is_frozen) {
+                    member->reporter.check();
+                }
+            }
+            while (this->store.deliver_random_response()) {
+            }
+            for (auto& [name, member] : this->gateways) {
+                this->answer(*member);
+            }
+        }
+    }
+
+    void answer(gateway& member)
+    {
+        while (!member.is_frozen && member.answered_calls < member.client.calls.size()) {
+            const auto call = member.client.calls[member.answered_calls++];
+            if (this->platform_status == status_ok) {
+                this->calls.push_back({this->time.now(),
+                                       call->request.path,
+                                       find_header(call->request.headers, "holder"),
+                                       std::stoull(find_header(call->request.headers, "token")),
+                                       call->request.body});
+            }
+            call->respond(this->platform_status, {}, {});
+        }
+    }
+
+    // Checks what the platform demands, and returns the counts by window.
+    std::map<std::string, std::string> check_calls() const
+    {
+        std::map<std::string, std::string> counts;
+        for (std::size_t index = 0; index < this->calls.size(); ++index) {
+            const auto& call = this->calls[index];
+            const auto [row, is_new] = counts.emplace(call.window, call.counts);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("counts of a window differ", row->second, call.counts);
+            for (std::size_t earlier = 0; earlier < index; ++earlier) {
+                const auto& before = this->calls[earlier];
+                if (before.holder == call.holder) {
+                    CPPUNIT_ASSERT(before.token <= call.token);
+                } else {
+                    CPPUNIT_ASSERT_MESSAGE("a token that is used twice, or a lower one",
+                                           before.token < call.token);
+                    CPPUNIT_ASSERT_MESSAGE("within the lease of another", call.at - before.at >= lease / 2);
+                }
+            }
+        }
+        return counts;
+    }
+
+    std::uint64_t sum(const std::string& organisation) const
+    {
+        std::uint64_t total = 0;
+        for (const auto& [window, counts] : this->check_calls()) {
+            total += nlohmann::json::parse(counts).value(organisation, std::uint64_t{0});
+        }
+        return total;
+    }
+
+    std::string holder() const
+    {
+        return this->calls.empty() ? std::string{} : this->calls.back().holder;
+    }
+
+    std::uint64_t seed;
+    manual_clock time;
+    fault_injecting_store store;
+    std::map<std::string, std::unique_ptr<gateway>> gateways;
+    std::vector<platform_call> calls;
+    int platform_status = status_ok;
+    bool loses_messages = false;
+};
+
+gateway::gateway(gateway_fleet& fleet, const std::string& name, std::uint64_t seed, duration wall_step)
+    : fleet(fleet),
+      name(name),
+      time(fleet.time, wall_step),
+      random(seed),
+      reporter(this->time,
+               fleet.store,
+               this->client,
+               this->codec,
+               *this,
+               this->metrics,
+               this->random,
+               {{name, lease}, {"10.0.0.1", 80}, {}, 50})
+{
+}
+
+void gateway::send_to_all(const std::string& message)
+{
+    for (const auto& other : this->live_gateways()) {
+        this->send_to(other, message);
+    }
+}
+
+void gateway::send_to(const std::string& receiver, const std::string& message)
+{
+    const bool is_lost = this->fleet.loses_messages && this->random.next() % 3 == 0;
+    const auto found = this->fleet.gateways.find(receiver);
+    if (!is_lost && found != this->fleet.gateways.end() && !found->second->is_frozen) {
+        CPPUNIT_ASSERT(found->second->reporter.receive(message));
+    }
+}
+
+std::vector<std::string> gateway::live_gateways() const
+{
+    std::vector<std::string> names;
+    for (const auto& [other, member] : this->fleet.gateways) {
+        if (other != this->name) {
+            names.push_back(other);
+        }
+    }
+    return names;
+}
+
+class duties_tests : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(duties_tests);
+    CPPUNIT_TEST(one_gateway_holds_a_duty);
+    CPPUNIT_TEST(clocks_step);
+    CPPUNIT_TEST(counts_are_handed_over);
+    CPPUNIT_TEST(messages_are_read_back);
+    CPPUNIT_TEST(usage_is_reported_once);
+    CPPUNIT_TEST(holders_end);
+    CPPUNIT_TEST(the_platform_is_away);
+    CPPUNIT_TEST(faults_come_together);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void one_gateway_holds_a_duty()
+    {
+        section("several gateways start", [] {
+            manual_clock time;
+            duty_lease first(time, {"a", lease});
+            duty_lease second(time, {"b", lease});
+            CPPUNIT_ASSERT(!first.should_acquire({"b"}));
+            time.advance(3s);
+            section("the first by name takes the duty, the next one only some time later", [&] {
+                CPPUNIT_ASSERT(first.should_acquire({"b"}));
+                CPPUNIT_ASSERT(!second.should_acquire({"a"}));
+                time.advance(1'500ms);
+                CPPUNIT_ASSERT(second.should_acquire({"a"}));
+            });
+            section("the holder waits until its predecessor's lease is over", [&] {
+                second.check();
+                second.record_acquired(5, time.now(), false);
+                CPPUNIT_ASSERT(second.is_holder());
+                for (duration passed{0}; passed < lease - check_interval; passed += check_interval) {
+                    time.advance(check_interval);
+                    CPPUNIT_ASSERT(second.check());
+                }
+                time.advance(check_interval - 1ms);
+                second.record_confirmed(6, time.now());
+                CPPUNIT_ASSERT(!second.may_act());
+                time.advance(1ms);
+                CPPUNIT_ASSERT(second.may_act());
+                CPPUNIT_ASSERT_EQUAL(std::uint64_t{6}, second.token());
+            });
+            section("it acts only shortly after it has confirmed itself", [&] {
+                time.advance(501ms);
+                CPPUNIT_ASSERT(!second.may_act());
+            });
+            section("while it is heard, no other gateway takes the duty", [&] {
+                first.record_holder("b", 6, false);
+                time.advance(1'900ms);
+                CPPUNIT_ASSERT(!first.should_acquire({"b"}));
+                CPPUNIT_ASSERT(first.holder() == "b");
+                time.advance(100ms);
+                CPPUNIT_ASSERT(first.should_acquire({"b"}));
+                CPPUNIT_ASSERT(!first.holder());
+            });
+            section("a holder that resigns is followed at once", [&] {
+                first.record_holder("b", 6, false);
+                first.record_holder("b", 6, true);
+                CPPUNIT_ASSERT(first.should_acquire({"b"}));
+            });
+            section("an announcement of an earlier holder changes nothing", [&] {
+                first.record_holder("c", 4, false);
+                CPPUNIT_ASSERT(!first.holder());
+            });
+            section("a holder steps down after a standstill", [&] {
+                CPPUNIT_ASSERT(!second.check());
+                CPPUNIT_ASSERT(!second.is_holder());
+            });
+            section("and when it hears of a later one", [&] {
+                second.record_acquired(7, time.now(), false);
+                second.record_holder("a", 8, false);
+                CPPUNIT_ASSERT(!second.is_holder());
+            });
+        });
+    }
+
+    void clocks_step()
+    {
+        manual_clock time;
+        constexpr auto tolerance = 250ms;
+        const auto shifted = [&time](duration step) {
+            return time.wall_now() + std::chrono::duration_cast<wall_time_point::duration>(step);
+        };
+        section("the time of day of a host jumps: a running process goes on with the steady clock", [&] {
+            host_clock host(time, 0s);
+            const true_time truth(host, tolerance);
+            host.step = -7s;
+            time.advance(10s);
+            CPPUNIT_ASSERT(truth.now() == time.wall_now());
+        });
+        section("a process starts on a host with a wrong time", [&] {
+            const host_clock host(time, 7s);
+            true_time truth(host, tolerance);
+            section("two times don't tell which one is right", [&] {
+                CPPUNIT_ASSERT(!truth.record_agreed(time.wall_now(), 2));
+                truth.record_claim("a", time.wall_now());
+                CPPUNIT_ASSERT(!truth.agree());
+                CPPUNIT_ASSERT(truth.now() == shifted(7s));
+            });
+            section("it takes the time that the holder tells for several", [&] {
+                CPPUNIT_ASSERT(truth.record_agreed(time.wall_now(), 3));
+                CPPUNIT_ASSERT(truth.now() == time.wall_now());
+            });
+        });
+        section("the holder's own time is wrong: it takes the median", [&] {
+            const host_clock host(time, -4s);
+            true_time truth(host, tolerance);
+            truth.record_claim("a", shifted(20ms));
+            truth.record_claim("b", shifted(-30ms));
+            truth.record_claim("c", shifted(9s));
+            CPPUNIT_ASSERT(truth.agree());
+            CPPUNIT_ASSERT(std::chrono::abs(truth.now() - time.wall_now()) < 50ms);
+            section("claims that are old no longer count", [&] {
+                time.advance(11s);
+                CPPUNIT_ASSERT(!truth.agree());
+                CPPUNIT_ASSERT_EQUAL(std::size_t{1}, truth.voters());
+            });
+        });
+        section("small differences change nothing", [&] {
+            true_time truth(time, tolerance);
+            CPPUNIT_ASSERT(!truth.record_agreed(shifted(250ms), 20));
+            CPPUNIT_ASSERT(truth.now() == time.wall_now());
+        });
+    }
+
+    void counts_are_handed_over()
+    {
+        constexpr auto holder = usage_outbox::receiver::holder;
+        constexpr std::size_t bytes = 1'000;
+        usage_outbox outbox;
+        outbox.record(7, "bank");
+        outbox.record(7, "bank");
+        section("counts are repeated until the holder has acknowledged them", [&] {
+            outbox.set_receiver(holder, "a");
+            const auto batch = outbox.next_batch(holder, bytes);
+            CPPUNIT_ASSERT(batch.entries == (std::vector<usage_entry>{{7, "bank", 2}}));
+            CPPUNIT_ASSERT(outbox.next_batch(holder, bytes).entries == batch.entries);
+            outbox.acknowledge("b", 1, batch.sequence);
+            CPPUNIT_ASSERT(!outbox.next_batch(holder, bytes).entries.empty());
+            outbox.acknowledge("a", 1, batch.sequence);
+            CPPUNIT_ASSERT(outbox.next_batch(holder, bytes).entries.empty());
+        });
+        section("then only what has changed is sent, the whole count", [&] {
+            outbox.record(7, "bank");
+            outbox.record(8, "shop");
+            const auto batch = outbox.next_batch(holder, bytes);
+            CPPUNIT_ASSERT(batch.entries == (std::vector<usage_entry>{{7, "bank", 3}, {8, "shop", 1}}));
+            outbox.acknowledge("a", 1, batch.sequence);
+        });
+        section("another process or another holder gets all again", [&] {
+            outbox.record(8, "shop");
+            outbox.acknowledge("a", 2, outbox.next_batch(holder, bytes).sequence);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox.next_batch(holder, bytes).entries.size());
+            outbox.set_receiver(holder, "c");
+            CPPUNIT_ASSERT_EQUAL(std::size_t{2}, outbox.next_batch(holder, bytes).entries.size());
+        });
+        section("a message is bounded",
+                [&] { CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outbox.next_batch(holder, 30).entries.size()); });
+        section("fixed windows are not sent", [&] {
+            outbox.drop_through(7);
+            CPPUNIT_ASSERT(outbox.next_batch(holder, bytes).entries ==
+                           (std::vector<usage_entry>{{8, "shop", 2}}));
+        });
+        section("the holder adds up the processes' largest counts", [] {
+            usage_ledger ledger;
+            CPPUNIT_ASSERT(ledger.record(1, {7, "bank", 3}));
+            CPPUNIT_ASSERT(ledger.record(1, {7, "bank", 2}));
+            CPPUNIT_ASSERT(ledger.record(2, {7, "bank", 4}));
+            CPPUNIT_ASSERT(ledger.record(2, {8, "bank", 1}));
+            CPPUNIT_ASSERT(ledger.counts_in(7) == (organisation_counts{{"bank", 7}}));
+            ledger.drop_through(7);
+            CPPUNIT_ASSERT(!ledger.record(3, {7, "bank", 1}));
+            CPPUNIT_ASSERT(ledger.counts_in(8) == (organisation_counts{{"bank", 1}}));
+        });
+    }
+
+    void messages_are_read_back()
+    {
+        const usage_sender sender{"a", 17, wall_time_point{1'000'000s}};
+        const std::vector<usage_message> messages{
+            usage_counts_message{sender, 3, {{7, "bank", 2}, {8, "shop", 900}}},
+            usage_acknowledgement{sender, 3},
+            usage_announcement{sender, 12, 26, 7, true}};
+        for (const auto& message : messages) {
+            const auto bytes = encode_usage_message(message);
+            CPPUNIT_ASSERT(decode_usage_message(bytes) == message);
+            for (std::size_t length = 0; length < bytes.size(); ++length) {
+                CPPUNIT_ASSERT(!decode_usage_message(bytes.substr(0, length)));
+            }
+            CPPUNIT_ASSERT(!decode_usage_message(bytes + "x"));
+        }
+        const usage_state state{7, {{7, {{"bank", 2}, {"shop", 900}}}}};
+        CPPUNIT_ASSERT(decode_usage_state(encode_usage_state(state)) == state);
+        CPPUNIT_ASSERT(decode_usage_state("") == usage_state{});
+        CPPUNIT_ASSERT(!decode_usage_state("[7]"));
+        CPPUNIT_ASSERT(!decode_usage_state(R"({"fixed_through":7,"unsent":[{"window":"x"}]})"));
+    }
+
+    void usage_is_reported_once()
+    {
+        gateway_fleet fleet(1);
+        for (const auto* name : {"a", "b", "c"}) {
+            fleet.start(name);
+        }
+        fleet.run(11s);
+        for (int request = 0; request < 30; ++request) {
+            fleet.gateways.at("b")->reporter.record_began("bank");
+            fleet.gateways.at("c")->reporter.record_began(request % 3 == 0 ? "shop" : "bank");
+        }
+        fleet.run(5s + 3s);
+        section("one report for each window, in time, from one holder", [&] {
+            CPPUNIT_ASSERT_EQUAL(std::size_t{3}, fleet.calls.size());
+            CPPUNIT_ASSERT_EQUAL(std::size_t{3}, fleet.check_calls().size());
+            CPPUNIT_ASSERT_EQUAL(std::string{"a"}, fleet.holder());
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{50}, fleet.sum("bank"));
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{10}, fleet.sum("shop"));
+        });
+        section("a gateway with a wrong time counts in the right windows", [&] {
+            auto& late = fleet.start("d", 20s);
+            fleet.run(2s);
+            late.reporter.record_began("mill");
+            fleet.run(10s);
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, fleet.sum("mill"));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{5}, fleet.check_calls().size());
+        });
+    }
+
+    void holders_end()
+    {
+        section("the holder is killed after it has fixed a window, before it has sent it", [] {
+            gateway_fleet fleet(2);
+            for (const auto* name : {"a", "b", "c"}) {
+                fleet.start(name);
+            }
+            fleet.run(8s);
+            fleet.gateways.at("a")->reporter.record_began("bank");
+            fleet.gateways.at("c")->reporter.record_began("bank");
+            fleet.platform_status = status_unavailable;
+            fleet.run(5s);
+            fleet.kill("a");
+            fleet.platform_status = status_ok;
+            fleet.run(6s);
+            CPPUNIT_ASSERT_EQUAL(std::string{"b"}, fleet.holder());
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, fleet.sum("bank"));
+            section("a gateway that starts again under its name does not take the duty back", [&] {
+                fleet.start("a");
+                fleet.run(12s);
+                CPPUNIT_ASSERT_EQUAL(std::string{"b"}, fleet.holder());
+                static_cast<void>(fleet.check_calls());
+            });
+        });
+        section("the holder is frozen and woken", [] {
+            gateway_fleet fleet(3);
+            for (const auto* name : {"a", "b", "c"}) {
+                fleet.start(name);
+            }
+            fleet.run(11s);
+            fleet.gateways.at("a")->is_frozen = true;
+            fleet.gateways.at("b")->reporter.record_began("bank");
+            fleet.run(8s);
+            fleet.gateways.at("a")->is_frozen = false;
+            fleet.run(10s);
+            CPPUNIT_ASSERT_EQUAL(std::string{"b"}, fleet.holder());
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, fleet.sum("bank"));
+        });
+        section("the holder stops: its counts are handed over, and the next one acts after its lease", [] {
+            gateway_fleet fleet(4);
+            for (const auto* name : {"a", "b", "c"}) {
+                fleet.start(name);
+            }
+            fleet.run(11s);
+            fleet.gateways.at("a")->reporter.record_began("bank");
+            fleet.gateways.at("a")->reporter.leave();
+            fleet.gateways.at("a")->reporter.record_began("bank");
+            fleet.gateways.at("a")->reporter.flush();
+            fleet.run(100ms);
+            fleet.kill("a");
+            fleet.run(9s);
+            CPPUNIT_ASSERT_EQUAL(std::string{"b"}, fleet.holder());
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, fleet.sum("bank"));
+        });
+    }
+
+    void the_platform_is_away()
+    {
+        gateway_fleet fleet(5);
+        for (const auto* name : {"a", "b", "c"}) {
+            fleet.start(name);
+        }
+        fleet.run(8s);
+        fleet.platform_status = status_unavailable;
+        for (int second = 0; second < 24; ++second) {
+            fleet.gateways.at("b")->reporter.record_began("bank");
+            fleet.run(1s);
+        }
+        const auto reported = fleet.calls.size();
+        fleet.platform_status = status_ok;
+        fleet.run(8s);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{24}, fleet.sum("bank"));
+        CPPUNIT_ASSERT(fleet.calls.size() >= reported + 5);
+        CPPUNIT_ASSERT(std::ranges::is_sorted(
+            fleet.calls, {}, [](const auto& call) { return std::stoull(call.window.substr(1)); }));
+    }
+
+    // Gateways are killed, frozen and restarted in turn, while the store rejects calls and loses answers, and
+    // messages are lost.
+    void faults_come_together()
+    {
+        constexpr std::uint64_t seeds = 20;
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            section("seed " + std::to_string(seed), [seed] {
+                gateway_fleet fleet(seed);
+                seeded_random random(seed);
+                const std::vector<std::string> names{"a", "b", "c", "d", "e"};
+                for (const auto& name : names) {
+                    fleet.start(name);
+                }
+                fleet.loses_messages = true;
+                fleet.store.fault_rates = {10, 10, 5};
+                std::uint64_t requests = 0;
+                for (int second = 0; second < 60; ++second) {
+                    const auto victim = names[random.next() % names.size()];
+                    auto& member = fleet.gateways.at(victim);
+                    const bool acts = second % 4 == 0;
+                    if (acts && random.next() % 2 == 0) {
+                        member.reset();
+                        fleet.kill(victim);
+                        fleet.run(500ms);
+                        fleet.start(victim, random.next() % 3 == 0 ? 8s : 0s);
+                    } else if (acts) {
+                        member->is_frozen = true;
+                        fleet.run(3'500ms);
+                        member->is_frozen = false;
+                    }
+                    for (const auto& [name, other] : fleet.gateways) {
+                        other->reporter.record_began("bank");
+                        ++requests;
+                    }
+                    fleet.run(1s);
+                }
+                fleet.loses_messages = false;
+                fleet.store.fault_rates = {};
+                fleet.run(15s);
+                CPPUNIT_ASSERT(fleet.check_calls().size() > 10);
+                // Little is lost though messages are: at most what was counted since the last message, and
+                // what a process with a wrong time has counted before it knew.
+                const auto reported = fleet.sum("bank");
+                CPPUNIT_ASSERT_MESSAGE(std::to_string(reported) + " of " + std::to_string(requests),
+                                       reported <= requests && reported * 100 >= requests * 85);
+            });
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(duties_tests);
+
+} // namespace
+
+} // namespace tanager
--- a/src/gateway/gateway_setup.cpp
+++ b/src/gateway/gateway_setup.cpp
@@ -3,6 +3,7 @@
 #include "base/boot_time_clock.h"
 #include "base/system_clock.h"
 #include "base/system_random.h"
+#include "duties/usage_reporter.h"
 #include "gateway/crash_quarantine.h"
 #include "gateway/internal/configuration_observer.h"
 #include "gateway/internal/quarantine_archive.h"
@@ -44,6 +45,8 @@
 constexpr std::chrono::milliseconds queue_processing_interval{5};
 constexpr std::chrono::milliseconds housekeeping_interval{100};
 constexpr std::chrono::milliseconds role_control_interval{500};
+// Short compared with the lease of a duty.
+constexpr std::chrono::milliseconds duty_check_interval{100};
 // Long enough that a server keeps its measurements while its entry is briefly missing.
 constexpr std::chrono::minutes cleanup_interval{1};
 // A longer time between two housekeeping runs means that the process was suspended.
@@ -136,6 +139,48 @@
     peer_exchange& exchange;
 };
 
+class peer_duty_channel final : public duty_channel {
+public:
+    explicit peer_duty_channel(peer_exchange& exchange) : exchange(exchange) {}
+
+    void send_to_all(const std::string& message) override
+    {
+        this->exchange.send_to_all(message_topic::usage, message);
+    }
+
+    void send_to(const std::string& gateway, const std::string& message) override
+    {
+        this->exchange.send_to(gateway, message_topic::usage, message);
+    }
+
+    std::vector<std::string> live_gateways() const override
+    {
+        return this->exchange.known_loads().peer_names();
+    }
+
+private:
+    peer_exchange& exchange;
+};
+
+// Counts only once the reporter has been set up, which needs the exchange with the peers.
+class late_usage_recorder final : public usage_recorder {
+public:
+    void set_recorder(usage_recorder* new_recorder)
+    {
+        this->recorder = new_recorder;
+    }
+
+    void record_began(const std::string& organisation) override
+    {
+        if (this->recorder != nullptr) {
+            this->recorder->record_began(organisation);
+        }
+    }
+
+private:
+    usage_recorder* recorder = nullptr;
+};
+
 class gateway_process final : public server_process {
 public:
     gateway_process(event_loop& loop,
@@ -261,6 +306,7 @@
                                       *this->platform.engines,
                                       {this->settings.host, this->settings.role_order_lease}),
             role_policy{this->settings.min_role_gain_ratio});
+        this->start_usage_reports();
         this->role_timer = this->loop.run_every(role_control_interval, [this] { this->roles->reconcile(); });
         write_event(log_event::program_listening,
                     {{"http", this->server->address()},
@@ -291,6 +337,9 @@
         this->on_drained = std::move(finished);
         this->stopped_at = this->time.now();
         this->server->disable_keep_alive();
+        if (this->usage) {
+            this->usage->leave();
+        }
         this->peers->leave();
         this->role_timer.reset();
         this->roles->reset();
@@ -312,6 +361,37 @@
         }
     }
 
+    // Nothing of this runs where the platform does not ask for it.
+    void start_usage_reports()
+    {
+        const auto address = parse_address(this->settings.duty_address);
+        if (!address || std::ranges::find(this->settings.duties, this->platform.usage_duty) ==
+                            this->settings.duties.end()) {
+            return;
+        }
+        this->duties = std::make_unique<peer_duty_channel>(*this->peers);
+        this->usage = std::make_unique<usage_reporter>(
+            this->relay_time,
+            this->store,
+            *this->client,
+            *this->platform.usage,
+            *this->duties,
+            this->metrics,
+            this->random,
+            usage_settings{{this->settings.host, this->settings.role_order_lease},
+                           *address,
+                           this->settings.usage,
+                           this->settings.duty_calls_per_second});
+        this->usage_counts.set_recorder(this->usage.get());
+        this->peers->set_message_handler(message_topic::usage, [this](std::string_view message) {
+            const auto received = this->usage->receive(message);
+            if (!received) {
+                write_event(log_event::frame_dropped, {{"detail", received.error().detail}});
+            }
+        });
+        this->usage_timer = this->loop.run_every(duty_check_interval, [this] { this->usage->check(); });
+    }
+
     void receive_suspicions(std::string_view message)
     {
         const auto received = this->quarantine.receive(message);
@@ -349,7 +429,8 @@
                 this->link,
                 this->caller_timeouts,
                 this->response_buffer_budget,
-                this->quarantine};
+                this->quarantine,
+                &this->usage_counts};
     }
 
     bool is_ready() const
@@ -430,6 +511,9 @@
 
     void refresh_gauges()
     {
+        if (this->usage) {
+            this->usage->refresh_gauges();
+        }
         this->metrics.set_gauge("tanager_requests_open", static_cast<double>(this->handler->open_requests()));
         this->metrics.set_gauge("tanager_requests_waiting",
                                 static_cast<double>(this->scheduler.queued_count()));
@@ -466,6 +550,9 @@
             return;
         }
         const auto finished = std::exchange(this->on_drained, nullptr);
+        if (finished && this->usage) {
+            this->usage->flush();
+        }
         if (finished) {
             finished();
         }
@@ -508,7 +595,11 @@
     std::unique_ptr<http_server> admin_server;
     std::unique_ptr<peer_exchange> peers;
     std::unique_ptr<peer_suspicion_channel> suspicions;
+    late_usage_recorder usage_counts;
+    std::unique_ptr<peer_duty_channel> duties;
+    std::unique_ptr<usage_reporter> usage;
     std::unique_ptr<role_controller> roles;
+    std::unique_ptr<loop_timer> usage_timer;
     std::unique_ptr<loop_timer> role_timer;
     std::unique_ptr<loop_timer> queue_timer;
     std::unique_ptr<loop_timer> housekeeping_timer;
--- a/src/gateway/gateway_setup.h
+++ b/src/gateway/gateway_setup.h
@@ -1,6 +1,7 @@
 // Assembles the gateway, the process that forwards callers' requests directly to backend servers.
 #pragma once
 
+#include "duties/usage_codec.h"
 #include "gateway/request_codec.h"
 #include "gateway/store_codec.h"
 #include "gateway/types/gateway_settings.h"
@@ -18,6 +19,8 @@
     std::unique_ptr<request_codec> caller_codec;
     std::unique_ptr<store_codec> object_codec;
     std::unique_ptr<engine_codec> engines;
+    std::unique_ptr<usage_codec> usage;
+    std::string usage_duty; // its name in the settings; usage is reported if they list it
     std::function<std::unique_ptr<object_store>(http_client&, const socket_address&)> make_store;
     std::string readiness_path;
 };
--- a/src/gateway/internal/gateway_settings.cpp
+++ b/src/gateway/internal/gateway_settings.cpp
@@ -23,6 +23,9 @@
 constexpr double max_link_megabits_per_second = 1e9;
 constexpr std::chrono::seconds max_stop_grace{600};
 constexpr double max_memory_megabytes = 1e9;
+constexpr double max_duty_calls_per_second = 1e6;
+constexpr std::chrono::seconds max_usage_window{3'600};
+constexpr std::chrono::seconds max_usage_delay{86'400};
 
 void load_http(settings_reader& reader, http_server_limits& http)
 {
@@ -49,6 +52,29 @@
     bound.window = reader.read_seconds({"retries", "window_seconds"}, defaults.window, max_retry_window);
 }
 
+void load_duties(settings_reader& reader, gateway_settings& settings)
+{
+    const gateway_settings defaults;
+    settings.duties = reader.read_list({"duties", "kinds"});
+    settings.duty_address = reader.read_text({"duties", "address"}, {});
+    if (!settings.duty_address.empty() && !is_ipv4_endpoint(settings.duty_address)) {
+        reader.add_problem({"duties", "address"}, "'" + settings.duty_address + "' is not ip:port");
+        settings.duty_address.clear();
+    }
+    settings.duty_calls_per_second = reader.read_decimal(
+        {"duties", "per_second"}, defaults.duty_calls_per_second, max_duty_calls_per_second);
+    settings.usage.length =
+        reader.read_seconds({"duties", "usage_window_seconds"}, defaults.usage.length, max_usage_window);
+    if (settings.usage.length < std::chrono::seconds{1}) {
+        reader.add_problem({"duties", "usage_window_seconds"}, "is shorter than a second");
+        settings.usage.length = defaults.usage.length;
+    }
+    settings.usage.max_delay =
+        reader.read_seconds({"duties", "usage_late_seconds"}, defaults.usage.max_delay, max_usage_delay);
+    settings.usage.tolerance =
+        reader.read_decimal({"duties", "usage_tolerance"}, defaults.usage.tolerance, 1);
+}
+
 } // namespace
 
 gateway_settings load_gateway_settings(settings_reader& reader)
@@ -84,6 +110,7 @@
         static_cast<double>(reader.read_integer(
             {"roles", "least_gain_percent"}, default_role_gain_percent, gain_percent_range)) /
         percent;
+    load_duties(reader, settings);
     return settings;
 }
 
--- a/src/gateway/internal/request_forwarder.cpp
+++ b/src/gateway/internal/request_forwarder.cpp
@@ -658,6 +658,9 @@
         return;
     }
     this->context.servers.record_accepted(this->server->id);
+    if (this->routed.chosen_route->kind != route_kind::streaming) {
+        this->record_began();
+    }
     if (this->state != request_state::responding) {
         this->response_headers = this->context.codec.filter_response_headers(headers);
         return;
@@ -722,6 +725,7 @@
     }
     this->last_event_at = now;
     if (this->state != request_state::responding) {
+        this->record_began();
         this->state = request_state::responding;
         this->time_to_first_event = this->elapsed();
         if (this->grant.prefill_tokens > 0) {
@@ -785,6 +789,15 @@
            (this->events.pending_bytes() > 0 || (has_no_event && !this->is_response_framed));
 }
 
+// Counts the request for the caller's organisation; once, also if it is retried or resumed.
+void request_forwarder::record_began()
+{
+    if (this->context.usage != nullptr && !this->routed.organisation.empty() &&
+        !std::exchange(this->is_counted, true)) {
+        this->context.usage->record_began(this->routed.organisation);
+    }
+}
+
 void request_forwarder::record_completion()
 {
     if (this->response.status >= status_first_failure) {
--- a/src/gateway/internal/request_forwarder.h
+++ b/src/gateway/internal/request_forwarder.h
@@ -2,6 +2,7 @@
 
 #include "admission/caller_timeout_tracker.h"
 #include "answers/sse_event_splitter.h"
+#include "duties/usage_recorder.h"
 #include "gateway/crash_quarantine.h"
 #include "gateway/internal/detachable_response_handler.h"
 #include "gateway/internal/prefill_call.h"
@@ -41,6 +42,7 @@
     caller_timeout_tracker& caller_timeouts;
     byte_budget& response_buffer_budget;
     crash_quarantine& quarantine;
+    usage_recorder* usage = nullptr; // null if nobody asks for the counts
 };
 
 // A request and the route that was found for it.
@@ -139,6 +141,7 @@
     void stop_if_quarantined();
     running_request active_attempt() const;
     response_evidence make_evidence(const response_info& head) const;
+    void record_began();
     void record_completion();
     bool is_stream() const;
     bool is_stream_broken_off() const;
@@ -172,6 +175,7 @@
     execution_state execution = execution_state::unknown; // by the current response
     http_headers response_headers;
     bool is_response_framed = false;
+    bool is_counted = false;     // as a request that began to run
     int streamed_status = 0;     // of the stream that the caller receives
     duration quarantine_left{0}; // when the request was rejected for it
     bounded_text buffered_body;
--- a/src/gateway/mocks/forwarding_fixture.h
+++ b/src/gateway/mocks/forwarding_fixture.h
@@ -87,12 +87,14 @@
                                this->uplink_queue,
                                this->caller_timeouts,
                                this->response_buffer_budget,
-                               this->quarantine},
+                               this->quarantine,
+                               this->usage},
             routed_request{exchange,
                            request,
                            std::make_shared<const route>(this->active_route),
                            "desk",
                            this->is_model,
+                           this->organisation,
                            1,
                            now,
                            now + time_left},
@@ -136,6 +138,8 @@
     route active_route;
     prompt_shape prompt;
     std::vector<std::uint64_t> prompt_parts; // fingerprints
+    std::string organisation;                // of the next caller
+    usage_recorder* usage = nullptr;
     bool is_model = false;
     bool next_caller_has_left = false; // before its request was read
     int finished_requests = 0;
--- a/src/gateway/types/gateway_settings.h
+++ b/src/gateway/types/gateway_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "duties/types/usage_types.h"
 #include "limits/fleet_retry_share.h"
 #include "net/http_server.h"
 #include "settings/settings_reader.h"
@@ -29,6 +30,10 @@
     fleet_retry_bound retry_bound;
     std::chrono::milliseconds role_order_lease{3'000}; // minimum time between role orders of two gateways
     double min_role_gain_ratio = 0.15; // minimum gain of a role change, relative to the service's capacity
+    std::vector<std::string> duties;   // that the platform asks for, by its names
+    std::string duty_address;          // of the platform's calls for duties, ip:port; empty without duties
+    double duty_calls_per_second = 1;
+    usage_windows usage;
 
     friend bool operator==(const gateway_settings&, const gateway_settings&) = default;
 };
--- a/src/logging/types/log_event.h
+++ b/src/logging/types/log_event.h
@@ -81,6 +81,14 @@
     response_judged = 3046,
     retry_share_changed = 3047,
     retry_denied = 3048,
+    duty_taken = 3055,
+    duty_lost = 3056,
+    usage_fixed = 3057,
+    usage_sent = 3058,
+    usage_late = 3059,
+    usage_postponed = 3060,
+    usage_given_up = 3061,
+    time_corrected = 3062,
 
     // 4000: agent
     attempt_refused = 4001,
--- a/src/peers/internal/peer_exchange.cpp
+++ b/src/peers/internal/peer_exchange.cpp
@@ -164,7 +164,7 @@
 
     void send_to(const std::string& peer, message_topic topic, const std::string& message) override
     {
-        const auto found = this->peers.find(peer);
+        const auto found = this->peers.find(gateway_prefix + peer);
         if (found != this->peers.end()) {
             this->send_message(found->second.address, static_cast<char>(topic) + message);
         }
