--- a/src/net/internal/http_client.cpp
+++ b/src/net/internal/http_client.cpp
@@ -4,6 +4,8 @@
 #include "net/internal/http_connection_pool.h"
 #include "net/internal/socket_options.h"
 
+#include <algorithm>
+#include <array>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -95,6 +97,7 @@
         evhttp_connection_set_max_body_size(this->connection, max_body_bytes);
         this->output_callback_entry = evbuffer_add_cb(this->output(), &evhttp_call::on_output_changed, this);
         this->input_callback_entry = evbuffer_add_cb(this->input(), &evhttp_call::on_input_changed, this);
+        this->is_status_line_checked = false;
         this->total_timeout_timer = this->loop.run_after(options.timeout * total_timeout_factor, [this] {
             this->failure_code = result_code::timed_out;
             this->cancel_with_failure();
@@ -202,6 +205,8 @@
     {
         this->is_skipping = false;
         this->head_received = false;
+        this->is_status_line_checked = false;
+        this->check_status_line_at_input_start();
         this->create_native_request();
         if (!this->dispatch_native_request("/")) {
             return;
@@ -270,6 +275,7 @@
     static void on_input_changed(evbuffer* buffer, const evbuffer_cb_info* /*info*/, void* self)
     {
         auto& call = *static_cast<evhttp_call*>(self);
+        call.check_status_line_at_input_start();
         if (call.done || call.unparsed_limit_exceeded || evbuffer_get_length(buffer) <= max_unparsed_bytes) {
             return;
         }
@@ -280,6 +286,23 @@
         });
     }
 
+    // evhttp reads a status with atoi and accepts most of what that returns.
+    void check_status_line_at_input_start()
+    {
+        if (this->done || this->is_status_line_checked) {
+            return;
+        }
+        std::array<char, checked_status_line_bytes> start{};
+        const auto length = evbuffer_copyout(this->input(), start.data(), start.size());
+        const auto state =
+            check_status_line({start.data(), static_cast<std::size_t>(std::max<ev_ssize_t>(length, 0))});
+        if (state == status_line_state::incomplete) {
+            return;
+        }
+        this->is_status_line_checked = true;
+        this->has_invalid_status_line = state == status_line_state::invalid;
+    }
+
     // evhttp takes other interim responses than 100 for the whole response.
     static int on_header(evhttp_request* request, void* self)
     {
@@ -288,9 +311,15 @@
         if (call.done) {
             return -1;
         }
+        if (call.has_invalid_status_line) {
+            call.failure_code = result_code::reply_malformed;
+            return -1;
+        }
         const int status = evhttp_request_get_response_code(request);
         const auto headers = read_headers(request);
         if (status == status_continue) {
+            call.is_status_line_checked = false;
+            call.check_status_line_at_input_start();
             return 0; // evhttp reads on
         }
         call.head_received = true;
@@ -443,6 +472,8 @@
     evbuffer_cb_entry* input_callback_entry = nullptr;
     std::unique_ptr<loop_timer> total_timeout_timer;
     bool unparsed_limit_exceeded = false;
+    bool is_status_line_checked = false; // of the response that is next
+    bool has_invalid_status_line = false;
     bool is_starting = false;
     bool reuse_connection = true;
     bool accept_unframed = false;
--- a/src/net/internal/http_types.cpp
+++ b/src/net/internal/http_types.cpp
@@ -124,6 +124,34 @@
            std::ranges::any_of(headers, [](const auto& header) { return !is_header_name(header.name); });
 }
 
+status_line_state check_status_line(std::string_view start)
+{
+    // `d` stands for a digit, `s` for the first digit of a status, `e` for a space or the end of the line.
+    constexpr std::string_view pattern = "HTTP/1.d sdde";
+    static_assert(pattern.size() == checked_status_line_bytes);
+    const auto is_digit = [](char byte) {
+        return byte >= '0' && byte <= '9';
+    };
+    for (std::size_t index = 0; index < pattern.size(); ++index) {
+        if (index >= start.size()) {
+            return status_line_state::incomplete;
+        }
+        const char byte = start[index];
+        bool is_valid = byte == pattern[index];
+        if (pattern[index] == 'd') {
+            is_valid = is_digit(byte);
+        } else if (pattern[index] == 's') {
+            is_valid = byte >= '1' && byte <= '5';
+        } else if (pattern[index] == 'e') {
+            is_valid = byte == ' ' || byte == '\r' || byte == '\n';
+        }
+        if (!is_valid) {
+            return status_line_state::invalid;
+        }
+    }
+    return status_line_state::valid;
+}
+
 bool is_joined_head(std::string_view reason, const http_headers& headers)
 {
     // A status line that was broken off after its status ends with the status of the next response.
--- a/src/net/mocks/scripted_server.h
+++ b/src/net/mocks/scripted_server.h
@@ -16,7 +16,8 @@
 // What a scripted_server does once it has sent its bytes.
 enum class connection_end { stays_open, closes, resets };
 
-// Sends the same bytes in response to the first bytes of each request. It does not read requests to their end.
+// Sends the same bytes in response to the first bytes of each request. It does not read requests to their
+// end.
 class scripted_server {
 public:
     scripted_server(event_loop& loop, std::string response, connection_end end)
@@ -81,7 +82,8 @@
         auto& server = *static_cast<scripted_server*>(self);
         server.connections[connection] = true;
         if (server.end == connection_end::stays_open) {
-            evbuffer_drain(bufferevent_get_input(connection), evbuffer_get_length(bufferevent_get_input(connection)));
+            evbuffer_drain(bufferevent_get_input(connection),
+                           evbuffer_get_length(bufferevent_get_input(connection)));
         } else {
             bufferevent_disable(connection, EV_READ);
         }
@@ -96,7 +98,8 @@
         }
         if (server.end == connection_end::resets) {
             const linger without_delay{1, 0};
-            setsockopt(bufferevent_getfd(connection), SOL_SOCKET, SO_LINGER, &without_delay, sizeof without_delay);
+            setsockopt(
+                bufferevent_getfd(connection), SOL_SOCKET, SO_LINGER, &without_delay, sizeof without_delay);
         }
         server.connections.erase(connection);
         bufferevent_free(connection);
--- a/src/net/tests/invalid_response_tests.cpp
+++ b/src/net/tests/invalid_response_tests.cpp
@@ -20,7 +20,8 @@
 
 const std::string empty_body = "Content-Length: 0\r\n\r\n";
 
-fetch_outcome fetch_from(event_loop& loop, http_client& client, const scripted_server& server, std::string body)
+fetch_outcome
+fetch_from(event_loop& loop, http_client& client, const scripted_server& server, std::string body)
 {
     std::optional<fetch_outcome> outcome;
     http_call_options options;
@@ -100,7 +101,8 @@
                 });
                 section("in the second response of a connection", [&] {
                     const auto loop = std::move(*event_loop::create());
-                    scripted_server server(*loop, "HTTP/1.1 200 OK\r\n" + empty_body, connection_end::stays_open);
+                    scripted_server server(
+                        *loop, "HTTP/1.1 200 OK\r\n" + empty_body, connection_end::stays_open);
                     const auto client = http_client::create(*loop);
                     assert_status(200, fetch_from(*loop, *client, server, "first"));
                     server.set_response(status_line + "\r\n" + empty_body);
@@ -131,7 +133,8 @@
     {
         const std::string upload(long_upload_bytes, 'u');
         const std::string event = "id: 1\ndata: x\n\n";
-        for (const std::string header : {"", "Connection: close\r\n", "Content-Type: text/event-stream\r\n"}) {
+        for (const std::string header :
+             {"", "Connection: close\r\n", "Content-Type: text/event-stream\r\n"}) {
             const auto head = "HTTP/1.1 200 OK\r\n" + header + "\r\n";
             for (const auto& body : {std::string{}, std::string{"x"}, event, std::string(many_bytes, 'x')}) {
                 section("200 with '" + header + "' and " + std::to_string(body.size()) + " bytes", [&] {
@@ -139,7 +142,8 @@
                 });
             }
             section("200 with '" + header + "' in chunks, without the last one", [&] {
-                const auto chunks = "HTTP/1.1 200 OK\r\n" + header + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n";
+                const auto chunks =
+                    "HTTP/1.1 200 OK\r\n" + header + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n";
                 CPPUNIT_ASSERT(!fetch_response(chunks, connection_end::resets, upload));
                 CPPUNIT_ASSERT(!fetch_response(chunks, connection_end::closes));
             });
--- a/src/net/types/http_types.h
+++ b/src/net/types/http_types.h
@@ -66,6 +66,17 @@
 // read as another message (request smuggling). `method` is empty for a response.
 bool is_framing_ambiguous(std::string_view method, const http_headers& headers);
 
+// What can be said of a response's status line from the bytes that have arrived.
+enum class status_line_state { incomplete, valid, invalid };
+
+// Checks the version and status at the start of a response: HTTP/1.x, one space, three digits from 100 to 599
+// and a space or the end of the line. Everything else is no status of HTTP, whatever a lenient parser reads
+// from it.
+status_line_state check_status_line(std::string_view start);
+
+// The number of bytes at the start of a response on which `check_status_line` depends.
+inline constexpr std::size_t checked_status_line_bytes = 13;
+
 // Returns whether the head of a response holds the status line of another one, as when a peer breaks off a
 // response and goes on with the next: status and headers are then those of two responses. `reason` is the
 // rest of the status line after the status.
