Callers are identified by the organisations of the configuration; keys stay at the gateway

Cause: nothing read the organisations of a configuration, so servers were sent the callers' keys and no organisation, and requests with unknown keys ran.

Change: a directory of key digests is built with each configuration. A caller is identified when its request arrives and again before each attempt; servers are sent the organisation's name instead of the key and of the caller's own claim, on all paths (run, prefill, further attempts, resumed streams). Without organisations in the configuration, credentials go on as before. An organisation's priority goes before the route's.

--- a/src/base/types/result_code.h
+++ b/src/base/types/result_code.h
@@ -72,6 +72,7 @@
     catalogue_invalid = 604,
     history_lost = 605,
     configuration_invalid = 606,
+    configuration_outdated = 607,
 
     // 700: non-idempotent work with an idempotency key
     claim_in_progress = 701,
--- a/src/gateway/gateway_setup.cpp
+++ b/src/gateway/gateway_setup.cpp
@@ -158,6 +158,7 @@
           connector(loop),
           quarantine(this->time, this->metrics, this->connector),
           quarantines(this->time, this->random, this->relay, this->quarantine),
+          callers(*this->platform.caller_codec, this->routes),
           configuration_handler(*this->platform.object_codec, this->routes),
           server_handler(*this->platform.object_codec, this->pool.servers()),
           configuration_watcher(object_watcher::create(loop,
@@ -349,7 +350,8 @@
                 this->link,
                 this->caller_timeouts,
                 this->response_buffer_budget,
-                this->quarantine};
+                this->quarantine,
+                this->callers};
     }
 
     bool is_ready() const
@@ -497,6 +499,7 @@
     probing_connector connector;
     crash_quarantine quarantine;
     quarantine_archive quarantines;
+    caller_identification callers;
     configuration_observer configuration_handler;
     server_observer server_handler;
     std::shared_ptr<object_watcher> configuration_watcher;
--- a/src/gateway/internal/configuration_observer.cpp
+++ b/src/gateway/internal/configuration_observer.cpp
@@ -47,6 +47,12 @@
         }
         return;
     }
+    if (const auto& organisations = this->routes.organisations()) {
+        for (const auto& problem : organisations->problems()) {
+            write_event(log_event::organisation_entry_invalid,
+                        {{"version", std::to_string(version)}, {"detail", problem}});
+        }
+    }
     write_event(log_event::configuration_applied,
                 {{"version", std::to_string(version)},
                  {"before", std::to_string(previous_version)},
--- a/src/gateway/internal/request_forwarder.cpp
+++ b/src/gateway/internal/request_forwarder.cpp
@@ -148,7 +148,11 @@
     slot.service = this->routed.service;
     slot.is_model = this->routed.is_model;
     slot.prompt = this->routed.request.prompt;
+    slot.organisation = this->routed.organisation;
     slot.priority = this->routed.chosen_route->priority;
+    if (this->routed.caller && this->routed.caller->priority) {
+        slot.priority = *this->routed.caller->priority;
+    }
     slot.start_deadline = std::max(latest_start, now);
     slot.first_event_deadline =
         this->routed.received + std::chrono::duration_cast<duration>(first_event_deadline_ratio * objective);
@@ -175,6 +179,31 @@
     return this->context.quarantine.find_quarantine(this->routed.request.traits);
 }
 
+// Identifies the caller again before an attempt, since the configuration may have changed, and returns why it
+// is no longer admitted. A request that may have run goes on: its caller was admitted when it came.
+std::optional<error> request_forwarder::find_refusal()
+{
+    auto caller =
+        this->context.callers.identify(this->routed.exchange->request(), *this->routed.chosen_route);
+    if (caller) {
+        this->routed.caller = std::move(*caller);
+        this->routed.organisation = this->routed.caller ? this->routed.caller->organisation : std::string{};
+        return std::nullopt;
+    }
+    const bool goes_on = this->may_have_executed() && this->routed.caller;
+    return goes_on ? std::nullopt : std::optional{caller.error()};
+}
+
+// Ends a request without an active attempt whose caller is no longer admitted.
+void request_forwarder::end_refused(const error& cause)
+{
+    if (this->may_have_executed()) {
+        this->fail_after_execution(cause);
+        return;
+    }
+    this->reject(cause);
+}
+
 // Ends a quarantined request that has no active attempt.
 void request_forwarder::end_quarantined(const quarantine_verdict& verdict)
 {
@@ -253,6 +282,11 @@
         this->end_quarantined(*verdict);
         return;
     }
+    if (const auto refusal = this->find_refusal()) {
+        this->return_grant();
+        this->end_refused(*refusal);
+        return;
+    }
     // A further prefill is an arrival besides the run, for which the retry has paid. Without a retry for it,
     // the decode engine prefills the prompt.
     if (granted.prefill_engine != nullptr) {
@@ -276,6 +310,9 @@
     if (!attempt.last_event_id) {
         attempt.last_event_id = this->routed.request.last_event_id;
     }
+    if (this->routed.caller) {
+        attempt.organisation = this->routed.caller->organisation;
+    }
     if (this->routed.is_model) {
         attempt.engine_priority =
             this->routed.request.prompt.has_long_output() ? long_output_priority : long_prompt_priority;
@@ -399,6 +436,11 @@
         this->end_quarantined(*verdict);
         return;
     }
+    if (const auto refusal = this->find_refusal()) {
+        this->context.scheduler.release_slot(this->requested_slot, this->server->id);
+        this->end_refused(*refusal);
+        return;
+    }
     const auto listed = this->context.servers.servers().find(this->server->id);
     if (listed != nullptr && listed->role == this->server->role) {
         this->send(this->unclaimed_kv_cache);
--- a/src/gateway/internal/request_forwarder.h
+++ b/src/gateway/internal/request_forwarder.h
@@ -3,6 +3,7 @@
 #include "admission/caller_timeout_tracker.h"
 #include "answers/sse_event_splitter.h"
 #include "gateway/crash_quarantine.h"
+#include "gateway/internal/caller_identification.h"
 #include "gateway/internal/detachable_response_handler.h"
 #include "gateway/internal/prefill_call.h"
 #include "gateway/internal/request_log.h"
@@ -41,6 +42,7 @@
     caller_timeout_tracker& caller_timeouts;
     byte_budget& response_buffer_budget;
     crash_quarantine& quarantine;
+    const caller_identification& callers;
 };
 
 // A request and the route that was found for it.
@@ -54,6 +56,7 @@
     std::uint64_t configuration_version = 0;
     time_point received;
     time_point deadline; // after the caller's or the route's timeout, whichever is shorter
+    std::optional<caller_identity> caller{}; // absent where the configuration has no organisations
 };
 
 // Forwards one request to backend servers, with retries, until the caller has its response. Keeps itself
@@ -135,6 +138,8 @@
     void finish(std::string_view outcome, int status);
     bool may_have_executed() const;
     std::optional<quarantine_verdict> find_quarantine() const;
+    std::optional<error> find_refusal();
+    void end_refused(const error& cause);
     void end_quarantined(const quarantine_verdict& verdict);
     void stop_if_quarantined();
     running_request active_attempt() const;
--- a/src/gateway/internal/request_handler.cpp
+++ b/src/gateway/internal/request_handler.cpp
@@ -45,7 +45,17 @@
         this->reject(*exchange, *request, *rejection_reason);
         return;
     }
-    this->forward(exchange, *request, route);
+    auto caller = this->context.callers.identify(exchange->request(), *route);
+    if (!caller) {
+        this->reject(*exchange,
+                     *request,
+                     {caller.error(),
+                      caller.error().code == result_code::configuration_outdated
+                          ? unready_retry_after
+                          : std::chrono::milliseconds{0}});
+        return;
+    }
+    this->forward(exchange, *request, route, std::move(*caller));
 }
 
 std::optional<request_handler::rejection> request_handler::check(const caller_request& request,
@@ -93,7 +103,8 @@
 
 void request_handler::forward(const std::shared_ptr<http_exchange>& exchange,
                               const caller_request& request,
-                              const std::shared_ptr<const route>& chosen_route)
+                              const std::shared_ptr<const route>& chosen_route,
+                              std::optional<caller_identity> caller)
 {
     const auto& service = choose_service(*chosen_route, hash64(request.id));
     const auto* const service_entry = this->routes.find_service(service);
@@ -101,17 +112,19 @@
     const auto deadline = received + timeout_of(*chosen_route, request);
     const bool is_model = service_entry != nullptr && service_entry->is_model;
     ++this->open_request_count;
-    const auto forwarder = std::make_shared<request_forwarder>(this->context,
-                                                               routed_request{exchange,
-                                                                              request,
-                                                                              chosen_route,
-                                                                              service,
-                                                                              is_model,
-                                                                              {},
-                                                                              this->routes.version(),
-                                                                              received,
-                                                                              deadline},
-                                                               [this] { --this->open_request_count; });
+    const auto forwarder =
+        std::make_shared<request_forwarder>(this->context,
+                                            routed_request{exchange,
+                                                           request,
+                                                           chosen_route,
+                                                           service,
+                                                           is_model,
+                                                           caller ? caller->organisation : std::string{},
+                                                           this->routes.version(),
+                                                           received,
+                                                           deadline,
+                                                           caller},
+                                            [this] { --this->open_request_count; });
     forwarder->start();
 }
 
--- a/src/gateway/internal/request_handler.h
+++ b/src/gateway/internal/request_handler.h
@@ -40,7 +40,8 @@
     void reject(http_exchange& exchange, const caller_request& request, const rejection& rejection_reason);
     void forward(const std::shared_ptr<http_exchange>& exchange,
                  const caller_request& request,
-                 const std::shared_ptr<const route>& chosen_route);
+                 const std::shared_ptr<const route>& chosen_route,
+                 std::optional<caller_identity> caller);
 
     forwarding_context context;
     const route_directory& routes;
--- a/src/gateway/mocks/fake_request_codec.h
+++ b/src/gateway/mocks/fake_request_codec.h
@@ -4,8 +4,9 @@
 
 namespace tanager {
 
-// Encodes and decodes with short headers of its own: `id` in requests and responses; `server`, `time-left`,
-// `resume`, `prefill-only`, `prefix-from` and `cache` in attempts; `signed` and `not-run` in responses.
+// Encodes and decodes with short headers of its own: `id` in requests and responses, `key` in requests;
+// `server`, `organisation`, `time-left`, `resume`, `prefill-only`, `prefix-from` and `cache` in attempts;
+// `signed` and `not-run` in responses.
 class fake_request_codec final : public request_codec {
 public:
     result<caller_request> decode_request(const http_request& request) const override
@@ -16,10 +17,18 @@
         return decoded;
     }
 
+    std::string decode_key(const http_request& request) const override
+    {
+        return find_header(request.headers, "key");
+    }
+
     http_request encode_attempt(const http_request& request, const attempt_options& options) const override
     {
         http_request sent = request;
         sent.headers.push_back({"server", options.server_id});
+        if (options.organisation) {
+            sent.headers.push_back({"organisation", *options.organisation});
+        }
         sent.headers.push_back({"time-left", std::to_string(options.time_left.count())});
         if (options.last_event_id) {
             sent.headers.push_back({"resume", std::to_string(*options.last_event_id)});
--- a/src/gateway/mocks/forwarding_fixture.h
+++ b/src/gateway/mocks/forwarding_fixture.h
@@ -66,7 +66,11 @@
                                         std::optional<std::chrono::milliseconds> caller_timeout = {},
                                         const std::string& id = "r1")
     {
-        auto exchange = std::make_shared<fake_exchange>(http_request{"POST", "/x", {{"id", id}}, "body"});
+        http_request received{"POST", "/x", {{"id", id}}, "body"};
+        if (!this->key.empty()) {
+            received.headers.push_back({"key", this->key});
+        }
+        auto exchange = std::make_shared<fake_exchange>(std::move(received));
         exchange->caller_left = this->next_caller_has_left;
         caller_request request;
         request.id = id;
@@ -87,12 +91,14 @@
                                this->uplink_queue,
                                this->caller_timeouts,
                                this->response_buffer_budget,
-                               this->quarantine},
+                               this->quarantine,
+                               this->callers},
             routed_request{exchange,
                            request,
                            std::make_shared<const route>(this->active_route),
                            "desk",
                            this->is_model,
+                           {},
                            1,
                            now,
                            now + time_left},
@@ -132,10 +138,13 @@
     request_scheduler scheduler{time, random, pool, uplink_queue, demand};
     fake_server_connector connector;
     crash_quarantine quarantine{time, metrics, connector};
+    route_directory routes;
+    caller_identification callers{codec, routes};
     retry_budget retries{retry_budget_ratio, retry_reserve};
     route active_route;
     prompt_shape prompt;
     std::vector<std::uint64_t> prompt_parts; // fingerprints
+    std::string key;                         // of the next caller; it has none if empty
     bool is_model = false;
     bool next_caller_has_left = false; // before its request was read
     int finished_requests = 0;
--- a/src/gateway/request_codec.h
+++ b/src/gateway/request_codec.h
@@ -20,6 +20,9 @@
     // Fails with request_malformed or framing_ambiguous.
     virtual result<caller_request> decode_request(const http_request& request) const = 0;
 
+    // Returns the key by which the caller's organisation is found; empty without one, or with several.
+    virtual std::string decode_key(const http_request& request) const = 0;
+
     // Returns the request to send to a server: the caller's request without hop-by-hop headers and without
     // headers that only the system may set, plus `options`.
     virtual http_request encode_attempt(const http_request& request,
--- a/src/gateway/types/caller_request.h
+++ b/src/gateway/types/caller_request.h
@@ -39,8 +39,11 @@
     std::chrono::milliseconds time_left{0};
     std::optional<std::uint64_t> last_event_id;
     std::optional<std::uint32_t> engine_priority; // 0 is admitted first; model engines only
-    bool prefill_only = false;                   // the server only prefills the prompt and keeps the KV cache
-    std::optional<kv_cache_handle> kv_cache;     // the KV cache to decode from
+    bool prefill_only = false;               // the server only prefills the prompt and keeps the KV cache
+    std::optional<kv_cache_handle> kv_cache; // the KV cache to decode from
+    // The name of the caller's organisation, or empty, to be sent instead of the caller's key and of its own
+    // claim. Absent where the configuration has no organisations.
+    std::optional<std::string> organisation;
     std::optional<socket_address> prefix_source; // server to fetch the KV cache of the prompt's prefix from
 
     friend bool operator==(const attempt_options&, const attempt_options&) = default;
--- a/src/routes/internal/route_directory.cpp
+++ b/src/routes/internal/route_directory.cpp
@@ -34,9 +34,16 @@
         std::string name = row.name;
         this->services.insert_or_assign(std::move(name), std::move(row));
     }
+    this->current_organisations =
+        table.organisations ? organisation_directory::create(std::move(*table.organisations)) : nullptr;
     return true;
 }
 
+const std::shared_ptr<const organisation_directory>& route_directory::organisations() const
+{
+    return this->current_organisations;
+}
+
 bool route_directory::has_configuration() const
 {
     return this->is_configured;
--- a/src/routes/route_directory.h
+++ b/src/routes/route_directory.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/types/result.h"
+#include "organisations/organisation_directory.h"
 #include "routes/types/route_table.h"
 
 #include <map>
@@ -30,6 +31,9 @@
     // Returns the names of the routes in force.
     std::set<std::string> route_names() const;
 
+    // Returns null where the configuration has no organisations, so that callers need no key.
+    const std::shared_ptr<const organisation_directory>& organisations() const;
+
     // Returns null when the configuration has no such service.
     const service_config* find_service(const std::string& name) const;
 
@@ -40,6 +44,7 @@
     bool is_configured = false;
     std::map<std::string, prefix_map, std::less<>> routes_by_host;
     std::map<std::string, service_config> services;
+    std::shared_ptr<const organisation_directory> current_organisations;
 };
 
 // Chooses one of a route's services by weight; `draw` is a uniformly distributed hash of the request. The
--- a/src/routes/types/route_table.h
+++ b/src/routes/types/route_table.h
@@ -1,8 +1,11 @@
 // The configuration in force: which requests go to which service, and how they may be handled.
 #pragma once
 
+#include "organisations/types/organisation.h"
+
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -35,6 +38,7 @@
     std::uint32_t priority = 0;                     // 0 is the most urgent
     std::uint32_t max_attempts = 1;
     std::vector<weighted_service> services;
+    bool is_public = false; // callers need no key, where the configuration has organisations
 
     // Returns whether a request may be retried although an earlier attempt may have run.
     bool is_repeatable() const
@@ -57,6 +61,7 @@
     std::uint64_t version = 0;
     std::vector<route> routes;
     std::vector<service_config> services;
+    std::optional<organisation_list> organisations{}; // absent where callers need no key
 
     friend bool operator==(const route_table&, const route_table&) = default;
 };
