--- a/src/gateway/tests/usage_count_tests.cpp
+++ b/src/gateway/tests/usage_count_tests.cpp
@@ -30,7 +30,7 @@
     {
         this->active_route.kind = kind;
         this->active_route.is_resumable = true;
-        this->organisation = "bank";
+        this->caller_organisation = "bank";
         this->usage = &this->recorder;
     }
 
@@ -106,7 +106,7 @@
         });
         section("a request without an organisation does not count", [] {
             usage_fixture gateway(route_kind::idempotent);
-            gateway.organisation.clear();
+            gateway.caller_organisation.clear();
             gateway.send();
             gateway.call(0).respond(200, valid_response_headers, "");
             CPPUNIT_ASSERT(gateway.recorder.began.empty());
