--- a/src/gateway/mocks/forwarding_fixture.h
+++ b/src/gateway/mocks/forwarding_fixture.h
@@ -99,7 +99,7 @@
                            std::make_shared<const route>(this->active_route),
                            "desk",
                            this->is_model,
-                           this->caller_organisation,
+                           {},
                            1,
                            now,
                            now + time_left},
@@ -146,7 +146,6 @@
     prompt_shape prompt;
     std::vector<std::uint64_t> prompt_parts; // fingerprints
     std::string key;                         // of the next caller; it has none if empty
-    std::string caller_organisation;         // of the next caller
     usage_recorder* usage = nullptr;
     bool is_model = false;
     bool next_caller_has_left = false; // before its request was read
--- a/src/gateway/tests/usage_count_tests.cpp
+++ b/src/gateway/tests/usage_count_tests.cpp
@@ -30,7 +30,11 @@
     {
         this->active_route.kind = kind;
         this->active_route.is_resumable = true;
-        this->caller_organisation = "bank";
+        this->key = "k1";
+        route_table table;
+        table.version = 1;
+        table.organisations = organisation_list{{{"bank", 1, {digest_of_key("k1")}}}, {}};
+        CPPUNIT_ASSERT(this->routes.apply(std::move(table)));
         this->usage = &this->recorder;
     }
 
@@ -106,7 +110,8 @@
         });
         section("a request without an organisation does not count", [] {
             usage_fixture gateway(route_kind::idempotent);
-            gateway.caller_organisation.clear();
+            gateway.active_route.is_public = true;
+            gateway.key.clear();
             gateway.send();
             gateway.call(0).respond(200, valid_response_headers, "");
             CPPUNIT_ASSERT(gateway.recorder.began.empty());
