--- a/src/duties/internal/usage_reporter.cpp
+++ b/src/duties/internal/usage_reporter.cpp
@@ -16,9 +16,11 @@
 constexpr std::chrono::milliseconds min_announcement_interval{500};
 // With more peers, the intervals grow in proportion, which bounds the bytes that the holder sends.
 constexpr std::size_t max_peers_at_full_rate = 50;
-// Part of the time until a report is due that is left for late counts. The rest is for a change of the
-// holder: until it is noticed, and its lease.
-constexpr int settling_delay_divisor = 5;
+// The last counts of a window are sent up to an interval after its end, and once more if they are lost. The
+// rest of the time until the report is due is for a change of the holder, and for a store that is away.
+constexpr int settling_intervals = 2;
+constexpr std::chrono::milliseconds settling_transit{200};
+constexpr int max_settling_divisor = 2;
 // Windows that are kept while the store or the platform is away; a minute with windows of five seconds.
 constexpr window_number max_open_windows = 12;
 // A call takes up to twice its timeout, and has to end before the lease does.
@@ -126,7 +128,8 @@
         this->owner->check(peers);
         this->update_receivers(peers);
         const auto now = this->time.now();
-        if (now - this->counts_sent_at >= this->scaled(min_counts_interval, peers.size())) {
+        this->counts_interval = this->scaled(min_counts_interval, peers.size());
+        if (now - this->counts_sent_at >= this->counts_interval) {
             this->counts_sent_at = now;
             this->send_counts();
         }
@@ -233,8 +236,12 @@
     usage_state with_ended_windows()
     {
         usage_state next = this->fixed;
-        const auto settling_delay = this->settings.windows.max_delay / settling_delay_divisor;
-        const auto end = window_of(this->settings.windows, this->truth.now() - settling_delay);
+        const auto settling_delay =
+            std::min<duration>(settling_intervals * this->counts_interval + settling_transit,
+                               this->settings.windows.max_delay / max_settling_divisor);
+        const auto end = window_of(this->settings.windows,
+                                   this->truth.now() -
+                                       std::chrono::duration_cast<wall_time_point::duration>(settling_delay));
         auto first = next.fixed_through + 1;
         if (next.fixed_through == 0) {
             first = std::min(this->first_window, this->ledger.first_window().value_or(this->first_window));
@@ -403,6 +410,7 @@
     window_number first_window = 0;
     window_number known_fixed_through = 0;
     time_point counts_sent_at;
+    duration counts_interval{min_counts_interval};
     time_point announced_at;
     time_point retry_at;
     bool is_call_in_flight = false;
