Keys that have been taken away lose effect in time, also where a gateway cannot learn of it

Cause: a gateway went on admitting keys by the configuration it knew, however long ago the store had confirmed that as the newest; in a cut or an outage, keys that had been taken away went on working.

Change: the relay knows as of which time the store, when it was asked by this gateway or by a peer, had nothing newer than what the watcher was given; late answers and relayed confirmations count from the question, and messages that piled up during a standstill from the last time that none was waiting. Where the settings ask for it, requests with keys are rejected as not run once that is too old, at arrival and before each attempt, and the configuration is confirmed more often. 401 is only sent by a configuration that is young enough. Requests are counted by organisation and route, and their log lines name it. Load reports carry the time of asking (codec version 7).

--- a/src/gateway/gateway_setup.cpp
+++ b/src/gateway/gateway_setup.cpp
@@ -105,6 +105,12 @@
     const peer_exchange* exchange = nullptr;
 };
 
+std::chrono::milliseconds configuration_wait(const gateway_settings& settings)
+{
+    return settings.callers.fail_closed ? std::min(watch_wait, caller_gate(settings.callers).max_watch_wait())
+                                        : watch_wait;
+}
+
 class probing_connector final : public server_connector {
 public:
     explicit probing_connector(event_loop& loop) : loop(loop) {}
@@ -158,7 +164,11 @@
           connector(loop),
           quarantine(this->time, this->metrics, this->connector),
           quarantines(this->time, this->random, this->relay, this->quarantine),
-          callers(*this->platform.caller_codec, this->routes),
+          callers(this->relay_time,
+                  *this->platform.caller_codec,
+                  this->routes,
+                  settings.callers,
+                  [this] { return this->configuration_current_at(); }),
           configuration_handler(*this->platform.object_codec, this->routes),
           server_handler(*this->platform.object_codec, this->pool.servers()),
           configuration_watcher(object_watcher::create(loop,
@@ -166,7 +176,7 @@
                                                        this->random,
                                                        this->platform.object_codec->configuration_prefix(),
                                                        this->configuration_handler,
-                                                       {watch_batch_window, watch_wait})),
+                                                       {watch_batch_window, configuration_wait(settings)})),
           server_watcher(object_watcher::create(loop,
                                                 this->relay,
                                                 this->random,
@@ -351,7 +361,15 @@
                 this->caller_timeouts,
                 this->response_buffer_budget,
                 this->quarantine,
-                this->callers};
+                this->callers,
+                this->organisations};
+    }
+
+    std::optional<time_point> configuration_current_at() const
+    {
+        return this->configuration_handler.is_newest_in_force()
+                   ? this->relay.current_as_of(this->platform.object_codec->configuration_prefix())
+                   : std::nullopt;
     }
 
     bool is_ready() const
@@ -392,6 +410,7 @@
         this->update_retry_share(time_between_runs);
         this->quarantine.check();
         this->quarantines.check();
+        this->callers.check();
         for (const auto& id : this->pool.servers().expire()) {
             write_event(log_event::server_unlisted,
                         {{"server", id}, {"detail", "not back after the store returned"}});
@@ -438,6 +457,10 @@
         this->metrics.set_gauge("tanager_peers_heard",
                                 static_cast<double>(this->peers->known_loads().live_peer_count()));
         this->metrics.set_gauge("tanager_store_watcher", this->peers->is_elected_watcher() ? 1 : 0);
+        if (const auto age = this->callers.configuration_age()) {
+            this->metrics.set_gauge("tanager_configuration_age_seconds",
+                                    std::chrono::duration<double>(*age).count());
+        }
         this->metrics.set_gauge("tanager_configuration_version", static_cast<double>(this->routes.version()));
         const auto& quarantined = this->quarantine.quarantined();
         const auto contents = std::ranges::count_if(quarantined, &request_trait::is_content);
@@ -500,6 +523,7 @@
     crash_quarantine quarantine;
     quarantine_archive quarantines;
     caller_identification callers;
+    organisation_metrics organisations{this->metrics};
     configuration_observer configuration_handler;
     server_observer server_handler;
     std::shared_ptr<object_watcher> configuration_watcher;
--- a/src/gateway/internal/configuration_observer.cpp
+++ b/src/gateway/internal/configuration_observer.cpp
@@ -30,6 +30,7 @@
 void configuration_observer::apply(const stored_object& object)
 {
     auto table = this->codec.decode_configuration(object);
+    this->is_newest_rejected = !table;
     if (!table) {
         write_event(log_event::configuration_rejected,
                     {{"revision", std::to_string(object.version)}, {"detail", table.error().detail}});
@@ -60,6 +61,11 @@
                  {"routes", std::to_string(size)}});
 }
 
+bool configuration_observer::is_newest_in_force() const
+{
+    return !this->is_newest_rejected;
+}
+
 void configuration_observer::on_store_unavailable(const error& /*cause*/) {}
 
 void configuration_observer::on_store_recovered() {}
--- a/src/gateway/internal/configuration_observer.h
+++ b/src/gateway/internal/configuration_observer.h
@@ -16,12 +16,16 @@
     void on_store_unavailable(const error& cause) override;
     void on_store_recovered() override;
 
+    // Returns whether the newest configuration that the store has passed on is in force.
+    bool is_newest_in_force() const;
+
 private:
     void apply(const stored_object& object);
 
     const store_codec& codec;
     route_directory& routes;
     std::uint64_t revision = 0;
+    bool is_newest_rejected = false;
 };
 
 } // namespace tanager
--- a/src/gateway/internal/gateway_settings.cpp
+++ b/src/gateway/internal/gateway_settings.cpp
@@ -11,6 +11,7 @@
 constexpr integer_range body_bytes_range{1'024, 64LL * 1024 * 1024};
 constexpr integer_range idle_seconds_range{1, 3'600};
 constexpr integer_range grace_milliseconds_range{0, 600'000};
+constexpr integer_range revocation_milliseconds_range{100, 3'600'000};
 constexpr integer_range open_requests_range{1, 1'000'000};
 constexpr integer_range percent_range{0, 100};
 constexpr std::int64_t default_retry_percent = 20;
@@ -78,6 +79,10 @@
                                                      static_cast<double>(defaults.memory_megabytes),
                                                      max_memory_megabytes));
     load_retry_bound(reader, settings.retry_bound);
+    settings.callers.fail_closed =
+        reader.read_flag({"organisations", "fail_closed"}, defaults.callers.fail_closed);
+    settings.callers.revocation = reader.read_milliseconds(
+        {"organisations", "revocation_ms"}, defaults.callers.revocation, revocation_milliseconds_range);
     settings.role_order_lease = reader.read_milliseconds(
         {"roles", "order_lease_ms"}, defaults.role_order_lease, grace_milliseconds_range);
     settings.min_role_gain_ratio =
--- a/src/gateway/internal/request_forwarder.cpp
+++ b/src/gateway/internal/request_forwarder.cpp
@@ -183,8 +183,8 @@
 // is no longer admitted. A request that may have run goes on: its caller was admitted when it came.
 std::optional<error> request_forwarder::find_refusal()
 {
-    auto caller =
-        this->context.callers.identify(this->routed.exchange->request(), *this->routed.chosen_route);
+    auto caller = this->context.callers.identify(
+        this->routed.exchange->request(), *this->routed.chosen_route, this->routed.identified);
     if (caller) {
         this->routed.caller = std::move(*caller);
         this->routed.organisation = this->routed.caller ? this->routed.caller->organisation : std::string{};
@@ -971,7 +971,8 @@
                                  ? std::chrono::ceil<std::chrono::milliseconds>(this->quarantine_left)
                                  : this->context.scheduler.suggest_retry_after(this->routed.service);
     this->log.write_rejection(cause,
-                              {this->routed.configuration_version,
+                              {this->routed.organisation,
+                               this->routed.configuration_version,
                                this->context.scheduler.slot_usage_of(this->routed.service),
                                this->routed.request.caller_timeout.value_or(std::chrono::milliseconds{0}),
                                this->denial_reason,
@@ -1089,6 +1090,22 @@
     this->finish("abandoned", 0);
 }
 
+void request_forwarder::record_organisation(std::string_view outcome, int status)
+{
+    if (!this->routed.caller) {
+        return;
+    }
+    auto counted = request_result::failed;
+    if (outcome == "complete" && status < status_first_failure) {
+        counted = request_result::served;
+    } else if (outcome == "not-run") {
+        counted = request_result::refused;
+    } else if (outcome == "abandoned") {
+        counted = request_result::left;
+    }
+    this->context.organisations.record(this->routed.organisation, this->routed.chosen_route->name, counted);
+}
+
 void request_forwarder::finish(std::string_view outcome, int status)
 {
     if (this->state == request_state::finished) {
@@ -1105,8 +1122,10 @@
         "tanager_request_seconds", {this->routed.service, this->routed.chosen_route->name}, this->elapsed());
     this->context.metrics.increment_counter("tanager_requests_finished_total",
                                             "outcome=\"" + std::string{outcome} + "\"");
+    this->record_organisation(outcome, status);
     this->log.write_end(
         {this->routed.chosen_route->name,
+         this->routed.organisation,
          this->routed.configuration_version,
          std::string{outcome},
          status,
--- a/src/gateway/internal/request_forwarder.h
+++ b/src/gateway/internal/request_forwarder.h
@@ -16,6 +16,7 @@
 #include "metrics/metrics_registry.h"
 #include "net/http_client.h"
 #include "net/http_exchange.h"
+#include "organisations/organisation_metrics.h"
 #include "roles/demand_meter.h"
 #include "routes/types/route_table.h"
 #include "uplink/uplink.h"
@@ -43,6 +44,7 @@
     byte_budget& response_buffer_budget;
     crash_quarantine& quarantine;
     const caller_identification& callers;
+    organisation_metrics& organisations;
 };
 
 // A request and the route that was found for it.
@@ -55,7 +57,8 @@
     std::string organisation; // that the caller belongs to; empty if the request needs none
     std::uint64_t configuration_version = 0;
     time_point received;
-    time_point deadline; // after the caller's or the route's timeout, whichever is shorter
+    time_point deadline;     // after the caller's or the route's timeout, whichever is shorter
+    time_point identified{}; // when the caller was, by the clock of the caller identification
     std::optional<caller_identity> caller{}; // absent where the configuration has no organisations
 };
 
@@ -136,6 +139,7 @@
     void reject(const error& cause);
     void fail_with_unknown_outcome(const error& cause);
     void finish(std::string_view outcome, int status);
+    void record_organisation(std::string_view outcome, int status);
     bool may_have_executed() const;
     std::optional<quarantine_verdict> find_quarantine() const;
     std::optional<error> find_refusal();
--- a/src/gateway/internal/request_handler.cpp
+++ b/src/gateway/internal/request_handler.cpp
@@ -45,7 +45,8 @@
         this->reject(*exchange, *request, *rejection_reason);
         return;
     }
-    auto caller = this->context.callers.identify(exchange->request(), *route);
+    const auto received = this->context.callers.now();
+    auto caller = this->context.callers.identify(exchange->request(), *route, received);
     if (!caller) {
         this->reject(*exchange,
                      *request,
@@ -55,7 +56,7 @@
                           : std::chrono::milliseconds{0}});
         return;
     }
-    this->forward(exchange, *request, route, std::move(*caller));
+    this->forward(exchange, *request, route, received, std::move(*caller));
 }
 
 std::optional<request_handler::rejection> request_handler::check(const caller_request& request,
@@ -104,6 +105,7 @@
 void request_handler::forward(const std::shared_ptr<http_exchange>& exchange,
                               const caller_request& request,
                               const std::shared_ptr<const route>& chosen_route,
+                              time_point identified,
                               std::optional<caller_identity> caller)
 {
     const auto& service = choose_service(*chosen_route, hash64(request.id));
@@ -123,6 +125,7 @@
                                                            this->routes.version(),
                                                            received,
                                                            deadline,
+                                                           identified,
                                                            caller},
                                             [this] { --this->open_request_count; });
     forwarder->start();
--- a/src/gateway/internal/request_handler.h
+++ b/src/gateway/internal/request_handler.h
@@ -41,6 +41,7 @@
     void forward(const std::shared_ptr<http_exchange>& exchange,
                  const caller_request& request,
                  const std::shared_ptr<const route>& chosen_route,
+                 time_point identified,
                  std::optional<caller_identity> caller);
 
     forwarding_context context;
--- a/src/gateway/internal/request_log.cpp
+++ b/src/gateway/internal/request_log.cpp
@@ -14,6 +14,11 @@
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
 }
 
+std::string or_dash(const std::string& name)
+{
+    return name.empty() ? "-" : name;
+}
+
 std::string name_of_source(const slot_grant& grant)
 {
     return grant.prefix_source == nullptr ? "-" : grant.prefix_source->id;
@@ -147,6 +152,7 @@
     write_event(log_event::request_rejected,
                 {{"request", this->request_id},
                  {"content", this->content},
+                 {"organisation", or_dash(details.organisation)},
                  {"cause", cause.detail},
                  {"configuration", std::to_string(details.configuration_version)},
                  {"lacking", name_of_lacking(details.denial_reason)},
@@ -174,6 +180,7 @@
                 {{"request", this->request_id},
                  {"content", this->content},
                  {"route", summary.route},
+                 {"organisation", or_dash(summary.organisation)},
                  {"configuration", std::to_string(summary.configuration_version)},
                  {"server", this->server},
                  {"outcome", summary.outcome},
--- a/src/gateway/internal/request_log.h
+++ b/src/gateway/internal/request_log.h
@@ -17,6 +17,7 @@
 
 // The inputs of the decision to reject a request, and the retry delay sent to the caller.
 struct rejection_details {
+    std::string organisation;
     std::uint64_t configuration_version = 0;
     slot_usage slots;
     std::chrono::milliseconds caller_timeout{0};  // from the request; 0 if it has none
@@ -29,6 +30,7 @@
 // The outcome and the measurements of a finished request.
 struct request_summary {
     std::string route;
+    std::string organisation; // empty if the caller has none
     std::uint64_t configuration_version = 0;
     std::string outcome;
     int status = 0;
--- a/src/gateway/mocks/forwarding_fixture.h
+++ b/src/gateway/mocks/forwarding_fixture.h
@@ -78,6 +78,8 @@
         request.prompt = this->prompt;
         request.caller_timeout = caller_timeout;
         const auto now = this->time.now();
+        const auto caller =
+            this->callers.identify(exchange->request(), this->active_route, now).value_or(std::nullopt);
         const auto forwarder = std::make_shared<request_forwarder>(
             forwarding_context{this->loop_ref(),
                                this->time,
@@ -92,16 +94,19 @@
                                this->caller_timeouts,
                                this->response_buffer_budget,
                                this->quarantine,
-                               this->callers},
+                               this->callers,
+                               this->organisations},
             routed_request{exchange,
                            request,
                            std::make_shared<const route>(this->active_route),
                            "desk",
                            this->is_model,
-                           {},
+                           caller ? caller->organisation : std::string{},
                            1,
                            now,
-                           now + time_left},
+                           now + time_left,
+                           now,
+                           caller},
             [this] { ++this->finished_requests; });
         forwarder->start();
         return exchange;
@@ -139,7 +144,12 @@
     fake_server_connector connector;
     crash_quarantine quarantine{time, metrics, connector};
     route_directory routes;
-    caller_identification callers{codec, routes};
+    std::optional<time_point> configuration_current_at = time.now();
+    caller_gate_settings gate_settings{true, std::chrono::seconds{5}};
+    caller_identification callers{time, codec, routes, gate_settings, [this] {
+                                      return this->configuration_current_at;
+                                  }};
+    organisation_metrics organisations{metrics};
     retry_budget retries{retry_budget_ratio, retry_reserve};
     route active_route;
     prompt_shape prompt;
--- a/src/gateway/tests/caller_identity_tests.cpp
+++ b/src/gateway/tests/caller_identity_tests.cpp
@@ -76,6 +76,8 @@
     CPPUNIT_TEST_SUITE(caller_identity_tests);
     CPPUNIT_TEST(names_the_organisation_on_every_path);
     CPPUNIT_TEST(checks_keys_again_before_an_attempt);
+    CPPUNIT_TEST(holds_back_requests_while_keys_are_uncertain);
+    CPPUNIT_TEST(counts_the_requests_of_organisations);
     CPPUNIT_TEST(leaves_requests_alone_without_organisations);
     CPPUNIT_TEST_SUITE_END();
 
@@ -171,6 +173,56 @@
         });
     }
 
+    void counts_the_requests_of_organisations()
+    {
+        section("requests of an organisation are served, refused and failed", [] {
+            organisation_fixture fixture;
+            const auto count = [&](const std::string& outcome) {
+                return fixture.metrics.counter_value("tanager_organisation_requests_total",
+                                                     R"(organisation="bank",route="orders",outcome=")" +
+                                                         outcome + "\"");
+            };
+            fixture.send();
+            fixture.call(0).respond(200, {{"id", "r1"}, {"signed", "1"}}, "text");
+            fixture.send();
+            fixture.call(1).fail(call_progress::maybe_sent);
+            fixture.remove_server("a");
+            fixture.remove_server("b");
+            fixture.send();
+            for (const auto* const outcome : {"served", "failed", "refused"}) {
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(outcome, std::uint64_t{1}, count(outcome));
+            }
+        });
+    }
+
+    void holds_back_requests_while_keys_are_uncertain()
+    {
+        section("a request waits while the configuration grows too old", [] {
+            organisation_fixture fixture;
+            fixture.configuration_current_at = fixture.time.now() - 4'500ms;
+            const auto waiting = fixture.send_to_wait();
+            const auto call_count = fixture.client.calls.size();
+            fixture.time.advance(1s);
+            fixture.release_slot();
+            section("it was received while that was young, so it runs", [&] {
+                CPPUNIT_ASSERT_EQUAL(call_count + 1, fixture.client.calls.size());
+                CPPUNIT_ASSERT(!waiting->is_finished);
+            });
+        });
+        section("a request waits, and the gateway learns that its configuration is not the newest", [] {
+            organisation_fixture fixture;
+            const auto waiting = fixture.send_to_wait();
+            const auto call_count = fixture.client.calls.size();
+            fixture.configuration_current_at.reset();
+            fixture.release_slot();
+            section("it is rejected as not run", [&] {
+                CPPUNIT_ASSERT_EQUAL(call_count, fixture.client.calls.size());
+                CPPUNIT_ASSERT_EQUAL(503, waiting->sent_response.status);
+                CPPUNIT_ASSERT_EQUAL(std::string{"configuration_outdated"}, waiting->sent_response.body);
+            });
+        });
+    }
+
     void leaves_requests_alone_without_organisations()
     {
         section("a configuration has no organisations: nothing is said of them", [] {
--- a/src/gateway/types/gateway_settings.h
+++ b/src/gateway/types/gateway_settings.h
@@ -2,6 +2,7 @@
 
 #include "limits/fleet_retry_share.h"
 #include "net/http_server.h"
+#include "organisations/caller_gate.h"
 #include "settings/settings_reader.h"
 
 #include <chrono>
@@ -27,6 +28,7 @@
     std::size_t max_open_requests = 2'000;
     std::size_t memory_megabytes = 256; // that the process may use
     fleet_retry_bound retry_bound;
+    caller_gate_settings callers;
     std::chrono::milliseconds role_order_lease{3'000}; // minimum time between role orders of two gateways
     double min_role_gain_ratio = 0.15; // minimum gain of a role change, relative to the service's capacity
 
--- a/src/logging/internal/log_event.cpp
+++ b/src/logging/internal/log_event.cpp
@@ -91,6 +91,8 @@
     event_row{log_event::retry_share_changed, "retry_share_changed", log_level::info},
     event_row{log_event::retry_denied, "retry_denied", log_level::info},
     event_row{log_event::organisation_entry_invalid, "organisation_entry_invalid", log_level::warning},
+    event_row{log_event::keys_uncertain, "keys_uncertain", log_level::warning},
+    event_row{log_event::keys_certain, "keys_certain", log_level::info},
     event_row{log_event::fault_switched, "fault_switched", log_level::info},
 };
 
--- a/src/logging/types/log_event.h
+++ b/src/logging/types/log_event.h
@@ -82,6 +82,8 @@
     retry_share_changed = 3047,
     retry_denied = 3048,
     organisation_entry_invalid = 3050,
+    keys_uncertain = 3051,
+    keys_certain = 3052,
 
     // 4000: agent
     attempt_refused = 4001,
--- a/src/net/datagram_socket.h
+++ b/src/net/datagram_socket.h
@@ -16,13 +16,16 @@
 class datagram_socket {
 public:
     using receiver = std::function<void(std::string_view datagram)>;
+    using idle_notice = std::function<void()>;
 
     // Binds the socket; port 0 selects a free port. Waits for another process to release the address for at
-    // most `max_bind_wait`. Fails with listen_failed or address_invalid.
+    // most `max_bind_wait`. `on_idle` runs each time all datagrams that had arrived have been received. Fails
+    // with listen_failed or address_invalid.
     static result<std::unique_ptr<datagram_socket>> create(event_loop& loop,
                                                            const std::string& address,
                                                            receiver receive,
-                                                           std::chrono::milliseconds max_bind_wait = {});
+                                                           std::chrono::milliseconds max_bind_wait = {},
+                                                           idle_notice on_idle = {});
 
     datagram_socket() = default;
     datagram_socket(const datagram_socket&) = delete;
--- a/src/net/internal/datagram_socket.cpp
+++ b/src/net/internal/datagram_socket.cpp
@@ -31,8 +31,11 @@
 
 class udp_socket final : public datagram_socket {
 public:
-    udp_socket(int descriptor, socket_address bound_address, receiver receive)
-        : descriptor(descriptor), bound_address(std::move(bound_address)), receive(std::move(receive))
+    udp_socket(int descriptor, socket_address bound_address, receiver receive, idle_notice on_idle)
+        : descriptor(descriptor),
+          bound_address(std::move(bound_address)),
+          receive(std::move(receive)),
+          on_idle(std::move(on_idle))
     {
     }
 
@@ -87,6 +90,9 @@
             const auto length =
                 recv(this->descriptor, this->buffer.data(), this->buffer.size(), MSG_DONTWAIT);
             if (length < 0) {
+                if (this->on_idle) {
+                    run_guarded("datagram", this->on_idle);
+                }
                 return;
             }
             run_guarded("datagram", [&] {
@@ -98,6 +104,7 @@
     int descriptor;
     socket_address bound_address;
     receiver receive;
+    idle_notice on_idle;
     event* read_event = nullptr;
     std::array<char, max_datagram_bytes> buffer{};
 };
@@ -107,7 +114,8 @@
 result<std::unique_ptr<datagram_socket>> datagram_socket::create(event_loop& loop,
                                                                  const std::string& address,
                                                                  receiver receive,
-                                                                 std::chrono::milliseconds max_bind_wait)
+                                                                 std::chrono::milliseconds max_bind_wait,
+                                                                 idle_notice on_idle)
 {
     const auto requested = parse_address(address);
     if (!requested) {
@@ -130,8 +138,10 @@
         return fail(result_code::listen_failed, "cannot receive datagrams on " + address);
     }
     getsockname(descriptor, native_address, &length);
-    auto created = std::make_unique<udp_socket>(
-        descriptor, socket_address{requested->host, ntohs(native->sin_port)}, std::move(receive));
+    auto created = std::make_unique<udp_socket>(descriptor,
+                                                socket_address{requested->host, ntohs(native->sin_port)},
+                                                std::move(receive),
+                                                std::move(on_idle));
     created->start_reading(loop);
     return created;
 }
--- a/src/peers/internal/load_codec.cpp
+++ b/src/peers/internal/load_codec.cpp
@@ -8,10 +8,10 @@
 
 namespace {
 
-constexpr std::uint64_t codec_version = 6;
+constexpr std::uint64_t codec_version = 7;
 // The shortest encodings of a list's elements: a hash and a byte for each number.
 constexpr std::size_t min_hash_bytes = 4;
-constexpr std::size_t min_load_bytes = min_hash_bytes + 3;
+constexpr std::size_t min_load_bytes = min_hash_bytes + 4;
 constexpr std::size_t min_demand_bytes = min_hash_bytes + 2;
 constexpr std::size_t min_prefix_bytes = 2 * min_hash_bytes;
 constexpr std::size_t min_confirmation_bytes = min_hash_bytes + 3;
@@ -77,6 +77,7 @@
         writer.write_number(confirmation.last_change);
         writer.write_number(confirmation.revision);
         writer.write_number(static_cast<std::uint64_t>(confirmation.age.count()));
+        writer.write_number(static_cast<std::uint64_t>(confirmation.asked_age.count()));
     });
     return writer.bytes();
 }
@@ -109,6 +110,7 @@
         return feed_confirmation{reader.read_hash(),
                                  reader.read_number(),
                                  reader.read_number(),
+                                 std::chrono::milliseconds{read_number32(reader)},
                                  std::chrono::milliseconds{read_number32(reader)}};
     });
     if (!reader.is_complete()) {
--- a/src/peers/internal/peer_exchange.cpp
+++ b/src/peers/internal/peer_exchange.cpp
@@ -85,11 +85,13 @@
             this->loop,
             this->settings.listen,
             [this](std::string_view datagram) { this->on_datagram(datagram); },
-            this->settings.max_bind_wait);
+            this->settings.max_bind_wait,
+            [this] { this->store.record_idle_channel(); });
         if (!created) {
             return tl::make_unexpected(created.error());
         }
         this->socket = std::move(*created);
+        this->store.record_idle_channel();
         this->store.set_channel(this);
         this->peer_watcher->start();
         this->register_gateway();
--- a/src/relay/feed_tracker.h
+++ b/src/relay/feed_tracker.h
@@ -24,14 +24,16 @@
     // `time` must count the time for which the host is suspended.
     explicit feed_tracker(const clock& time);
 
-    // Records a list of all objects by the store.
-    void record_snapshot(std::uint64_t revision);
+    // Records a list of all objects by the store. For this and for changes, `asked_at` is the time at which
+    // the store was called; without it, the response does not extend `current_as_of`.
+    void record_snapshot(std::uint64_t revision, std::optional<time_point> asked_at = std::nullopt);
 
     // Records that everything up to `revision` is known.
     void record_known_revision(std::uint64_t revision);
 
     // Records the store's response to a watch call, which also confirms the feed.
-    void record_store_changes(const object_listing& changes);
+    void record_store_changes(const object_listing& changes,
+                              std::optional<time_point> asked_at = std::nullopt);
 
     // Records changes that a peer has passed on; returns whether any of them was not known yet.
     bool record_peer_changes(const object_listing& changes);
@@ -39,7 +41,8 @@
     // Records that a peer knows of changes up to `revision` which it could not pass on.
     void record_omitted_changes(std::uint64_t revision);
 
-    void record_confirmation(const feed_confirmation& confirmation);
+    // `transit` is the longest time that the confirmation may have been on its way.
+    void record_confirmation(const feed_confirmation& confirmation, duration transit = duration{0});
 
     // Returns the revision up to which all changes are known.
     std::uint64_t known_revision() const;
@@ -52,6 +55,10 @@
     // Returns the time since the store's last response that confirmed what is known, at any gateway.
     duration confirmation_age() const;
 
+    // Returns the latest time at which the store, asked by any gateway, certainly had nothing newer than what
+    // the watcher has been given; nothing before the first response.
+    std::optional<time_point> current_as_of() const;
+
     // Returns whether changes are known to be missing, and did not follow within a grace time.
     bool is_missing_changes() const;
 
@@ -64,9 +71,11 @@
         std::uint64_t last_change = 0;
         std::uint64_t revision = 0;
         time_point at;
+        std::optional<time_point> asked_at;
     };
 
     bool apply(const object_listing& changes);
+    void extend_currency(std::optional<time_point> asked_at);
     void note_required(std::uint64_t revision, time_point missing_since);
 
     const clock& time;
@@ -76,6 +85,8 @@
     std::optional<time_point> missing_since; // set while `required` is not known
     std::vector<stored_object> new_objects;
     time_point confirmed_at;
+    std::optional<time_point> known_current_at; // the time of asking that confirmed what is known
+    std::optional<time_point> given_current_at; // and what the watcher has been given
     std::optional<store_response> last_response;
 };
 
--- a/src/relay/internal/feed_tracker.cpp
+++ b/src/relay/internal/feed_tracker.cpp
@@ -11,6 +11,9 @@
 // on.
 constexpr std::chrono::milliseconds missing_changes_grace{300};
 
+// Stands for an unknown time of asking.
+constexpr std::chrono::hours max_asked_age{24};
+
 // Returns whether every object carries the revision of its change, deletions included.
 bool has_exact_versions(const object_listing& changes)
 {
@@ -23,15 +26,16 @@
 
 feed_tracker::feed_tracker(const clock& time) : time(time), confirmed_at(time.now()) {}
 
-void feed_tracker::record_snapshot(std::uint64_t revision)
+void feed_tracker::record_snapshot(std::uint64_t revision, std::optional<time_point> asked_at)
 {
     const auto now = this->time.now();
     this->known = revision;
     this->last_change = revision;
     this->new_objects.clear();
     this->confirmed_at = now;
-    this->last_response = {revision, revision, now};
+    this->last_response = {revision, revision, now, asked_at};
     this->note_required(this->required, now);
+    this->extend_currency(asked_at);
 }
 
 void feed_tracker::record_known_revision(std::uint64_t revision)
@@ -40,7 +44,7 @@
     this->note_required(this->required, this->time.now());
 }
 
-void feed_tracker::record_store_changes(const object_listing& changes)
+void feed_tracker::record_store_changes(const object_listing& changes, std::optional<time_point> asked_at)
 {
     const auto now = this->time.now();
     if (!this->apply(changes)) {
@@ -48,7 +52,8 @@
         return;
     }
     this->confirmed_at = now;
-    this->last_response = {this->last_change, std::max(changes.revision, this->last_change), now};
+    this->last_response = {this->last_change, std::max(changes.revision, this->last_change), now, asked_at};
+    this->extend_currency(asked_at);
 }
 
 bool feed_tracker::record_peer_changes(const object_listing& changes)
@@ -65,7 +70,7 @@
     this->note_required(revision, this->time.now() - missing_changes_grace);
 }
 
-void feed_tracker::record_confirmation(const feed_confirmation& confirmation)
+void feed_tracker::record_confirmation(const feed_confirmation& confirmation, duration transit)
 {
     const auto now = this->time.now();
     if (confirmation.last_change > this->known) {
@@ -75,6 +80,7 @@
     this->known = std::max(this->known, confirmation.revision);
     this->confirmed_at = std::max(this->confirmed_at, now - confirmation.age);
     this->note_required(this->required, now);
+    this->extend_currency(now - transit - confirmation.asked_age);
 }
 
 // Adds the changes that are not known yet; returns false if others before them are missing.
@@ -99,6 +105,18 @@
     return true;
 }
 
+// What is known covers all changes up to that time, unless some are known to be missing.
+void feed_tracker::extend_currency(std::optional<time_point> asked_at)
+{
+    if (!asked_at || this->required > this->known) {
+        return;
+    }
+    this->known_current_at = std::max(this->known_current_at.value_or(*asked_at), *asked_at);
+    if (this->new_objects.empty()) {
+        this->given_current_at = this->known_current_at;
+    }
+}
+
 void feed_tracker::note_required(std::uint64_t revision, time_point missing_since)
 {
     this->required = std::max(this->required, revision);
@@ -121,6 +139,7 @@
 
 object_listing feed_tracker::take_new_changes(std::uint64_t since)
 {
+    this->given_current_at = this->known_current_at;
     return {since, this->known, false, std::exchange(this->new_objects, {})};
 }
 
@@ -129,6 +148,11 @@
     return this->time.now() - this->confirmed_at;
 }
 
+std::optional<time_point> feed_tracker::current_as_of() const
+{
+    return this->given_current_at;
+}
+
 bool feed_tracker::is_missing_changes() const
 {
     return this->missing_since && this->time.now() - *this->missing_since >= missing_changes_grace;
@@ -139,8 +163,15 @@
     if (!this->last_response) {
         return std::nullopt;
     }
-    const auto age = std::chrono::ceil<std::chrono::milliseconds>(this->time.now() - this->last_response->at);
-    return feed_confirmation{0, this->last_response->last_change, this->last_response->revision, age};
+    const auto age_of = [now = this->time.now()](time_point at) {
+        return std::chrono::ceil<std::chrono::milliseconds>(now - at);
+    };
+    const auto& response = *this->last_response;
+    return feed_confirmation{0,
+                             response.last_change,
+                             response.revision,
+                             age_of(response.at),
+                             response.asked_at ? age_of(*response.asked_at) : max_asked_age};
 }
 
 } // namespace tanager
--- a/src/relay/internal/watch_relay.cpp
+++ b/src/relay/internal/watch_relay.cpp
@@ -88,22 +88,23 @@
 void watch_relay::call_list(const std::string& prefix, const listing_callback& callback)
 {
     const bool is_probe = this->breaker.begin_call();
-    this->store.list(
-        prefix,
-        [this, prefix, callback, is_probe, weak = std::weak_ptr(this->lifetime)](const auto& listing) {
-            if (weak.expired()) {
-                return;
-            }
-            if (!this->record_result(is_probe, listing) && is_probe) {
-                this->held_reads.emplace_back(
-                    [this, prefix, callback] { this->call_list(prefix, callback); });
-                return;
-            }
-            if (listing) {
-                this->feed_of(prefix).tracker.record_snapshot(listing->revision);
-            }
-            callback(listing);
-        });
+    const auto asked_at = this->time.now();
+    this->store.list(prefix,
+                     [this, prefix, callback, is_probe, asked_at, weak = std::weak_ptr(this->lifetime)](
+                         const auto& listing) {
+                         if (weak.expired()) {
+                             return;
+                         }
+                         if (!this->record_result(is_probe, listing) && is_probe) {
+                             this->held_reads.emplace_back(
+                                 [this, prefix, callback] { this->call_list(prefix, callback); });
+                             return;
+                         }
+                         if (listing) {
+                             this->feed_of(prefix).tracker.record_snapshot(listing->revision, asked_at);
+                         }
+                         callback(listing);
+                     });
 }
 
 void watch_relay::call_get(const std::string& name, const object_callback& callback)
@@ -240,19 +241,23 @@
     const auto wait = is_probe || feed.has_failed || feed.is_bridged
                           ? probe_wait
                           : draw_between(scale(feed.max_wait, min_wait_ratio), feed.max_wait, this->random);
-    this->store.watch(feed.prefix,
-                      feed.tracker.known_revision(),
-                      wait,
-                      [this, is_probe, weak = std::weak_ptr(this->feeds[feed.prefix])](const auto& listing) {
-                          const auto called = weak.lock();
-                          if (called != nullptr) {
-                              this->record_result(is_probe, listing);
-                              this->on_store_response(*called, listing);
-                          }
-                      });
+    this->store.watch(
+        feed.prefix,
+        feed.tracker.known_revision(),
+        wait,
+        [this, is_probe, asked_at = this->time.now(), weak = std::weak_ptr(this->feeds[feed.prefix])](
+            const auto& listing) {
+            const auto called = weak.lock();
+            if (called != nullptr) {
+                this->record_result(is_probe, listing);
+                this->on_store_response(*called, listing, asked_at);
+            }
+        });
 }
 
-void watch_relay::on_store_response(feed_state& feed, const result<object_listing>& listing)
+void watch_relay::on_store_response(feed_state& feed,
+                                    const result<object_listing>& listing,
+                                    time_point asked_at)
 {
     feed.is_calling = false;
     if (!listing) {
@@ -263,7 +268,7 @@
         write_event(log_event::store_recovered,
                     {{"prefix", feed.prefix}, {"revision", std::to_string(listing->revision)}});
     }
-    feed.tracker.record_store_changes(*listing);
+    feed.tracker.record_store_changes(*listing, asked_at);
     if (!listing->objects.empty() && this->channel != nullptr && this->is_elected()) {
         this->channel->send_changes({{}, feed.prefix, *listing, false});
     }
@@ -320,15 +325,28 @@
 
 void watch_relay::record_confirmations(const std::vector<feed_confirmation>& confirmations)
 {
+    const auto now = this->time.now();
+    const auto transit = now - this->channel_idle_at.value_or(now);
     for (const auto& [prefix, feed] : this->feeds) {
         const auto found = std::ranges::find(confirmations, feed->hash, &feed_confirmation::feed);
         if (found != confirmations.end()) {
-            feed->tracker.record_confirmation(*found);
+            feed->tracker.record_confirmation(*found, transit);
             this->advance(*feed);
         }
     }
 }
 
+void watch_relay::record_idle_channel()
+{
+    this->channel_idle_at = this->time.now();
+}
+
+std::optional<time_point> watch_relay::current_as_of(const std::string& prefix) const
+{
+    const auto found = this->feeds.find(prefix);
+    return found == this->feeds.end() ? std::nullopt : found->second->tracker.current_as_of();
+}
+
 std::vector<feed_confirmation> watch_relay::confirmations() const
 {
     std::vector<feed_confirmation> own;
--- /dev/null
+++ b/src/relay/tests/feed_currency_tests.cpp
@@ -0,0 +1,252 @@
+// Tests of how old a gateway's view of a feed may be, under the faults of the store, of the peers' messages
+// and of the host itself.
+#include "base/mocks/manual_clock.h"
+#include "base/mocks/seeded_random.h"
+#include "relay/watch_relay.h"
+#include "store/mocks/watch_only_store.h"
+#include "testing/section.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <optional>
+#include <utility>
+
+namespace tanager {
+
+namespace {
+
+using namespace std::chrono_literals;
+using testing::section;
+
+constexpr std::uint64_t seed = 3;
+constexpr const char* prefix = "rules/";
+constexpr std::chrono::milliseconds max_wait{1'000};
+
+// Holds the last call until the test answers it.
+class held_store final : public watch_only_store {
+public:
+    void list(const std::string& /*prefix*/, listing_callback callback) override
+    {
+        this->pending = std::move(callback);
+    }
+
+    void watch(const std::string& /*prefix*/,
+               std::uint64_t since,
+               std::chrono::milliseconds /*max_wait*/,
+               listing_callback callback) override
+    {
+        this->last_since = since;
+        this->pending = std::move(callback);
+    }
+
+    void answer(const result<object_listing>& listing)
+    {
+        CPPUNIT_ASSERT(this->pending);
+        std::exchange(this->pending, nullptr)(listing);
+    }
+
+    listing_callback pending;
+    std::uint64_t last_since = 0;
+};
+
+// A gateway that follows one feed, and has listed it at revision 10.
+class follower {
+public:
+    follower()
+    {
+        this->relay.list(prefix, [](const auto& /*listing*/) {});
+        this->store.answer(object_listing{0, 10, true, {}});
+        this->listed_at = this->time.now();
+        this->watch();
+    }
+
+    // Watches again and again, as its watcher does.
+    void watch()
+    {
+        this->relay.watch(prefix, this->revision, max_wait, [this](const auto& listing) {
+            if (listing) {
+                this->revision = listing->revision;
+                this->given += listing->objects.size();
+            }
+            this->is_waiting = false;
+        });
+        this->is_waiting = true;
+    }
+
+    void run(duration time_span)
+    {
+        for (const auto end = this->time.now() + time_span; this->time.now() < end;) {
+            this->time.advance(10ms);
+            this->relay.check();
+        }
+    }
+
+    void hear(std::uint64_t last_change, std::uint64_t revision, std::chrono::milliseconds asked_age)
+    {
+        auto confirmation = this->relay.confirmations().front();
+        confirmation.last_change = last_change;
+        confirmation.revision = revision;
+        confirmation.age = 0ms;
+        confirmation.asked_age = asked_age;
+        this->relay.record_confirmations({confirmation});
+    }
+
+    std::optional<duration> age() const
+    {
+        const auto as_of = this->relay.current_as_of(prefix);
+        return as_of ? std::optional{this->time.now() - *as_of} : std::nullopt;
+    }
+
+    manual_clock time;
+    seeded_random random{seed};
+    held_store store;
+    watch_relay relay{time, random, store};
+    time_point listed_at;
+    std::uint64_t revision = 10;
+    std::size_t given = 0;
+    bool is_waiting = false;
+};
+
+class feed_currency_tests : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(feed_currency_tests);
+    CPPUNIT_TEST(counts_from_the_time_of_asking);
+    CPPUNIT_TEST(takes_confirmations_of_peers_by_their_source);
+    CPPUNIT_TEST(counts_only_what_the_watcher_was_given);
+    CPPUNIT_TEST(survives_standstills);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void counts_from_the_time_of_asking()
+    {
+        section("nothing is known before the first answer", [] {
+            manual_clock time;
+            seeded_random random{seed};
+            held_store store;
+            watch_relay relay{time, random, store};
+            CPPUNIT_ASSERT(!relay.current_as_of(prefix));
+            relay.list(prefix, [](const auto& /*listing*/) {});
+            CPPUNIT_ASSERT(!relay.current_as_of(prefix));
+            section("a late answer is as old as its question", [&] {
+                time.advance(700ms);
+                store.answer(object_listing{0, 10, true, {}});
+                CPPUNIT_ASSERT(time.now() - *relay.current_as_of(prefix) == 700ms);
+            });
+        });
+        section("a watch that waits proves nothing", [] {
+            follower gateway;
+            gateway.run(900ms);
+            CPPUNIT_ASSERT(gateway.age() == 900ms);
+            section("its answer proves what was so when it was asked", [&] {
+                gateway.store.answer(object_listing{10, 12, false, {}});
+                CPPUNIT_ASSERT(gateway.age() == 900ms);
+                gateway.watch();
+                gateway.run(300ms);
+                gateway.store.answer(object_listing{12, 12, false, {}});
+                CPPUNIT_ASSERT(gateway.age() == 300ms);
+            });
+        });
+        section("the store is away: the view grows old, and failures prove nothing", [] {
+            follower gateway;
+            for (int count = 0; count < 8; ++count) {
+                gateway.run(500ms);
+                if (gateway.store.pending) {
+                    gateway.store.answer(fail(result_code::store_unavailable, "away"));
+                }
+                if (!gateway.is_waiting) {
+                    gateway.watch();
+                }
+            }
+            CPPUNIT_ASSERT(gateway.age() == 4s);
+            section("the first answer after that makes it young", [&] {
+                while (!gateway.store.pending) {
+                    gateway.run(10ms);
+                }
+                gateway.run(10ms);
+                gateway.store.answer(object_listing{10, 10, false, {}});
+                CPPUNIT_ASSERT(*gateway.age() <= 510ms);
+            });
+        });
+        section("the time of day is set back and forth, which changes nothing", [] {
+            follower gateway;
+            gateway.run(900ms);
+            CPPUNIT_ASSERT(gateway.age() == 900ms); // only the steady clock is read
+        });
+    }
+
+    void takes_confirmations_of_peers_by_their_source()
+    {
+        section("a peer's confirmation is as old as the peer's question", [] {
+            follower gateway;
+            gateway.run(3s);
+            gateway.hear(10, 15, 1'200ms);
+            CPPUNIT_ASSERT(gateway.age() == 1'200ms);
+            section("an older one that arrives later changes nothing", [&] {
+                gateway.hear(10, 12, 2s);
+                CPPUNIT_ASSERT(gateway.age() == 1'200ms);
+            });
+            section("one with a change that is not known here does not confirm", [&] {
+                gateway.hear(17, 18, 0ms);
+                CPPUNIT_ASSERT(gateway.age() == 1'200ms);
+            });
+        });
+        section("what this gateway tells its peers is as old as its own question", [] {
+            follower gateway;
+            gateway.run(800ms);
+            gateway.store.answer(object_listing{10, 12, false, {}});
+            gateway.run(100ms);
+            CPPUNIT_ASSERT(gateway.relay.confirmations().front().age == 100ms);
+            CPPUNIT_ASSERT(gateway.relay.confirmations().front().asked_age == 900ms);
+            section("and not as what a peer has confirmed to it", [&] {
+                gateway.hear(10, 15, 50ms);
+                CPPUNIT_ASSERT(gateway.age() == 50ms);
+                CPPUNIT_ASSERT(gateway.relay.confirmations().front().asked_age == 900ms);
+            });
+        });
+    }
+
+    void counts_only_what_the_watcher_was_given()
+    {
+        section("a peer passes a change on while the watcher applies an earlier one", [] {
+            follower gateway;
+            gateway.run(400ms);
+            gateway.store.answer(object_listing{10, 11, false, {{"rules/a", 11, false, "1"}}});
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, gateway.given);
+            gateway.run(100ms);
+            gateway.relay.record_changes(
+                {"peer", prefix, {11, 12, false, {{"rules/b", 12, false, "1"}}}, false});
+            gateway.hear(12, 12, 10ms);
+            section("a confirmation of the new state does not vouch for the old one",
+                    [&] { CPPUNIT_ASSERT(gateway.age() == 500ms); });
+            section("it does as soon as the watcher has been given the change", [&] {
+                gateway.watch();
+                gateway.relay.check();
+                CPPUNIT_ASSERT_EQUAL(std::size_t{2}, gateway.given);
+                CPPUNIT_ASSERT(gateway.age() == 10ms);
+            });
+        });
+    }
+
+    void survives_standstills()
+    {
+        section("a gateway is suspended while its peers' messages pile up", [] {
+            follower gateway;
+            gateway.relay.record_idle_channel();
+            gateway.run(100ms);
+            gateway.time.advance(20s);
+            section("one that is read afterwards may have been sent at any time since", [&] {
+                gateway.hear(10, 15, 10ms);
+                CPPUNIT_ASSERT(*gateway.age() >= 20s);
+            });
+            section("one that was sent after all had been read is young", [&] {
+                gateway.relay.record_idle_channel();
+                gateway.hear(10, 16, 10ms);
+                CPPUNIT_ASSERT(gateway.age() == 10ms);
+            });
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(feed_currency_tests);
+
+} // namespace
+
+} // namespace tanager
--- a/src/relay/types/feed_types.h
+++ b/src/relay/types/feed_types.h
@@ -16,6 +16,9 @@
     std::uint64_t last_change = 0;    // nothing changed after this revision
     std::uint64_t revision = 0;       // and up to this one
     std::chrono::milliseconds age{0}; // since the store's response
+    // Since the store was asked. It may have answered late, so only this tells how old the confirmed state
+    // is.
+    std::chrono::milliseconds asked_age{0};
 
     friend bool operator==(const feed_confirmation&, const feed_confirmation&) = default;
 };
--- a/src/relay/watch_relay.h
+++ b/src/relay/watch_relay.h
@@ -66,6 +66,14 @@
     void record_changes(const relayed_changes& relayed);
     void record_confirmations(const std::vector<feed_confirmation>& confirmations);
 
+    // Records that no datagram of a peer was waiting to be read. What is read next was sent after that,
+    // however long this host was suspended meanwhile.
+    void record_idle_channel();
+
+    // Returns the latest time at which the store certainly had nothing newer under a prefix than what the
+    // watcher has been given, by the clock of this relay.
+    std::optional<time_point> current_as_of(const std::string& prefix) const;
+
     // Returns this gateway's own confirmations, for its load reports.
     std::vector<feed_confirmation> confirmations() const;
 
@@ -103,7 +111,7 @@
     void advance(feed_state& feed);
     static void deliver(feed_state& feed);
     void call_store(feed_state& feed);
-    void on_store_response(feed_state& feed, const result<object_listing>& listing);
+    void on_store_response(feed_state& feed, const result<object_listing>& listing, time_point asked_at);
     void on_store_failure(feed_state& feed, const error& cause);
     void call_list(const std::string& prefix, const listing_callback& callback);
     void call_get(const std::string& name, const object_callback& callback);
@@ -118,6 +126,7 @@
     store_circuit_breaker breaker;
     std::deque<std::function<void()>> held_reads; // lists and gets that wait for the store to answer
     std::map<std::string, std::shared_ptr<feed_state>> feeds;
+    std::optional<time_point> channel_idle_at;
     std::shared_ptr<char> lifetime = std::make_shared<char>();
 };
 
