--- a/src/gateway/gateway_setup.cpp
+++ b/src/gateway/gateway_setup.cpp
@@ -147,7 +147,7 @@
           platform(std::move(platform)),
           client(http_client::create(loop)),
           store_client(http_client::create(loop)),
-          platform_store(this->platform.make_store(*this->store_client, store_address)),
+          platform_store(this->platform.make_store(loop, *this->store_client, store_address)),
           store(this->time, this->metrics, *this->platform_store),
           relay(this->relay_time, this->random, this->store),
           pool(this->time, settings.data_centre, settings.store_recovery_grace, this->peer_loads),
--- a/src/gateway/gateway_setup.h
+++ b/src/gateway/gateway_setup.h
@@ -18,7 +18,7 @@
     std::unique_ptr<request_codec> caller_codec;
     std::unique_ptr<store_codec> object_codec;
     std::unique_ptr<engine_codec> engines;
-    std::function<std::unique_ptr<object_store>(http_client&, const socket_address&)> make_store;
+    std::function<std::unique_ptr<object_store>(event_loop&, http_client&, const socket_address&)> make_store;
     std::string readiness_path;
 };
 
--- a/src/gateway/internal/server_observer.cpp
+++ b/src/gateway/internal/server_observer.cpp
@@ -1,6 +1,7 @@
 #include "gateway/internal/server_observer.h"
 
 #include "logging/event_log.h"
+#include "store/types/fencing_token.h"
 
 #include <algorithm>
 
@@ -40,6 +41,10 @@
 
 watch_action server_observer::on_listing(const object_listing& listing)
 {
+    // A copy lacks the entries that were written after it, until their servers write them again.
+    if (this->has_snapshot && era_of(listing.revision) > era_of(this->revision)) {
+        this->servers.note_store_recovered();
+    }
     if (listing.is_snapshot) {
         this->apply_all(listing);
         this->has_snapshot = true;
--- a/src/logging/types/log_event.h
+++ b/src/logging/types/log_event.h
@@ -40,6 +40,9 @@
     relay_lost = 2015,
     store_object_unreadable = 2016,
     store_called = 2017,
+    store_era_changed = 2018,
+    store_era_rejected = 2019,
+    store_registration_renewed = 2020,
 
     // 3000: entry
     request_refused = 3001,
--- a/src/peers/internal/peer_exchange.cpp
+++ b/src/peers/internal/peer_exchange.cpp
@@ -5,6 +5,7 @@
 #include "peers/load_codec.h"
 #include "relay/change_codec.h"
 #include "store/object_watcher.h"
+#include "store/types/fencing_token.h"
 
 #include <algorithm>
 #include <map>
@@ -25,6 +26,9 @@
 // Five idle reports in a row are missing: the peer has ended or cannot be reached.
 constexpr std::chrono::milliseconds peer_timeout{1'000};
 constexpr std::chrono::milliseconds registration_retry_delay{300};
+// In a new era of the store every gateway writes its entry again. A few hundred writes are spread over this;
+// until then, a gateway whose entry is missing gets no reports.
+constexpr std::uint64_t new_era_spread_ms = 500;
 // Gateways that start together are taken from the store in one batch. Until a new peer is known, it receives
 // no reports, which only makes its view of the load less exact.
 constexpr std::chrono::milliseconds coalescing_delay{1'000};
@@ -201,8 +205,24 @@
         return gateway_prefix + this->settings.host;
     }
 
+    // A store that comes back from a copy may lack this gateway's entry, or have an earlier one.
+    void renew_registration(std::uint64_t listed_revision)
+    {
+        const bool is_outdated = era_of(listed_revision) > era_of(this->incarnation);
+        if (this->incarnation == 0 || !is_outdated || this->is_leaving) {
+            return;
+        }
+        write_event(log_event::store_registration_renewed,
+                    {{"object", this->own_name()}, {"era", std::to_string(era_of(listed_revision))}});
+        const std::chrono::milliseconds delay{this->random.next() % new_era_spread_ms};
+        this->registration_timer = this->loop.run_after(delay, [this] { this->register_gateway(); });
+    }
+
     void register_gateway()
     {
+        if (this->is_leaving) {
+            return;
+        }
         this->store.get(this->own_name(), [this](const result<stored_object>& found) {
             if (!found && found.error().code != result_code::object_unknown) {
                 this->retry_registration(found.error());
@@ -214,6 +234,9 @@
 
     void write_own_object(std::uint64_t expected)
     {
+        if (this->is_leaving) {
+            return;
+        }
         const nlohmann::json spec{{"address", this->socket->address()},
                                   {"data_centre", this->settings.data_centre}};
         this->store.put(
@@ -363,6 +386,9 @@
         }
         this->revision = std::max(this->revision, listing.revision);
         this->is_list_known = true;
+        if (listing.is_snapshot) {
+            this->renew_registration(listing.revision);
+        }
         return watch_action::continue_watching;
     }
 
--- a/src/peers/peer_exchange.h
+++ b/src/peers/peer_exchange.h
@@ -28,8 +28,9 @@
 };
 
 // Each gateway keeps one object in the store with its address; the revision of its last write is the
-// incarnation in its reports. No report is sent before that write has succeeded. While the store is
-// unavailable, reports to known peers continue. The relay's messages use the same socket.
+// incarnation in its reports. It is written again in each new era of the store. No report is sent before the
+// first write has succeeded. While the store is unavailable, reports to known peers continue. The relay's
+// messages use the same socket.
 class peer_exchange {
 public:
     // Returns the loads and demands of this gateway; the exchange fills in the other fields.
--- a/src/relay/feed_tracker.h
+++ b/src/relay/feed_tracker.h
@@ -19,6 +19,10 @@
 // suspended or denied by the store without noticing. So nothing rests on any one of them: changes are taken
 // only if they continue what is known without a gap, an older state never replaces a newer one, and a feed
 // that nobody has confirmed lately is read from the store.
+//
+// When the store comes back from a copy, gateways learn of the new era one after the other. Changes and
+// confirmations of another era than that of the last snapshot are not taken; those of a later one tell that
+// everything has to be listed again.
 class feed_tracker {
 public:
     // `time` must count the time for which the host is suspended.
@@ -55,6 +59,9 @@
     // Returns whether changes are known to be missing, and did not follow within a grace time.
     bool is_missing_changes() const;
 
+    // Returns whether a peer knows a later era of the store than that of the last snapshot.
+    bool is_in_earlier_era() const;
+
     // Returns the confirmation by this gateway's own last store response, without the feed's hash; nothing
     // before the first response.
     std::optional<feed_confirmation> own_confirmation() const;
--- a/src/relay/internal/feed_tracker.cpp
+++ b/src/relay/internal/feed_tracker.cpp
@@ -1,5 +1,7 @@
 #include "relay/feed_tracker.h"
 
+#include "store/types/fencing_token.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -43,6 +45,9 @@
 void feed_tracker::record_store_changes(const object_listing& changes)
 {
     const auto now = this->time.now();
+    if (era_of(changes.revision) < era_of(this->known)) {
+        return;
+    }
     if (!this->apply(changes)) {
         this->note_required(changes.revision, now);
         return;
@@ -68,8 +73,12 @@
 void feed_tracker::record_confirmation(const feed_confirmation& confirmation)
 {
     const auto now = this->time.now();
-    if (confirmation.last_change > this->known) {
-        this->note_required(confirmation.last_change, now);
+    const auto known_era = era_of(this->known);
+    if (era_of(confirmation.revision) < known_era) {
+        return;
+    }
+    if (confirmation.last_change > this->known || era_of(confirmation.revision) > known_era) {
+        this->note_required(std::max(confirmation.last_change, confirmation.revision), now);
         return;
     }
     this->known = std::max(this->known, confirmation.revision);
@@ -83,6 +92,10 @@
     if (changes.revision <= this->known) {
         return true;
     }
+    // What is known of an earlier era may have been undone.
+    if (era_of(changes.revision) > era_of(this->known)) {
+        return false;
+    }
     const bool is_exact = has_exact_versions(changes);
     if (changes.since > this->known || (!is_exact && changes.since < this->known)) {
         return false;
@@ -134,6 +147,11 @@
     return this->missing_since && this->time.now() - *this->missing_since >= missing_changes_grace;
 }
 
+bool feed_tracker::is_in_earlier_era() const
+{
+    return era_of(this->required) > era_of(this->known);
+}
+
 std::optional<feed_confirmation> feed_tracker::own_confirmation() const
 {
     if (!this->last_response) {
--- a/src/relay/internal/watch_relay.cpp
+++ b/src/relay/internal/watch_relay.cpp
@@ -2,6 +2,7 @@
 
 #include "base/digest.h"
 #include "logging/event_log.h"
+#include "store/types/fencing_token.h"
 
 #include <algorithm>
 #include <utility>
@@ -22,6 +23,9 @@
 // A watch that only finds out whether the store answers again. With the full wait a gateway would count as
 // cut off from the store, and would not be elected, for that long after an outage.
 constexpr std::chrono::milliseconds probe_wait{1};
+// All gateways list all feeds when the store is in a new era. Spread over this, a few hundred of them make
+// fewer calls than the store takes, and a configuration is still in force within its bound of seconds.
+constexpr std::chrono::milliseconds new_era_spread{1'000};
 
 std::chrono::milliseconds
 draw_between(std::chrono::milliseconds low, std::chrono::milliseconds high, random_source& random)
@@ -191,6 +195,9 @@
         deliver(feed);
         return;
     }
+    if (this->leave_earlier_era(feed)) {
+        return;
+    }
     if (feed.is_calling || this->time.now() < feed.retry_at) {
         return;
     }
@@ -226,6 +233,28 @@
                  {"elected", this->is_elected() ? "yes" : "no"}});
 }
 
+// Ends a watch from an earlier era than peers know, so that its watcher lists everything again; returns
+// whether it has.
+bool watch_relay::leave_earlier_era(feed_state& feed)
+{
+    if (!feed.tracker.is_in_earlier_era()) {
+        feed.era_ends_at.reset();
+        return false;
+    }
+    const auto now = this->time.now();
+    if (!feed.era_ends_at) {
+        feed.era_ends_at = now + draw_between(std::chrono::milliseconds{0}, new_era_spread, this->random);
+    }
+    if (now < *feed.era_ends_at) {
+        return false;
+    }
+    // A store that still answers from the earlier era is not listed over and over.
+    feed.era_ends_at = now + draw_between(min_retry_delay, max_retry_delay, this->random);
+    const auto callback = std::exchange(feed.callback, nullptr);
+    callback(fail(result_code::history_lost, "a peer knows a new era of the store"));
+    return true;
+}
+
 void watch_relay::deliver(feed_state& feed)
 {
     feed.has_failed = false;
@@ -240,16 +269,25 @@
     const auto wait = is_probe || feed.has_failed || feed.is_bridged
                           ? probe_wait
                           : draw_between(scale(feed.max_wait, min_wait_ratio), feed.max_wait, this->random);
-    this->store.watch(feed.prefix,
-                      feed.tracker.known_revision(),
-                      wait,
-                      [this, is_probe, weak = std::weak_ptr(this->feeds[feed.prefix])](const auto& listing) {
-                          const auto called = weak.lock();
-                          if (called != nullptr) {
-                              this->record_result(is_probe, listing);
-                              this->on_store_response(*called, listing);
-                          }
-                      });
+    const auto since = feed.tracker.known_revision();
+    this->store.watch(
+        feed.prefix,
+        since,
+        wait,
+        [this, is_probe, since, weak = std::weak_ptr(this->feeds[feed.prefix])](const auto& listing) {
+            const auto called = weak.lock();
+            if (called == nullptr) {
+                return;
+            }
+            this->record_result(is_probe, listing);
+            if (era_of(since) < era_of(called->tracker.known_revision())) {
+                // The feed has been listed in a new era meanwhile.
+                called->is_calling = false;
+                this->advance(*called);
+                return;
+            }
+            this->on_store_response(*called, listing);
+        });
 }
 
 void watch_relay::on_store_response(feed_state& feed, const result<object_listing>& listing)
--- a/src/relay/mocks/simulated_site.h
+++ b/src/relay/mocks/simulated_site.h
@@ -7,6 +7,7 @@
 #include "relay/change_codec.h"
 #include "relay/watch_relay.h"
 #include "store/mocks/watch_only_store.h"
+#include "store/types/fencing_token.h"
 
 #include <algorithm>
 #include <map>
@@ -40,6 +41,17 @@
         this->oldest_since = this->revision;
     }
 
+    // Comes back from a copy as of `copied`, in a new era.
+    void restore(std::uint64_t copied)
+    {
+        std::erase_if(this->events, [copied](const auto& event) { return event.version > copied; });
+        const auto era = era_of(copied) + 1;
+        for (auto& event : this->events) {
+            event.version = fencing_token(era, revision_of(event.version));
+        }
+        this->revision = fencing_token(era, revision_of(copied));
+    }
+
     object_listing list() const
     {
         object_listing listing{0, this->revision, true, {}};
@@ -51,7 +63,7 @@
 
     result<object_listing> changes_since(std::uint64_t since) const
     {
-        if (since < this->oldest_since) {
+        if (since < this->oldest_since || era_of(since) != era_of(this->revision)) {
             return fail(result_code::history_lost, "compacted");
         }
         object_listing changes{since, this->revision, false, {}};
--- a/src/relay/tests/relay_tests.cpp
+++ b/src/relay/tests/relay_tests.cpp
@@ -1,4 +1,5 @@
 #include "relay/mocks/simulated_site.h"
+#include "store/types/fencing_token.h"
 #include "testing/section.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -193,6 +194,8 @@
     CPPUNIT_TEST_SUITE(relay_tests);
     CPPUNIT_TEST(takes_changes_that_continue_what_is_known);
     CPPUNIT_TEST(takes_confirmations_by_their_age);
+    CPPUNIT_TEST(takes_nothing_across_eras);
+    CPPUNIT_TEST(lists_again_when_the_store_comes_back_from_a_copy);
     CPPUNIT_TEST(calls_the_store_once_a_data_centre);
     CPPUNIT_TEST(reads_large_changes_from_the_store);
     CPPUNIT_TEST(serves_a_gateway_that_the_store_rejects);
@@ -268,6 +271,100 @@
         });
     }
 
+    void takes_nothing_across_eras()
+    {
+        section("everything up to revision 120 of era 1 is known for three seconds", [] {
+            manual_clock time;
+            feed_tracker tracker(time);
+            tracker.record_snapshot(fencing_token(1, 120));
+            time.advance(3s);
+            section("a confirmation of era 2 is no proof, though its revision is lower", [&] {
+                tracker.record_confirmation({0, fencing_token(2, 90), fencing_token(2, 100), 0ms});
+                CPPUNIT_ASSERT(tracker.confirmation_age() == 3s);
+                CPPUNIT_ASSERT(tracker.is_in_earlier_era());
+                CPPUNIT_ASSERT_EQUAL(fencing_token(1, 120), tracker.known_revision());
+            });
+            section("neither are changes of era 2, wherever they begin", [&] {
+                for (const auto since : {fencing_token(2, 90), fencing_token(1, 120)}) {
+                    CPPUNIT_ASSERT(!tracker.record_peer_changes(
+                        changes(since, fencing_token(2, 101), {{"a", fencing_token(2, 101), false, "1"}})));
+                }
+                CPPUNIT_ASSERT(!tracker.has_new_changes());
+            });
+            section("a list of era 1 does not end the search for era 2", [&] {
+                tracker.record_snapshot(fencing_token(1, 121));
+                CPPUNIT_ASSERT(tracker.is_in_earlier_era());
+            });
+            section("a list of era 2 is taken, though its revision goes back", [&] {
+                tracker.record_snapshot(fencing_token(2, 101));
+                CPPUNIT_ASSERT(!tracker.is_in_earlier_era());
+                CPPUNIT_ASSERT_EQUAL(fencing_token(2, 101), tracker.known_revision());
+            });
+            section("what a peer or the store says of era 1 neither confirms it nor takes it back", [&] {
+                time.advance(2s);
+                tracker.record_confirmation({0, fencing_token(1, 120), fencing_token(1, 140), 0ms});
+                tracker.record_store_changes(changes(fencing_token(1, 120), fencing_token(1, 140), {}));
+                CPPUNIT_ASSERT(
+                    !tracker.record_peer_changes(changes(fencing_token(1, 120),
+                                                         fencing_token(1, 140),
+                                                         {{"a", fencing_token(1, 140), false, "1"}})));
+                CPPUNIT_ASSERT(tracker.confirmation_age() == 2s);
+                CPPUNIT_ASSERT_EQUAL(fencing_token(2, 101), tracker.known_revision());
+                CPPUNIT_ASSERT(!tracker.has_new_changes());
+            });
+            section("era 2 goes on as usual", [&] {
+                CPPUNIT_ASSERT(
+                    tracker.record_peer_changes(changes(fencing_token(2, 101),
+                                                        fencing_token(2, 103),
+                                                        {{"a", fencing_token(2, 103), false, "2"}})));
+                tracker.record_confirmation({0, fencing_token(2, 103), fencing_token(2, 110), 0ms});
+                CPPUNIT_ASSERT(tracker.confirmation_age() == 0s);
+            });
+        });
+    }
+
+    // Load pattern: gateways of which most rely on a few, and a store that gives the revisions of the last
+    // seconds out again, for other changes.
+    void lists_again_when_the_store_comes_back_from_a_copy()
+    {
+        section("twelve gateways know five changes", [] {
+            simulated_network network(12, 2, 6);
+            network.run(5s);
+            for (int change = 1; change <= 5; ++change) {
+                network.history.change("object-" + std::to_string(change), "first");
+            }
+            network.run(1s);
+            section("the store loses the last three, and one gateway cannot reach it", [&] {
+                auto& cut_off = network.hosts.front();
+                cut_off.gateway->store.is_rejecting = true;
+                network.history.restore(network.history.revision - 3);
+                network.history.change("object-1", "second");
+                network.run(4s);
+                section("all others have the new state, within the wait of one watch", [&] {
+                    for (const auto& each : network.hosts) {
+                        CPPUNIT_ASSERT(!each.gateway->has_gone_back);
+                        CPPUNIT_ASSERT_EQUAL(&each == &cut_off, each.gateway->values.contains("object-4"));
+                    }
+                });
+                section("the one that is cut off follows as soon as the store answers it", [&] {
+                    cut_off.gateway->store.is_rejecting = false;
+                    network.run(2s);
+                    CPPUNIT_ASSERT(cut_off.gateway->values ==
+                                   network.history.values_at(network.history.revision));
+                });
+            });
+            section("another data centre hears of the era, and lists spread over a second", [&] {
+                const auto calls_before = network.total_calls();
+                network.run(10s);
+                CPPUNIT_ASSERT(network.total_calls() - calls_before <= 4 * 8);
+                for (const auto& each : network.hosts) {
+                    CPPUNIT_ASSERT(each.gateway->values ==
+                                   network.history.values_at(network.history.revision));
+                }
+            });
+        });
+    }
+
     // Load pattern: 100 gateways in five data centres, which changes reach within seconds of each other and
     // which mostly wait.
     void calls_the_store_once_a_data_centre()
--- a/src/relay/watch_relay.h
+++ b/src/relay/watch_relay.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -41,7 +42,8 @@
 // others leave a watch pending, without a call, while their feed is confirmed; they call the store when it is
 // not, or when changes are missing. A gateway that the store does not answer keeps its watch pending while
 // its peers confirm the feed. While the store does not answer, the watches and reads of all feeds share one
-// probe, and the answer to it starts those that wait.
+// probe, and the answer to it starts those that wait. Watches from an earlier era than one that peers know
+// end with history_lost.
 class watch_relay final : public object_store {
 public:
     // `time` must count the time for which the host is suspended. The references must outlive the relay.
@@ -93,6 +95,7 @@
         bool relies_on_peers = false; // they confirm the feed, so the store is not called
         time_point failed_at;
         time_point retry_at;
+        std::optional<time_point> era_ends_at; // set while peers know a later era of the store
     };
 
     feed_state& feed_of(const std::string& prefix);
@@ -102,6 +105,7 @@
     void set_relies_on_peers(feed_state& feed, bool relies_on_peers) const;
     void advance(feed_state& feed);
     static void deliver(feed_state& feed);
+    bool leave_earlier_era(feed_state& feed);
     void call_store(feed_state& feed);
     void on_store_response(feed_state& feed, const result<object_listing>& listing);
     void on_store_failure(feed_state& feed, const error& cause);
--- a/src/store/internal/observed_object_store.cpp
+++ b/src/store/internal/observed_object_store.cpp
@@ -1,7 +1,9 @@
 #include "store/observed_object_store.h"
 
 #include "logging/event_log.h"
+#include "store/types/fencing_token.h"
 
+#include <type_traits>
 #include <utility>
 
 namespace tanager {
@@ -65,6 +67,12 @@
                          prefix,
                          outcome ? std::string_view{"done"} : name_of(outcome.error().code),
                          this->time.now() - started_at);
+            if constexpr (std::is_same_v<value, object_listing>) {
+                if (outcome) {
+                    this->metrics.set_gauge("tanager_store_era",
+                                            static_cast<double>(era_of(outcome->revision)));
+                }
+            }
             callback(outcome);
         };
 }
--- a/src/store/object_store.h
+++ b/src/store/object_store.h
@@ -11,7 +11,11 @@
 
 // All calls are asynchronous; callbacks run on the event loop. Errors are store_unavailable,
 // version_conflict, object_unknown or, from `watch`, history_lost: the changes after `since` were dropped or
-// cannot be parsed. After store_unavailable a write may nevertheless have taken effect.
+// cannot be parsed, or `since` is of an earlier era. After store_unavailable a write may nevertheless have
+// taken effect.
+//
+// Versions and revisions rise over the eras of the store (see store/types/fencing_token.h), so that those of
+// a store that came back from a copy are higher than any before. The eras of answers never fall.
 class object_store {
 public:
     object_store() = default;
--- a/src/store/observed_object_store.h
+++ b/src/store/observed_object_store.h
@@ -10,8 +10,9 @@
 
 namespace tanager {
 
-// Passes all calls on. Counts them in `tanager_store_calls_total` by call, prefix and outcome, and writes one
-// log line for each when it has a result.
+// Passes all calls on. Shows the era of the last listing in `tanager_store_era`. Counts them in
+// `tanager_store_calls_total` by call, prefix and outcome, and writes one log line for each when it has a
+// result.
 class observed_object_store final : public object_store {
 public:
     // The references must outlive the store and its pending calls.
--- a/src/store/tests/store_tests.cpp
+++ b/src/store/tests/store_tests.cpp
@@ -1,6 +1,7 @@
 #include "base/mocks/seeded_random.h"
 #include "store/mocks/watch_only_store.h"
 #include "store/object_watcher.h"
+#include "store/types/fencing_token.h"
 #include "testing/section.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -91,6 +92,7 @@
 class store_tests : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(store_tests);
     CPPUNIT_TEST(coalesces_changes_that_follow_at_once);
+    CPPUNIT_TEST(orders_revisions_over_eras);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -106,6 +108,24 @@
         });
     }
 
+    void orders_revisions_over_eras()
+    {
+        section("a revision that is given out again in the next era has a higher token", [] {
+            CPPUNIT_ASSERT(fencing_token(2, 100) > fencing_token(1, 120));
+            CPPUNIT_ASSERT(fencing_token(2, 100) != fencing_token(1, 100));
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, era_of(fencing_token(2, 100)));
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{100}, revision_of(fencing_token(2, 100)));
+        });
+        section("without an era the token is the revision",
+                [] { CPPUNIT_ASSERT_EQUAL(std::uint64_t{100}, fencing_token(0, 100)); });
+        section("the highest token is exact in JSON, and there is none beyond it", [] {
+            constexpr std::uint64_t exact_numbers = std::uint64_t{1} << 53U;
+            CPPUNIT_ASSERT(make_fencing_token(max_era, max_revision).value() < exact_numbers);
+            CPPUNIT_ASSERT(!make_fencing_token(max_era + 1, 1));
+            CPPUNIT_ASSERT(!make_fencing_token(1, max_revision + 1));
+        });
+    }
+
 private:
     // Returns the number of watch calls until the watcher has received all changes and waits for the next
     // one.
--- a/src/store/types/stored_object.h
+++ b/src/store/types/stored_object.h
@@ -7,7 +7,8 @@
 
 namespace tanager {
 
-// One version of one object. The version is the store-wide revision of the write that created it.
+// One version of one object. The version is the store-wide revision of the write that created it, in its era
+// (see store/types/fencing_token.h); 0 if it could not be read.
 struct stored_object {
     std::string name;
     std::uint64_t version = 0;
