--- a/src/relay/mocks/simulated_site.h
+++ b/src/relay/mocks/simulated_site.h
@@ -44,6 +44,7 @@
     // Comes back from a copy as of `copied`, in a new era.
     void restore(std::uint64_t copied)
     {
+        this->events_by_era[era_of(copied)] = this->events;
         std::erase_if(this->events, [copied](const auto& event) { return event.version > copied; });
         const auto era = era_of(copied) + 1;
         for (auto& event : this->events) {
@@ -76,7 +77,8 @@
     object_values values_at(std::uint64_t at_revision) const
     {
         object_values values;
-        for (const auto& event : this->events) {
+        const auto earlier = this->events_by_era.find(era_of(at_revision));
+        for (const auto& event : earlier == this->events_by_era.end() ? this->events : earlier->second) {
             if (event.version > at_revision) {
                 break;
             }
@@ -94,6 +96,7 @@
 private:
     std::uint64_t oldest_since = 0;
     std::vector<stored_object> events;
+    std::map<std::uint64_t, std::vector<stored_object>> events_by_era; // of earlier eras
 };
 
 // The connection of one gateway to the store. Calls end in `step`.
--- a/src/relay/tests/relay_tests.cpp
+++ b/src/relay/tests/relay_tests.cpp
@@ -200,6 +200,7 @@
     CPPUNIT_TEST(reads_large_changes_from_the_store);
     CPPUNIT_TEST(serves_a_gateway_that_the_store_rejects);
     CPPUNIT_TEST(follows_the_store_under_random_faults);
+    CPPUNIT_TEST(follows_a_store_that_comes_back_from_copies_under_random_faults);
     CPPUNIT_TEST(decodes_arbitrary_datagrams_safely);
     CPPUNIT_TEST_SUITE_END();
 
@@ -442,6 +443,15 @@
         }
     }
 
+    // The same, while the store comes back from copies that lack the changes of the last seconds.
+    void follows_a_store_that_comes_back_from_copies_under_random_faults()
+    {
+        constexpr std::uint64_t seeds = 8;
+        for (std::uint64_t seed = 101; seed <= 100 + seeds; ++seed) {
+            section("seed " + std::to_string(seed), [&] { this->play_faults(seed, true); });
+        }
+    }
+
     void decodes_arbitrary_datagrams_safely()
     {
         section("decoded changes equal the encoded ones", [] {
@@ -545,11 +555,12 @@
         }
     }
 
-    void play_faults(std::uint64_t seed)
+    void play_faults(std::uint64_t seed, bool restores_store = false)
     {
         constexpr int steps = 6'000;
         constexpr int steps_per_fault = 120;
         constexpr int steps_per_change = 35;
+        constexpr int steps_per_restore = 900;
         simulated_network network(13, 3, seed);
         fault_plan plan;
         std::map<std::uint64_t, time_point> changed_at; // by revision
@@ -561,6 +572,12 @@
                 change_something(network);
                 changed_at[network.history.revision] = network.time.now();
             }
+            if (restores_store && network.random() % steps_per_restore == 0) {
+                const auto lost_writes = network.random() % 10;
+                const auto written = revision_of(network.history.revision);
+                network.history.restore(network.history.revision - std::min(lost_writes, written - 1));
+                changed_at[network.history.revision] = network.time.now();
+            }
             const auto now = network.time.now();
             network.loss_percent = now < plan.lossy_until ? 40 : 1;
             for (auto& each : network.hosts) {
--- a/src/roles/tests/roles_tests.cpp
+++ b/src/roles/tests/roles_tests.cpp
@@ -4,6 +4,7 @@
 #include "roles/role_order_sender.h"
 #include "roles/role_plan.h"
 #include "store/mocks/fault_injecting_store.h"
+#include "store/types/fencing_token.h"
 #include "testing/section.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -96,6 +97,7 @@
     CPPUNIT_TEST(counts_arrivals_of_the_last_second);
     CPPUNIT_TEST(sends_an_order_after_acquiring_the_lease);
     CPPUNIT_TEST(sends_nothing_after_losing_the_lease);
+    CPPUNIT_TEST(keeps_authority_apart_when_the_store_comes_back_from_a_copy);
     CPPUNIT_TEST(blocks_an_engine_while_the_outcome_of_its_order_is_unknown);
     CPPUNIT_TEST_SUITE_END();
 
@@ -328,6 +330,71 @@
         });
     }
 
+    void keeps_authority_apart_when_the_store_comes_back_from_a_copy()
+    {
+        section("a holder has sent an order, and the store loses that it holds the lease", [] {
+            manual_clock time;
+            fault_injecting_store store(1);
+            store.restore({}, 100);
+            sender_fixture former_holder(time, store, "a");
+            sender_fixture new_holder(time, store, "b");
+            const auto copy = store.objects;
+            const auto copied = store.last_revision();
+            former_holder.orders->prepare_to_send();
+            deliver(store);
+            time.advance(3s);
+            former_holder.send();
+            former_holder.last_call().respond(200, {}, "0");
+            deliver(store);
+            const auto first_token = token_of(former_holder.last_call().request);
+            former_holder.last_call().respond(202, {}, {});
+            store.restore(copy, copied);
+            section("another process takes over, and waits out the lease that is no longer in the store",
+                    [&] {
+                        new_holder.orders->prepare_to_send();
+                        deliver(store);
+                        CPPUNIT_ASSERT(!new_holder.orders->prepare_to_send());
+                        time.advance(2'999ms);
+                        CPPUNIT_ASSERT(!new_holder.orders->prepare_to_send());
+                    });
+            section("the former holder sends nothing, without knowing of the new era", [&] {
+                former_holder.send("e8");
+                former_holder.last_call().respond(200, {}, "0");
+                deliver(store);
+                CPPUNIT_ASSERT_EQUAL(std::string{"GET"}, former_holder.last_call().request.method);
+                CPPUNIT_ASSERT(former_holder.outcome == false);
+            });
+            section("the new one's token is higher, although its revision was given out before", [&] {
+                time.advance(1ms);
+                CPPUNIT_ASSERT(new_holder.orders->prepare_to_send());
+                new_holder.send();
+                new_holder.last_call().respond(200, {}, "1");
+                deliver(store);
+                const auto second_token = token_of(new_holder.last_call().request);
+                CPPUNIT_ASSERT_EQUAL(revision_of(first_token), revision_of(second_token));
+                CPPUNIT_ASSERT(second_token > first_token);
+            });
+        });
+        section("over eight eras, no token is given out twice and none is lower than one before", [] {
+            manual_clock time;
+            fault_injecting_store store(1);
+            std::uint64_t last_token = 0;
+            for (int era = 0; era < 8; ++era) {
+                sender_fixture holder(time, store, "host-" + std::to_string(era % 2));
+                holder.orders->prepare_to_send();
+                deliver(store);
+                time.advance(3s);
+                holder.send();
+                holder.last_call().respond(200, {}, "0");
+                deliver(store);
+                const auto token = token_of(holder.last_call().request);
+                CPPUNIT_ASSERT(token > last_token);
+                last_token = token;
+                store.restore({}, 0);
+            }
+        });
+    }
+
     void blocks_an_engine_while_the_outcome_of_its_order_is_unknown()
     {
         section("the connection breaks after an order was sent", [] {
@@ -372,6 +439,11 @@
     }
 
 private:
+    static std::uint64_t token_of(const http_request& order)
+    {
+        return std::stoull(find_header(order.headers, "token"));
+    }
+
     static void deliver(fault_injecting_store& store)
     {
         while (store.deliver_random_response()) {
--- a/src/store/mocks/fault_injecting_store.h
+++ b/src/store/mocks/fault_injecting_store.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "store/object_store.h"
+#include "store/types/fencing_token.h"
 
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <random>
+#include <utility>
 
 namespace tanager {
 
@@ -76,6 +78,18 @@
         callback(fail(result_code::store_unavailable, "not part of this fake"));
     }
 
+    // Comes back from a copy with these objects, as of `copied`, in the next era: the revisions since are
+    // given out again.
+    void restore(std::map<std::string, stored_object> copy, std::uint64_t copied)
+    {
+        const auto era = era_of(this->revision) + 1;
+        this->revision = fencing_token(era, revision_of(copied));
+        for (auto& [name, object] : copy) {
+            object.version = fencing_token(era, revision_of(object.version));
+        }
+        this->objects = std::move(copy);
+    }
+
     // Delivers one pending response, chosen at random; returns false if none is pending.
     bool deliver_random_response()
     {
@@ -89,6 +103,11 @@
         return true;
     }
 
+    std::uint64_t last_revision() const
+    {
+        return this->revision;
+    }
+
     store_fault_rates fault_rates;
     std::map<std::string, stored_object> objects;
     std::uint64_t rejected_calls = 0;
--- a/standins/site/fake_object_store.cpp
+++ b/standins/site/fake_object_store.cpp
@@ -1,5 +1,9 @@
 #include "standins/site/fake_object_store.h"
 
+#include <algorithm>
+#include <map>
+#include <utility>
+
 namespace tanager::standin {
 
 namespace {
@@ -12,6 +16,10 @@
 constexpr int status_gone = 410;
 constexpr int status_unavailable = 503;
 constexpr std::string_view objects_path = "/objects/";
+constexpr const char* era_header = "Store-Era";
+// How long a restored store is away, and how long after that it lacks what is written again.
+constexpr std::chrono::milliseconds restore_time{200};
+constexpr std::chrono::milliseconds rewrite_delay{700};
 
 json to_json(const versioned_object& object)
 {
@@ -20,18 +28,36 @@
             {"spec", object.deleted ? json::object() : json::parse(object.value, nullptr, false)}};
 }
 
-void send_json(http_exchange& exchange, int status, const json& body)
+// Which objects the operators and backend servers write; the gateways write the others.
+bool is_written_again(const std::string& name)
 {
-    exchange.send_response({status, {{"Content-Type", "application/json"}}, body.dump()});
+    return name.starts_with("config/") || name.starts_with("servers/");
 }
 
 } // namespace
 
-fake_object_store::fake_object_store(event_loop& loop) : loop(loop) {}
+fake_object_store::fake_object_store(event_loop& loop, std::uint64_t era) : loop(loop), era(era) {}
+
+void fake_object_store::send_json(http_exchange& exchange, int status, const json& body) const
+{
+    http_headers headers{{"Content-Type", "application/json"}};
+    if (this->era > 0) {
+        headers.push_back({era_header, std::to_string(this->era)});
+    }
+    exchange.send_response({status, headers, body.dump()});
+}
+
+void fake_object_store::send_status(http_exchange& exchange, int status) const
+{
+    this->send_json(exchange, status, json::object());
+}
 
 bool fake_object_store::serve(const std::shared_ptr<http_exchange>& exchange)
 {
     if (this->faults.serve(*exchange)) {
+        if (const auto age = this->faults.take("restore_ms"); age > 0) {
+            this->restore(std::chrono::milliseconds{age});
+        }
         return true;
     }
     const auto target = parse_request_target(exchange->request().path);
@@ -40,8 +66,8 @@
     }
     if (this->faults.value("silent") > 0) {
         this->withheld_exchanges.push_back(exchange);
-    } else if (this->faults.value("outage") > 0) {
-        exchange->send_response({status_unavailable, {}, {}});
+    } else if (this->faults.value("outage") > 0 || steady_clock::now() < this->away_until) {
+        this->send_status(*exchange, status_unavailable);
     } else if (exchange->request().method != "GET") {
         this->serve_write(*exchange, target);
     } else {
@@ -56,7 +82,7 @@
     const auto name = target.path.substr(objects_path.size());
     if (name.find('/') != std::string::npos) {
         const auto object = this->table.get(name);
-        send_json(
+        this->send_json(
             *exchange, object ? status_ok : status_not_found, object ? to_json(*object) : json::object());
         return;
     }
@@ -68,9 +94,9 @@
     for (const auto& object : this->table.list(name + "/")) {
         items.push_back(to_json(object));
     }
-    send_json(*exchange,
-              status_ok,
-              {{"items", items}, {"hasMore", false}, {"storeRevision", this->table.revision()}});
+    this->send_json(*exchange,
+                    status_ok,
+                    {{"items", items}, {"hasMore", false}, {"storeRevision", this->table.revision()}});
 }
 
 json fake_object_store::events_since(const std::string& prefix, std::uint64_t since_revision) const
@@ -85,8 +111,8 @@
 void fake_object_store::serve_watch(const std::shared_ptr<http_exchange>& exchange,
                                     const request_target& target)
 {
-    if (this->faults.consume("forget")) {
-        exchange->send_response({status_gone, {}, {}});
+    if (this->faults.consume("forget") || target.query_number("watch") > this->table.revision()) {
+        this->send_status(*exchange, status_gone);
         return;
     }
     const auto prefix = target.path.substr(objects_path.size()) + "/";
@@ -96,7 +122,7 @@
         this->loop.run_after(std::chrono::milliseconds{target.query_number("waitMs")}, [this, watch] {
             const auto expired = watch->exchange;
             this->watches.erase(watch);
-            send_json(
+            this->send_json(
                 *expired, status_ok, {{"events", json::array()}, {"storeRevision", this->table.revision()}});
         });
     this->complete_watches();
@@ -114,7 +140,7 @@
             watch->exchange->send_response(
                 {status_ok, {{"Content-Type", "application/json"}}, "{\"events\": [<"});
         } else {
-            send_json(
+            this->send_json(
                 *watch->exchange, status_ok, {{"events", events}, {"storeRevision", this->table.revision()}});
         }
         watch = this->watches.erase(watch);
@@ -135,8 +161,8 @@
                                   : body.is_object() ? body["metadata"].value("revision", current_version)
                                                      : target.query_number("revision");
     const auto new_version = exchange.request().method == "DELETE"
-                                 ? this->table.remove(name, expected_version)
-                                 : this->table.put(name, body["spec"].dump(), expected_version);
+                                 ? this->apply(name, std::nullopt, expected_version)
+                                 : this->apply(name, body["spec"].dump(), expected_version);
     this->complete_watches();
     if (this->faults.consume("lost_answer")) {
         exchange.abort();
@@ -144,13 +170,13 @@
     }
     const json response_body{
         {"metadata", {{"name", name}, {"revision", new_version.value_or(current_version)}}}};
-    send_json(exchange, new_version ? status_ok : status_conflict, response_body);
+    this->send_json(exchange, new_version ? status_ok : status_conflict, response_body);
 }
 
 void fake_object_store::write(const std::string& name, const json& spec)
 {
     const auto current = this->table.get(name);
-    this->table.put(name, spec.dump(), current ? current->version : 0);
+    this->apply(name, spec.dump(), current ? current->version : 0);
     this->complete_watches();
 }
 
@@ -158,9 +184,58 @@
 {
     const auto current = this->table.get(name);
     if (current) {
-        this->table.remove(name, current->version);
+        this->apply(name, std::nullopt, current->version);
         this->complete_watches();
     }
 }
 
+std::optional<std::uint64_t> fake_object_store::apply(const std::string& name,
+                                                      const std::optional<std::string>& value,
+                                                      std::uint64_t expected)
+{
+    const auto version = value ? this->table.put(name, *value, expected) : this->table.remove(name, expected);
+    if (version) {
+        this->writes.push_back({steady_clock::now(), name, value});
+    }
+    return version;
+}
+
+void fake_object_store::restore(std::chrono::milliseconds age)
+{
+    const auto now = steady_clock::now();
+    this->table = {};
+    std::map<std::string, std::optional<std::string>> lost_values; // by name, as last written
+    for (auto& write : std::exchange(this->writes, {})) {
+        if (write.at > now - age) {
+            lost_values[write.name] = write.value;
+            continue;
+        }
+        const auto current = this->table.get(write.name);
+        const auto version = current ? current->version : 0;
+        write.value ? this->table.put(write.name, *write.value, version)
+                    : this->table.remove(write.name, version);
+        this->writes.push_back(std::move(write));
+    }
+    ++this->era;
+    this->away_until = now + restore_time;
+    for (const auto& watch : std::exchange(this->watches, {})) {
+        watch.exchange->abort();
+    }
+    const auto rewrite = [this, now, lost = std::move(lost_values)] {
+        for (const auto& [name, value] : lost) {
+            const bool was_written = std::ranges::any_of(
+                this->writes, [&](const auto& write) { return write.name == name && write.at > now; });
+            if (was_written || !is_written_again(name)) {
+                continue;
+            }
+            if (value) {
+                this->write(name, json::parse(*value, nullptr, false));
+            } else {
+                this->remove(name);
+            }
+        }
+    };
+    this->rewrite_timer = this->loop.run_after(restore_time + rewrite_delay, rewrite);
+}
+
 } // namespace tanager::standin
--- a/standins/site/fake_object_store.h
+++ b/standins/site/fake_object_store.h
@@ -7,20 +7,28 @@
 #include "standins/support/fault_registry.h"
 #include "standins/support/request_target.h"
 
+#include <chrono>
+#include <cstdint>
 #include <list>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace tanager::standin {
 
 // Faults (level: active while above 0; count: used up by one per occurrence): `outage` (level: every call
 // gets a 503), `silent` (level: no call gets a response), `forget` (count: a watch gets a 410 because its
 // history is lost), `lost_answer` (count: a write takes effect, but its connection is closed without a
-// response), `unreadable` (level: events are sent as invalid JSON).
+// response), `unreadable` (level: events are sent as invalid JSON), `restore_ms` (once: the store is away for
+// a moment and comes back from a copy of that age, in a new era; it gives the revisions since out again, and
+// the operators and backend servers write their objects again soon after).
+//
+// Answers state the era of the store once it is above 0.
 class fake_object_store {
 public:
-    explicit fake_object_store(event_loop& loop);
+    explicit fake_object_store(event_loop& loop, std::uint64_t era = 0);
 
     // Serves /objects and /faults. Returns whether the request was for one of them.
     bool serve(const std::shared_ptr<http_exchange>& exchange);
@@ -30,6 +38,14 @@
     void remove(const std::string& name);
 
 private:
+    using steady_clock = std::chrono::steady_clock;
+
+    struct recorded_write {
+        steady_clock::time_point at;
+        std::string name;
+        std::optional<std::string> value; // none for a removal
+    };
+
     struct pending_watch {
         std::shared_ptr<http_exchange> exchange;
         std::string prefix;
@@ -42,8 +58,17 @@
     void serve_write(http_exchange& exchange, const request_target& target);
     nlohmann::json events_since(const std::string& prefix, std::uint64_t since_revision) const;
     void complete_watches();
+    void send_json(http_exchange& exchange, int status, const nlohmann::json& body) const;
+    void send_status(http_exchange& exchange, int status) const;
+    std::optional<std::uint64_t>
+    apply(const std::string& name, const std::optional<std::string>& value, std::uint64_t expected);
+    void restore(std::chrono::milliseconds age);
 
     event_loop& loop;
+    std::uint64_t era;
+    std::vector<recorded_write> writes;
+    steady_clock::time_point away_until;
+    std::unique_ptr<loop_timer> rewrite_timer;
     fault_registry faults;
     versioned_object_table table;
     std::list<pending_watch> watches;
--- a/standins/site/main.cpp
+++ b/standins/site/main.cpp
@@ -54,13 +54,15 @@
     std::size_t servers = 2;
     std::string prefix = "i-";
     int timeout_ms = 5'000; // NOLINT(*-magic-numbers)
+    std::uint64_t era = 0;
     CLI::App app{"Stand-in for the platform's store and a few backend servers.", "standin-site"};
     app.add_option("--servers", servers, "number of backend servers");
     app.add_option("--prefix", prefix, "prefix of the ids of the backend servers");
     app.add_option("--timeout-ms", timeout_ms, "timeout of the routes in milliseconds");
+    app.add_option("--era", era, "era that the store states in its answers; none if 0");
     CLI11_PARSE(app, argc, argv);
     const auto loop = init_standin("standin-site");
-    fake_object_store store(*loop);
+    fake_object_store store(*loop, era);
     std::string addresses;
     std::vector<std::unique_ptr<fake_backend_server>> backend_servers;
     std::vector<std::unique_ptr<tanager::http_server>> http_servers;
--- a/standins/support/fault_registry.cpp
+++ b/standins/support/fault_registry.cpp
@@ -3,6 +3,8 @@
 #include "logging/event_log.h"
 #include "standins/support/request_target.h"
 
+#include <utility>
+
 namespace tanager::standin {
 
 bool fault_registry::serve(http_exchange& exchange)
@@ -33,6 +35,12 @@
     return true;
 }
 
+std::uint64_t fault_registry::take(const std::string& kind)
+{
+    const auto found = this->values.find(kind);
+    return found == this->values.end() ? 0 : std::exchange(found->second, 0);
+}
+
 std::uint64_t fault_registry::value(const std::string& kind) const
 {
     const auto found = this->values.find(kind);
--- a/standins/support/fault_registry.h
+++ b/standins/support/fault_registry.h
@@ -17,6 +17,9 @@
     // Uses up one count of a fault; returns whether there was one.
     bool consume(const std::string& kind);
 
+    // Uses up a fault with its whole value, which is returned; 0 if there was none.
+    std::uint64_t take(const std::string& kind);
+
     // Returns the current value of a fault without using it up; 0 if it was never set.
     std::uint64_t value(const std::string& kind) const;
 
