Hedging: a slow repeatable request gets a second attempt at another server

Change: hedge_attempt is a second attempt with its own slot, call and response; the first good answer goes to the caller, the other attempt is cancelled. Settings [hedging] percent (off by default) and routes; log events 3076 to 3078; metrics. For idempotent requests to plain services; streams are not hedged. Measured: hedge_tests and hedging_tests pass; nothing changes without the setting.

--- a/src/gateway/gateway_setup.cpp
+++ b/src/gateway/gateway_setup.cpp
@@ -154,6 +154,7 @@
           link(this->time, settings.link_megabits_per_second),
           demand(this->time),
           scheduler(this->time, this->random, this->pool, this->link, this->demand),
+          hedges(this->time, settings.hedging),
           retries(share_of_fleet(settings.retry_bound, std::nullopt)),
           connector(loop),
           quarantine(this->time, this->metrics, this->connector),
@@ -279,6 +280,9 @@
         auto settings_to_compare = new_settings;
         settings_to_compare.stop_grace = this->settings.stop_grace;
         settings_to_compare.max_open_requests = this->settings.max_open_requests;
+        settings_to_compare.hedging = this->settings.hedging;
+        this->settings.hedging = new_settings.hedging;
+        this->hedges.set_policy(new_settings.hedging);
         this->settings.stop_grace = new_settings.stop_grace;
         this->settings.max_open_requests = new_settings.max_open_requests;
         this->handler->set_max_open_requests(new_settings.max_open_requests);
@@ -351,7 +355,8 @@
                 this->caller_timeouts,
                 this->response_buffer_budget,
                 this->quarantine,
-                this->callers};
+                this->callers,
+                this->hedges};
     }
 
     bool is_ready() const
@@ -428,6 +433,7 @@
     {
         this->pool.remove_unlisted();
         this->caller_timeouts.keep_only(this->routes.route_names());
+        this->hedges.keep_only(this->routes.route_names());
     }
 
     void refresh_gauges()
@@ -494,6 +500,7 @@
     byte_budget response_buffer_budget{max_response_buffer_bytes};
     demand_meter demand;
     request_scheduler scheduler;
+    hedge_limiter hedges;
     retry_budget retries;
     gateway_count_tracker gateway_count;
     probing_connector connector;
--- a/src/gateway/internal/gateway_settings.cpp
+++ b/src/gateway/internal/gateway_settings.cpp
@@ -20,6 +20,7 @@
 constexpr integer_range gain_percent_range{0, 1'000};
 constexpr std::int64_t default_role_gain_percent = 15;
 constexpr double percent = 100.0;
+constexpr double max_hedging_percent = 50.0;
 constexpr double max_link_megabits_per_second = 1e9;
 constexpr std::chrono::seconds max_stop_grace{600};
 constexpr double max_memory_megabytes = 1e9;
@@ -49,6 +50,13 @@
     bound.window = reader.read_seconds({"retries", "window_seconds"}, defaults.window, max_retry_window);
 }
 
+void load_hedging(settings_reader& reader, hedging_policy& policy)
+{
+    policy.max_share = reader.read_decimal({"hedging", "percent"}, 0, max_hedging_percent) / percent;
+    const auto routes = reader.read_list({"hedging", "routes"});
+    policy.routes = {routes.begin(), routes.end()};
+}
+
 } // namespace
 
 gateway_settings load_gateway_settings(settings_reader& reader)
@@ -78,6 +86,7 @@
                                                      static_cast<double>(defaults.memory_megabytes),
                                                      max_memory_megabytes));
     load_retry_bound(reader, settings.retry_bound);
+    load_hedging(reader, settings.hedging);
     settings.role_order_lease = reader.read_milliseconds(
         {"roles", "order_lease_ms"}, defaults.role_order_lease, grace_milliseconds_range);
     settings.min_role_gain_ratio =
--- a/src/gateway/internal/request_forwarder.cpp
+++ b/src/gateway/internal/request_forwarder.cpp
@@ -1,5 +1,7 @@
 #include "gateway/internal/request_forwarder.h"
 
+#include "gateway/internal/hedge_attempt.h"
+
 #include <algorithm>
 #include <array>
 
@@ -100,6 +102,9 @@
 {
     this->context.retries.record_request(this->routed.service);
     this->context.quarantine.add_listener(*this);
+    if (this->is_hedgeable()) {
+        this->context.hedges.record_request(this->routed.chosen_route->name);
+    }
     if (this->routed.request.caller_timeout) {
         this->context.caller_timeouts.record(this->routed.chosen_route->name,
                                              *this->routed.request.caller_timeout);
@@ -579,6 +584,7 @@
         this->context.client.start(target.address, this->encode_attempt(attempt), options, this->handler);
     this->start_connect_timeout();
     this->start_idle_timeout();
+    this->start_hedge_timer();
 }
 
 // Discards what earlier attempts have left of their responses, however they ended. The caller keeps the
@@ -646,6 +652,9 @@
         return;
     }
     this->context.servers.record_outcome(this->server->id, server_outcome::unresponsive);
+    if (this->hedge != nullptr) {
+        return; // another server is at work already
+    }
     auto other_server_slot = this->make_slot_request(this->context.time.now());
     other_server_slot.tried_server_ids.push_back(this->server->id);
     // A slow response is better than none, so the attempt continues unless another server has a free slot.
@@ -680,7 +689,12 @@
     this->execution = judge_execution(this->response);
     this->is_response_framed = is_framed(status, headers);
     this->connect_timer.reset();
+    this->hedge_timer.reset();
     this->waiting_since = this->context.time.now();
+    if (this->is_hedgeable() && this->execution != execution_state::not_executed) {
+        this->context.hedges.record_latency(this->routed.chosen_route->name,
+                                            this->waiting_since - this->attempt_sent_at);
+    }
     if (!this->response.is_misdirected) {
         this->context.quarantine.record_response(*this->server);
     }
@@ -872,6 +886,9 @@
     const error cause{result_code::backend_failed,
                       this->server->id + " answered with status " + std::to_string(status)};
     if (this->try_retry(cause, execution_state::executed)) {
+        if (this->failed_before_hedge) {
+            this->failed_before_hedge->response = http_response{status, kept_headers, kept_body};
+        }
         return;
     }
     this->response.status = status;
@@ -927,6 +944,10 @@
 
 bool request_forwarder::try_retry(const error& cause, execution_state attempt)
 {
+    if (this->hedge != nullptr) {
+        this->failed_before_hedge = failed_attempt{cause, attempt, std::nullopt};
+        return true;
+    }
     const bool attempt_may_have_executed = attempt != execution_state::not_executed;
     const bool is_connect_failure = cause.code == result_code::connect_failed && !attempt_may_have_executed;
     const bool may_retry =
@@ -945,6 +966,165 @@
     return true;
 }
 
+// Streams are not hedged: their first events would have to move between two calls.
+bool request_forwarder::is_hedgeable() const
+{
+    return this->routed.chosen_route->kind == route_kind::idempotent && !this->routed.is_model &&
+           this->context.hedges.applies_to(this->routed.chosen_route->name);
+}
+
+void request_forwarder::start_hedge_timer()
+{
+    const bool is_first = this->tried_server_ids.empty() && this->hedge == nullptr;
+    const auto delay = is_first && this->is_hedgeable()
+                           ? this->context.hedges.delay(this->routed.chosen_route->name)
+                           : std::nullopt;
+    if (!delay) {
+        return;
+    }
+    this->hedge_timer = this->context.loop.run_after(std::chrono::ceil<std::chrono::milliseconds>(*delay),
+                                                     [weak = this->weak_from_this()] {
+                                                         if (const auto alive = weak.lock()) {
+                                                             alive->try_hedge();
+                                                         }
+                                                     });
+}
+
+hedge_situation request_forwarder::make_hedge_situation() const
+{
+    const auto& service = this->routed.service;
+    const auto slots = this->context.scheduler.slot_usage_of(service);
+    hedge_situation situation;
+    situation.may_run_again = this->may_execute_again();
+    situation.total_slots = slots.total_slots;
+    situation.used_slots = slots.local_running + slots.peer_running;
+    situation.is_work_waiting = this->context.scheduler.is_work_waiting(service);
+    situation.retry_balance = this->context.retries.balance(service);
+    situation.max_retry_balance = this->context.retries.allowance().max_balance;
+    situation.time_left = this->routed.deadline - this->context.time.now();
+    situation.usual_latency = this->context.hedges.usual_latency(this->routed.chosen_route->name);
+    return situation;
+}
+
+// Sends the request to a second server if the first one is slow to answer and the limit allows it.
+void request_forwarder::try_hedge()
+{
+    const bool is_waiting =
+        this->state == request_state::sent && this->call != nullptr && this->response.status == 0;
+    if (!is_waiting || this->hedge != nullptr || this->find_quarantine() || this->find_refusal()) {
+        return;
+    }
+    auto slot = this->make_slot_request(this->context.time.now());
+    slot.tried_server_ids.push_back(this->server->id);
+    const auto situation = this->make_hedge_situation();
+    auto verdict = hedge_verdict::servers_busy;
+    if (this->context.scheduler.has_free_slot(slot)) {
+        verdict = this->context.hedges.decide(this->routed.chosen_route->name, situation);
+    }
+    if (verdict == hedge_verdict::hedge && this->try_spend_retry("hedge")) {
+        if (const auto granted = this->context.scheduler.try_take_slot(slot)) {
+            this->send_hedge(slot, *granted);
+        }
+        return;
+    }
+    this->context.metrics.increment_counter("tanager_hedges_withheld_total",
+                                            "reason=\"" + std::string{name_of(verdict)} + "\"");
+    this->log.write_hedge_withheld(verdict, situation);
+}
+
+void request_forwarder::send_hedge(const slot_request& slot, const slot_grant& granted)
+{
+    const auto weak = this->weak_from_this();
+    this->hedge = std::make_shared<hedge_attempt>(
+        this->context,
+        this->routed,
+        slot,
+        granted,
+        hedge_attempt::callbacks{[weak](const hedge_attempt::answer& answer) {
+                                     if (const auto alive = weak.lock()) {
+                                         alive->on_hedge_answered(answer.head, answer.headers, answer.body);
+                                     }
+                                 },
+                                 [weak](execution_state executed) {
+                                     if (const auto alive = weak.lock()) {
+                                         alive->on_hedge_failed(executed);
+                                     }
+                                 }});
+    this->attempts.begin_run();
+    this->context.metrics.increment_counter("tanager_hedges_total");
+    this->log.write_hedge_sent(granted.server->id, this->context.time.now() - this->attempt_sent_at);
+    const auto attempt = this->make_attempt_options(*granted.server);
+    this->hedge->start(attempt, this->make_call_options(attempt, max_connection_idle));
+}
+
+void request_forwarder::on_hedge_answered(const response_info& head,
+                                          const http_headers& headers,
+                                          const std::string& body)
+{
+    if (this->state == request_state::finished) {
+        return;
+    }
+    const auto& route_name = this->routed.chosen_route->name;
+    if (this->call != nullptr) {
+        this->context.hedges.record_latency(route_name, this->context.time.now() - this->attempt_sent_at);
+        this->record_unfinished_attempt();
+        this->cancel_attempt(server_outcome::inconclusive);
+    }
+    this->log.write_hedge_ended(this->hedge->server().id, "won", this->hedge->elapsed());
+    this->context.metrics.increment_counter("tanager_hedges_ended_total", "outcome=\"won\"");
+    this->log.set_server(this->hedge->server().id);
+    this->hedge.reset();
+    this->failed_before_hedge.reset();
+    this->response = head;
+    this->response_headers = headers;
+    this->send_buffered_response(body);
+}
+
+void request_forwarder::on_hedge_failed(execution_state executed)
+{
+    this->tried_server_ids.push_back(this->hedge->server().id);
+    this->log.write_hedge_ended(this->hedge->server().id, "failed", this->hedge->elapsed());
+    this->context.metrics.increment_counter("tanager_hedges_ended_total", "outcome=\"failed\"");
+    this->hedge.reset();
+    if (executed == execution_state::not_executed) {
+        this->attempts.refund_run();
+    }
+    const auto failed = std::exchange(this->failed_before_hedge, std::nullopt);
+    if (!failed) {
+        if (this->call != nullptr) {
+            this->start_idle_timeout();
+        }
+        return;
+    }
+    if (this->try_retry(failed->cause, failed->execution)) {
+        return;
+    }
+    if (failed->response) {
+        this->response.status = failed->response->status;
+        this->response_headers = failed->response->headers;
+        this->send_buffered_response(failed->response->body);
+        return;
+    }
+    if (failed->execution != execution_state::not_executed || this->may_have_executed()) {
+        this->fail_after_execution(failed->cause);
+        return;
+    }
+    this->reject(failed->cause);
+}
+
+// Cancels a second attempt that is no longer needed.
+void request_forwarder::cancel_hedge()
+{
+    this->hedge_timer.reset();
+    if (this->hedge == nullptr) {
+        return;
+    }
+    const auto ended = std::exchange(this->hedge, nullptr);
+    this->log.write_hedge_ended(ended->server().id, "cancelled", ended->elapsed());
+    this->context.metrics.increment_counter("tanager_hedges_ended_total", "outcome=\"cancelled\"");
+    ended->cancel();
+}
+
 void request_forwarder::fail_after_execution(const error& cause)
 {
     if (this->state == request_state::responding) {
@@ -1022,6 +1202,7 @@
 void request_forwarder::end_attempt(server_outcome outcome)
 {
     this->connect_timer.reset();
+    this->hedge_timer.reset();
     if (this->grant.prefill_tokens > 0) {
         this->end_prefill(false);
     }
@@ -1099,6 +1280,7 @@
     }
     this->state = request_state::finished;
     this->context.quarantine.remove_listener(*this);
+    this->cancel_hedge();
     this->deadline_timer.reset();
     this->release_kv_cache();
     this->context.metrics.observe_duration(
--- a/src/gateway/internal/request_forwarder.h
+++ b/src/gateway/internal/request_forwarder.h
@@ -10,6 +10,7 @@
 #include "gateway/request_codec.h"
 #include "gateway/request_scheduler.h"
 #include "gateway/types/caller_request.h"
+#include "hedging/hedge_limiter.h"
 #include "limits/attempt_limit.h"
 #include "limits/bounded_text.h"
 #include "limits/retry_budget.h"
@@ -27,6 +28,8 @@
 
 namespace tanager {
 
+class hedge_attempt;
+
 // The objects that all request forwarders share.
 struct forwarding_context {
     event_loop& loop;
@@ -43,6 +46,7 @@
     byte_budget& response_buffer_budget;
     crash_quarantine& quarantine;
     const caller_identification& callers;
+    hedge_limiter& hedges;
 };
 
 // A request and the route that was found for it.
@@ -132,6 +136,14 @@
     void handle_refusal();
     void handle_server_failure();
     void fail_after_execution(const error& cause);
+    bool is_hedgeable() const;
+    void start_hedge_timer();
+    void try_hedge();
+    hedge_situation make_hedge_situation() const;
+    void send_hedge(const slot_request& slot, const slot_grant& granted);
+    void on_hedge_answered(const response_info& head, const http_headers& headers, const std::string& body);
+    void on_hedge_failed(execution_state executed);
+    void cancel_hedge();
     void send_buffered_response(const std::string& body);
     void reject(const error& cause);
     void fail_with_unknown_outcome(const error& cause);
@@ -154,6 +166,13 @@
     double used_timeout_ratio() const;
     duration server_time_since(time_point began) const;
 
+    // How an attempt ended while a second one was under way.
+    struct failed_attempt {
+        error cause;
+        execution_state execution = execution_state::unknown;
+        std::optional<http_response> response; // of the server, if it has answered with a failure
+    };
+
     forwarding_context context;
     routed_request routed;
     std::function<void()> done;
@@ -194,6 +213,9 @@
     std::unique_ptr<loop_timer> deadline_timer;
     std::unique_ptr<loop_timer> connect_timer;
     std::unique_ptr<loop_timer> idle_timer;
+    std::unique_ptr<loop_timer> hedge_timer;
+    std::shared_ptr<hedge_attempt> hedge;              // null unless a second attempt is under way
+    std::optional<failed_attempt> failed_before_hedge; // the first attempt, if it ended before the second
 };
 
 } // namespace tanager
--- a/src/gateway/internal/request_log.cpp
+++ b/src/gateway/internal/request_log.cpp
@@ -131,6 +131,37 @@
                  {"gateways", std::to_string(allowance.gateway_count)}});
 }
 
+void request_log::write_hedge_sent(const std::string& server_id, duration waited) const
+{
+    write_event(log_event::hedge_sent,
+                {{"request", this->request_id},
+                 {"server", server_id},
+                 {"first_server", this->server},
+                 {"waited_ms", to_milliseconds(waited)}});
+}
+
+void request_log::write_hedge_withheld(hedge_verdict verdict, const hedge_situation& situation) const
+{
+    write_event(log_event::hedge_withheld,
+                {{"request", this->request_id},
+                 {"first_server", this->server},
+                 {"reason", std::string{name_of(verdict)}},
+                 {"used_slots", std::to_string(situation.used_slots)},
+                 {"total_slots", std::to_string(situation.total_slots)},
+                 {"retry_balance", std::to_string(situation.retry_balance)}});
+}
+
+void request_log::write_hedge_ended(const std::string& server_id,
+                                    std::string_view outcome,
+                                    duration elapsed) const
+{
+    write_event(log_event::hedge_ended,
+                {{"request", this->request_id},
+                 {"server", server_id},
+                 {"outcome", std::string{outcome}},
+                 {"elapsed_ms", to_milliseconds(elapsed)}});
+}
+
 void request_log::write_broken(const error& cause, const std::string& outcome) const
 {
     write_event(log_event::request_broken,
--- a/src/gateway/internal/request_log.h
+++ b/src/gateway/internal/request_log.h
@@ -5,6 +5,7 @@
 #include "base/types/result.h"
 #include "gateway/request_scheduler.h"
 #include "gateway/types/response_info.h"
+#include "hedging/types/hedge_situation.h"
 #include "limits/retry_budget.h"
 #include "net/http_client.h"
 #include "quarantine/types/request_traits.h"
@@ -77,6 +78,11 @@
     void write_retry_denied(const std::string& service,
                             const std::string& cause,
                             const retry_budget& retries) const;
+    // Log a second attempt at a slow request: that it was sent `waited` after the first, or why it was not,
+    // and how it ended.
+    void write_hedge_sent(const std::string& server_id, duration waited) const;
+    void write_hedge_withheld(hedge_verdict verdict, const hedge_situation& situation) const;
+    void write_hedge_ended(const std::string& server_id, std::string_view outcome, duration elapsed) const;
     // Logs a request that failed after a server may have executed it.
     void write_broken(const error& cause, const std::string& outcome) const;
     void write_rejection(const error& cause, const rejection_details& details) const;
--- a/src/gateway/internal/request_scheduler.cpp
+++ b/src/gateway/internal/request_scheduler.cpp
@@ -96,10 +96,9 @@
                           this->link.estimate_send_delay(request.request_bytes));
 }
 
-void request_scheduler::grant(const slot_request& request,
-                              const placement& chosen,
-                              const std::vector<placement_candidate>& candidates,
-                              slot_listener& listener)
+slot_grant request_scheduler::take_slot(const slot_request& request,
+                                        const placement& chosen,
+                                        const std::vector<placement_candidate>& candidates)
 {
     slot_grant granted{candidates[chosen.server].server, nullptr, nullptr, chosen.prefill_tokens, 0};
     if (chosen.prefix_source) {
@@ -115,7 +114,15 @@
         granted.pending_prefill_tokens =
             this->pool.begin_prefill(*prefill_server, request.prompt.prefix_key, granted.prefill_tokens);
     }
-    listener.on_slot_granted(granted);
+    return granted;
+}
+
+void request_scheduler::grant(const slot_request& request,
+                              const placement& chosen,
+                              const std::vector<placement_candidate>& candidates,
+                              slot_listener& listener)
+{
+    listener.on_slot_granted(this->take_slot(request, chosen, candidates));
 }
 
 std::uint64_t request_scheduler::request_slot(const slot_request& request,
@@ -144,6 +151,22 @@
     return ticket;
 }
 
+std::optional<slot_grant> request_scheduler::try_take_slot(const slot_request& request)
+{
+    if (this->is_work_waiting(request.service)) {
+        return std::nullopt;
+    }
+    std::vector<placement_candidate> candidates;
+    const auto chosen = this->choose(request, candidates);
+    return chosen ? std::optional{this->take_slot(request, *chosen, candidates)} : std::nullopt;
+}
+
+bool request_scheduler::is_work_waiting(const std::string& service)
+{
+    const auto& queues = this->queues_of(service);
+    return queues.queue.size() + queues.long_output_queue.size() > 0;
+}
+
 bool request_scheduler::has_free_slot(const slot_request& request)
 {
     std::vector<placement_candidate> candidates;
--- a/src/gateway/mocks/forwarding_fixture.h
+++ b/src/gateway/mocks/forwarding_fixture.h
@@ -92,7 +92,8 @@
                                this->caller_timeouts,
                                this->response_buffer_budget,
                                this->quarantine,
-                               this->callers},
+                               this->callers,
+                               this->hedges},
             routed_request{exchange,
                            request,
                            std::make_shared<const route>(this->active_route),
@@ -140,6 +141,7 @@
     crash_quarantine quarantine{time, metrics, connector};
     route_directory routes;
     caller_identification callers{codec, routes};
+    hedge_limiter hedges{time, {}};
     retry_budget retries{retry_budget_ratio, retry_reserve};
     route active_route;
     prompt_shape prompt;
--- a/src/gateway/request_scheduler.h
+++ b/src/gateway/request_scheduler.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -74,6 +75,13 @@
     // start has passed. Returns a ticket for `cancel`.
     std::uint64_t request_slot(const slot_request& request, const std::shared_ptr<slot_listener>& listener);
 
+    // Takes a slot for a request that is not worth waiting for, if one is free and nothing waits for it. It
+    // counts like a granted one.
+    std::optional<slot_grant> try_take_slot(const slot_request& request);
+
+    // Returns whether a request of the service waits for a slot.
+    bool is_work_waiting(const std::string& service);
+
     // Removes a queued request without notifying its listener. Unknown tickets are ignored.
     void cancel(std::uint64_t ticket);
 
@@ -106,6 +114,9 @@
     bool is_within_share(const slot_request& request, const std::vector<placement_candidate>& candidates);
     slot_usage count_slots(const std::string& service, const std::vector<placement_candidate>& candidates);
     placement_result choose(const slot_request& request, std::vector<placement_candidate>& candidates);
+    slot_grant take_slot(const slot_request& request,
+                         const placement& chosen,
+                         const std::vector<placement_candidate>& candidates);
     void grant(const slot_request& request,
                const placement& chosen,
                const std::vector<placement_candidate>& candidates,
--- /dev/null
+++ b/src/gateway/tests/hedge_tests.cpp
@@ -0,0 +1,213 @@
+#include "gateway/mocks/forwarding_fixture.h"
+#include "testing/section.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace tanager {
+
+namespace {
+
+using namespace std::chrono_literals;
+using testing::section;
+
+const http_headers signed_response{{"id", "r1"}, {"signed", "1"}};
+const http_headers refusal{{"id", "r1"}, {"not-run", "1"}};
+
+// A route whose answers take 4 ms, and of which every request may be hedged.
+class hedging_fixture : public forwarding_fixture {
+public:
+    hedging_fixture()
+    {
+        this->active_route.kind = route_kind::idempotent;
+        this->hedges.set_policy({1, {}});
+        for (int count = 0; count < 20; ++count) {
+            this->hedges.record_request(this->active_route.name);
+            this->hedges.record_latency(this->active_route.name, 4ms);
+        }
+        for (int count = 0; count < 3; ++count) {
+            this->retries.record_request("desk");
+        }
+    }
+
+    // Lets the time pass in which an answer is expected.
+    void wait_for_hedge()
+    {
+        const auto end = std::chrono::steady_clock::now() + 30ms;
+        while (std::chrono::steady_clock::now() < end) {
+            const auto timer = this->loop->run_after(5ms, [] {});
+            this->loop->run_once();
+        }
+        this->time.advance(10ms);
+    }
+
+    std::shared_ptr<fake_exchange> send_hedged()
+    {
+        auto exchange = this->send();
+        this->wait_for_hedge();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, this->client.calls.size());
+        return exchange;
+    }
+
+    std::uint32_t used_slots()
+    {
+        return this->scheduler.slot_usage_of("desk").local_running;
+    }
+};
+
+class hedge_tests : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(hedge_tests);
+    CPPUNIT_TEST(forwards_the_first_good_answer);
+    CPPUNIT_TEST(survives_the_failure_of_either_attempt);
+    CPPUNIT_TEST(is_true_about_execution);
+    CPPUNIT_TEST(leaves_other_requests_alone);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void forwards_the_first_good_answer()
+    {
+        section("a server is slow", [] {
+            hedging_fixture fixture;
+            const auto exchange = fixture.send_hedged();
+            section("the request goes to another server as well", [&] {
+                CPPUNIT_ASSERT(hedging_fixture::server_of(fixture.call(0)) !=
+                               hedging_fixture::server_of(fixture.call(1)));
+            });
+            section("the second server answers first: the first call is cancelled", [&] {
+                fixture.call(1).respond(200, signed_response, "second");
+                CPPUNIT_ASSERT_EQUAL(std::string{"second"}, exchange->sent_response.body);
+                CPPUNIT_ASSERT(fixture.call(0).is_cancelled);
+                CPPUNIT_ASSERT_EQUAL(1, fixture.finished_requests);
+                CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, fixture.used_slots());
+            });
+        });
+        section("the first server answers first after all: the second call is cancelled", [] {
+            hedging_fixture fixture;
+            const auto exchange = fixture.send_hedged();
+            fixture.call(0).respond(200, signed_response, "first");
+            CPPUNIT_ASSERT_EQUAL(std::string{"first"}, exchange->sent_response.body);
+            CPPUNIT_ASSERT(fixture.call(1).is_cancelled);
+            CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, fixture.used_slots());
+        });
+        section("both have begun to answer: the answers are not mixed", [] {
+            hedging_fixture fixture;
+            const auto exchange = fixture.send_hedged();
+            const auto first = fixture.call(0).handler;
+            first->on_head(200, signed_response);
+            first->on_data("half of the fir");
+            fixture.call(1).respond(200, signed_response, "second");
+            CPPUNIT_ASSERT_EQUAL(std::string{"second"}, exchange->sent_response.body);
+        });
+        section("the caller leaves: both calls are cancelled at once", [] {
+            hedging_fixture fixture;
+            const auto exchange = fixture.send_hedged();
+            exchange->caller_left_callback();
+            CPPUNIT_ASSERT(fixture.call(0).is_cancelled);
+            CPPUNIT_ASSERT(fixture.call(1).is_cancelled);
+            CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, fixture.used_slots());
+        });
+    }
+
+    void survives_the_failure_of_either_attempt()
+    {
+        section("the second attempt fails: the first goes on", [] {
+            hedging_fixture fixture;
+            const auto exchange = fixture.send_hedged();
+            fixture.call(1).fail(call_progress::maybe_sent);
+            CPPUNIT_ASSERT(!exchange->is_finished);
+            fixture.call(0).respond(200, signed_response, "first");
+            CPPUNIT_ASSERT_EQUAL(std::string{"first"}, exchange->sent_response.body);
+        });
+        section("the first attempt fails: the second goes on, without a third", [] {
+            hedging_fixture fixture;
+            const auto exchange = fixture.send_hedged();
+            fixture.call(0).fail(call_progress::maybe_sent);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.client.calls.size());
+            fixture.call(1).respond(200, signed_response, "second");
+            CPPUNIT_ASSERT_EQUAL(std::string{"second"}, exchange->sent_response.body);
+        });
+        section("the first server has failed and the second is lost: its failure is forwarded", [] {
+            hedging_fixture fixture;
+            const auto exchange = fixture.send_hedged();
+            fixture.call(0).respond(500, signed_response, "failure");
+            CPPUNIT_ASSERT(!exchange->is_finished);
+            fixture.call(1).fail(call_progress::maybe_sent);
+            CPPUNIT_ASSERT_EQUAL(500, exchange->sent_response.status);
+            CPPUNIT_ASSERT_EQUAL(std::string{"failure"}, exchange->sent_response.body);
+        });
+        section("a failure of the second server does not reach the caller", [] {
+            hedging_fixture fixture;
+            const auto exchange = fixture.send_hedged();
+            fixture.call(1).respond(500, signed_response, "failure");
+            CPPUNIT_ASSERT(!exchange->is_finished);
+        });
+    }
+
+    void is_true_about_execution()
+    {
+        section("the first server refuses while the second may run it, and that is lost: not 'not run'", [] {
+            hedging_fixture fixture;
+            fixture.active_route.max_attempts = 2;
+            const auto exchange = fixture.send_hedged();
+            fixture.call(0).respond(503, refusal, {});
+            CPPUNIT_ASSERT(!exchange->is_finished);
+            fixture.call(1).fail(call_progress::maybe_sent);
+            CPPUNIT_ASSERT(exchange->sent_response.status != 503);
+        });
+        section("both refuse: it has not run", [] {
+            hedging_fixture fixture;
+            const auto exchange = fixture.send_hedged();
+            while (fixture.retries.try_spend("desk")) {
+            }
+            fixture.call(0).respond(503, refusal, {});
+            fixture.call(1).respond(503, refusal, {});
+            CPPUNIT_ASSERT_EQUAL(503, exchange->sent_response.status);
+        });
+        section("two attempts are all that the route allows", [] {
+            hedging_fixture fixture;
+            fixture.send_hedged();
+            fixture.call(0).fail(call_progress::maybe_sent);
+            fixture.call(1).fail(call_progress::maybe_sent);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.client.calls.size());
+        });
+    }
+
+    void leaves_other_requests_alone()
+    {
+        const auto count_calls = [](const std::function<void(hedging_fixture&)>& change) {
+            hedging_fixture fixture;
+            change(fixture);
+            fixture.send();
+            fixture.wait_for_hedge();
+            return fixture.client.calls.size();
+        };
+        section("a request that may run once", [&] {
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, count_calls([](auto& fixture) {
+                                     fixture.active_route.kind = route_kind::non_idempotent;
+                                 }));
+        });
+        section("a route that allows one attempt", [&] {
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                                 count_calls([](auto& fixture) { fixture.active_route.max_attempts = 1; }));
+        });
+        section("a gateway whose settings do not ask for it", [&] {
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                                 count_calls([](auto& fixture) { fixture.hedges.set_policy({}); }));
+        });
+        section("no other server has a free slot", [&] {
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                                 count_calls([](auto& fixture) { fixture.remove_server("b"); }));
+        });
+        section("the retry budget is needed for failures", [&] {
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, count_calls([](auto& fixture) {
+                                     while (fixture.retries.try_spend("desk")) {
+                                     }
+                                 }));
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(hedge_tests);
+
+} // namespace
+
+} // namespace tanager
--- a/src/gateway/types/gateway_settings.h
+++ b/src/gateway/types/gateway_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hedging/types/hedging_policy.h"
 #include "limits/fleet_retry_share.h"
 #include "net/http_server.h"
 #include "settings/settings_reader.h"
@@ -28,6 +29,7 @@
     std::size_t memory_megabytes = 256; // that the process may use
     fleet_retry_bound retry_bound;
     std::chrono::milliseconds role_order_lease{3'000}; // minimum time between role orders of two gateways
+    hedging_policy hedging;                            // second attempts at slow requests; off unless set
     double min_role_gain_ratio = 0.15; // minimum gain of a role change, relative to the service's capacity
 
     friend bool operator==(const gateway_settings&, const gateway_settings&) = default;
--- a/src/hedging/hedge_limiter.h
+++ b/src/hedging/hedge_limiter.h
@@ -24,6 +24,9 @@
 public:
     hedge_limiter(const clock& time, hedging_policy policy);
 
+    // Applies from now on.
+    void set_policy(hedging_policy new_policy);
+
     // Returns whether requests of a route may ever be hedged.
     bool applies_to(const std::string& route) const;
 
--- a/src/hedging/internal/hedge_limiter.cpp
+++ b/src/hedging/internal/hedge_limiter.cpp
@@ -50,6 +50,11 @@
 {
 }
 
+void hedge_limiter::set_policy(hedging_policy new_policy)
+{
+    this->policy = std::move(new_policy);
+}
+
 bool hedge_limiter::applies_to(const std::string& route) const
 {
     return this->policy.max_share > 0 && (this->policy.routes.empty() || this->policy.routes.contains(route));
--- a/src/logging/internal/log_event.cpp
+++ b/src/logging/internal/log_event.cpp
@@ -91,6 +91,9 @@
     event_row{log_event::retry_share_changed, "retry_share_changed", log_level::info},
     event_row{log_event::retry_denied, "retry_denied", log_level::info},
     event_row{log_event::organisation_entry_invalid, "organisation_entry_invalid", log_level::warning},
+    event_row{log_event::hedge_sent, "hedge_sent", log_level::info},
+    event_row{log_event::hedge_withheld, "hedge_withheld", log_level::info},
+    event_row{log_event::hedge_ended, "hedge_ended", log_level::info},
     event_row{log_event::fault_switched, "fault_switched", log_level::info},
 };
 
--- a/src/logging/types/log_event.h
+++ b/src/logging/types/log_event.h
@@ -82,6 +82,9 @@
     retry_share_changed = 3047,
     retry_denied = 3048,
     organisation_entry_invalid = 3050,
+    hedge_sent = 3076,
+    hedge_withheld = 3077,
+    hedge_ended = 3078,
 
     // 4000: agent
     attempt_refused = 4001,
