--- a/src/gateway/internal/gateway_settings.cpp
+++ b/src/gateway/internal/gateway_settings.cpp
@@ -21,6 +21,7 @@
 constexpr integer_range gain_percent_range{0, 1'000};
 constexpr std::int64_t default_role_gain_percent = 15;
 constexpr double percent = 100.0;
+constexpr double max_hedging_percent = 50.0;
 constexpr double max_link_megabits_per_second = 1e9;
 constexpr std::chrono::seconds max_stop_grace{600};
 constexpr double max_memory_megabytes = 1e9;
@@ -50,6 +51,13 @@
     bound.window = reader.read_seconds({"retries", "window_seconds"}, defaults.window, max_retry_window);
 }
 
+void load_hedging(settings_reader& reader, hedging_policy& policy)
+{
+    policy.max_share = reader.read_decimal({"hedging", "percent"}, 0, max_hedging_percent) / percent;
+    const auto routes = reader.read_list({"hedging", "routes"});
+    policy.routes = {routes.begin(), routes.end()};
+}
+
 } // namespace
 
 gateway_settings load_gateway_settings(settings_reader& reader)
@@ -83,6 +91,7 @@
         reader.read_flag({"organisations", "fail_closed"}, defaults.callers.fail_closed);
     settings.callers.revocation = reader.read_milliseconds(
         {"organisations", "revocation_ms"}, defaults.callers.revocation, revocation_milliseconds_range);
+    load_hedging(reader, settings.hedging);
     settings.role_order_lease = reader.read_milliseconds(
         {"roles", "order_lease_ms"}, defaults.role_order_lease, grace_milliseconds_range);
     settings.min_role_gain_ratio =
--- a/src/gateway/mocks/forwarding_fixture.h
+++ b/src/gateway/mocks/forwarding_fixture.h
@@ -95,7 +95,8 @@
                                this->response_buffer_budget,
                                this->quarantine,
                                this->callers,
-                               this->organisations},
+                               this->organisations,
+                               this->hedges},
             routed_request{exchange,
                            request,
                            std::make_shared<const route>(this->active_route),
@@ -150,6 +151,7 @@
                                       return this->configuration_current_at;
                                   }};
     organisation_metrics organisations{metrics};
+    hedge_limiter hedges{time, {}};
     retry_budget retries{retry_budget_ratio, retry_reserve};
     route active_route;
     prompt_shape prompt;
--- a/src/logging/types/log_event.h
+++ b/src/logging/types/log_event.h
@@ -87,6 +87,9 @@
     organisation_entry_invalid = 3050,
     keys_uncertain = 3051,
     keys_certain = 3052,
+    hedge_sent = 3076,
+    hedge_withheld = 3077,
+    hedge_ended = 3078,
 
     // 4000: agent
     attempt_refused = 4001,
