--- a/src/gateway/gateway_setup.h
+++ b/src/gateway/gateway_setup.h
@@ -1,6 +1,7 @@
 // Assembles the gateway, the process that forwards callers' requests directly to backend servers.
 #pragma once
 
+#include "duties/usage_codec.h"
 #include "gateway/request_codec.h"
 #include "gateway/store_codec.h"
 #include "gateway/types/gateway_settings.h"
@@ -19,6 +20,8 @@
     std::unique_ptr<store_codec> object_codec;
     std::unique_ptr<engine_codec> engines;
     std::function<std::unique_ptr<object_store>(event_loop&, http_client&, const socket_address&)> make_store;
+    std::unique_ptr<usage_codec> usage;
+    std::string usage_duty; // its name in the settings; usage is reported if they list it
     std::string readiness_path;
 };
 
--- a/src/gateway/mocks/forwarding_fixture.h
+++ b/src/gateway/mocks/forwarding_fixture.h
@@ -96,7 +96,8 @@
                                this->quarantine,
                                this->callers,
                                this->organisations,
-                               this->hedges},
+                               this->hedges,
+                               this->usage},
             routed_request{exchange,
                            request,
                            std::make_shared<const route>(this->active_route),
@@ -157,6 +158,7 @@
     prompt_shape prompt;
     std::vector<std::uint64_t> prompt_parts; // fingerprints
     std::string key;                         // of the next caller; it has none if empty
+    usage_recorder* usage = nullptr;
     bool is_model = false;
     bool next_caller_has_left = false; // before its request was read
     int finished_requests = 0;
--- a/src/logging/types/log_event.h
+++ b/src/logging/types/log_event.h
@@ -90,6 +90,14 @@
     hedge_sent = 3076,
     hedge_withheld = 3077,
     hedge_ended = 3078,
+    duty_taken = 3055,
+    duty_lost = 3056,
+    usage_fixed = 3057,
+    usage_sent = 3058,
+    usage_late = 3059,
+    usage_postponed = 3060,
+    usage_given_up = 3061,
+    time_corrected = 3062,
 
     // 4000: agent
     attempt_refused = 4001,
