--- a/src/gateway/gateway_setup.cpp
+++ b/src/gateway/gateway_setup.cpp
@@ -108,6 +108,12 @@
     const peer_exchange* exchange = nullptr;
 };
 
+std::chrono::milliseconds configuration_wait(const gateway_settings& settings)
+{
+    return settings.callers.fail_closed ? std::min(watch_wait, caller_gate(settings.callers).max_watch_wait())
+                                        : watch_wait;
+}
+
 class probing_connector final : public server_connector {
 public:
     explicit probing_connector(event_loop& loop) : loop(loop) {}
@@ -192,18 +198,23 @@
           platform(std::move(platform)),
           client(http_client::create(loop)),
           store_client(http_client::create(loop)),
-          platform_store(this->platform.make_store(*this->store_client, store_address)),
+          platform_store(this->platform.make_store(loop, *this->store_client, store_address)),
           store(this->time, this->metrics, *this->platform_store),
           relay(this->relay_time, this->random, this->store),
           pool(this->time, settings.data_centre, settings.store_recovery_grace, this->peer_loads),
           link(this->time, settings.link_megabits_per_second),
           demand(this->time),
           scheduler(this->time, this->random, this->pool, this->link, this->demand),
+          hedges(this->time, settings.hedging),
           retries(share_of_fleet(settings.retry_bound, std::nullopt)),
           connector(loop),
           quarantine(this->time, this->metrics, this->connector),
           quarantines(this->time, this->random, this->relay, this->quarantine),
-          callers(*this->platform.caller_codec, this->routes),
+          callers(this->relay_time,
+                  *this->platform.caller_codec,
+                  this->routes,
+                  settings.callers,
+                  [this] { return this->configuration_current_at(); }),
           configuration_handler(*this->platform.object_codec, this->routes),
           server_handler(*this->platform.object_codec, this->pool.servers()),
           configuration_watcher(object_watcher::create(loop,
@@ -211,7 +222,7 @@
                                                        this->random,
                                                        this->platform.object_codec->configuration_prefix(),
                                                        this->configuration_handler,
-                                                       {watch_batch_window, watch_wait})),
+                                                       {watch_batch_window, configuration_wait(settings)})),
           server_watcher(object_watcher::create(loop,
                                                 this->relay,
                                                 this->random,
@@ -325,6 +336,9 @@
         auto settings_to_compare = new_settings;
         settings_to_compare.stop_grace = this->settings.stop_grace;
         settings_to_compare.max_open_requests = this->settings.max_open_requests;
+        settings_to_compare.hedging = this->settings.hedging;
+        this->settings.hedging = new_settings.hedging;
+        this->hedges.set_policy(new_settings.hedging);
         this->settings.stop_grace = new_settings.stop_grace;
         this->settings.max_open_requests = new_settings.max_open_requests;
         this->handler->set_max_open_requests(new_settings.max_open_requests);
@@ -432,9 +446,18 @@
                 this->response_buffer_budget,
                 this->quarantine,
                 this->callers,
+                this->organisations,
+                this->hedges,
                 &this->usage_counts};
     }
 
+    std::optional<time_point> configuration_current_at() const
+    {
+        return this->configuration_handler.is_newest_in_force()
+                   ? this->relay.current_as_of(this->platform.object_codec->configuration_prefix())
+                   : std::nullopt;
+    }
+
     bool is_ready() const
     {
         return this->unknown_state().empty();
@@ -473,6 +496,7 @@
         this->update_retry_share(time_between_runs);
         this->quarantine.check();
         this->quarantines.check();
+        this->callers.check();
         for (const auto& id : this->pool.servers().expire()) {
             write_event(log_event::server_unlisted,
                         {{"server", id}, {"detail", "not back after the store returned"}});
@@ -509,6 +533,7 @@
     {
         this->pool.remove_unlisted();
         this->caller_timeouts.keep_only(this->routes.route_names());
+        this->hedges.keep_only(this->routes.route_names());
     }
 
     void refresh_gauges()
@@ -522,6 +547,10 @@
         this->metrics.set_gauge("tanager_peers_heard",
                                 static_cast<double>(this->peers->known_loads().live_peer_count()));
         this->metrics.set_gauge("tanager_store_watcher", this->peers->is_elected_watcher() ? 1 : 0);
+        if (const auto age = this->callers.configuration_age()) {
+            this->metrics.set_gauge("tanager_configuration_age_seconds",
+                                    std::chrono::duration<double>(*age).count());
+        }
         this->metrics.set_gauge("tanager_configuration_version", static_cast<double>(this->routes.version()));
         const auto& quarantined = this->quarantine.quarantined();
         const auto contents = std::ranges::count_if(quarantined, &request_trait::is_content);
@@ -581,12 +610,14 @@
     byte_budget response_buffer_budget{max_response_buffer_bytes};
     demand_meter demand;
     request_scheduler scheduler;
+    hedge_limiter hedges;
     retry_budget retries;
     gateway_count_tracker gateway_count;
     probing_connector connector;
     crash_quarantine quarantine;
     quarantine_archive quarantines;
     caller_identification callers;
+    organisation_metrics organisations{this->metrics};
     configuration_observer configuration_handler;
     server_observer server_handler;
     std::shared_ptr<object_watcher> configuration_watcher;
--- a/src/gateway/gateway_setup.h
+++ b/src/gateway/gateway_setup.h
@@ -19,9 +19,9 @@
     std::unique_ptr<request_codec> caller_codec;
     std::unique_ptr<store_codec> object_codec;
     std::unique_ptr<engine_codec> engines;
+    std::function<std::unique_ptr<object_store>(event_loop&, http_client&, const socket_address&)> make_store;
     std::unique_ptr<usage_codec> usage;
     std::string usage_duty; // its name in the settings; usage is reported if they list it
-    std::function<std::unique_ptr<object_store>(http_client&, const socket_address&)> make_store;
     std::string readiness_path;
 };
 
--- a/src/gateway/internal/request_forwarder.h
+++ b/src/gateway/internal/request_forwarder.h
@@ -11,12 +11,14 @@
 #include "gateway/request_codec.h"
 #include "gateway/request_scheduler.h"
 #include "gateway/types/caller_request.h"
+#include "hedging/hedge_limiter.h"
 #include "limits/attempt_limit.h"
 #include "limits/bounded_text.h"
 #include "limits/retry_budget.h"
 #include "metrics/metrics_registry.h"
 #include "net/http_client.h"
 #include "net/http_exchange.h"
+#include "organisations/organisation_metrics.h"
 #include "roles/demand_meter.h"
 #include "routes/types/route_table.h"
 #include "uplink/uplink.h"
@@ -28,6 +30,8 @@
 
 namespace tanager {
 
+class hedge_attempt;
+
 // The objects that all request forwarders share.
 struct forwarding_context {
     event_loop& loop;
@@ -44,6 +48,8 @@
     byte_budget& response_buffer_budget;
     crash_quarantine& quarantine;
     const caller_identification& callers;
+    organisation_metrics& organisations;
+    hedge_limiter& hedges;
     usage_recorder* usage = nullptr; // null if nobody asks for the counts
 };
 
@@ -57,7 +63,8 @@
     std::string organisation; // that the caller belongs to; empty if the request needs none
     std::uint64_t configuration_version = 0;
     time_point received;
-    time_point deadline; // after the caller's or the route's timeout, whichever is shorter
+    time_point deadline;     // after the caller's or the route's timeout, whichever is shorter
+    time_point identified{}; // when the caller was, by the clock of the caller identification
     std::optional<caller_identity> caller{}; // absent where the configuration has no organisations
 };
 
@@ -134,10 +141,19 @@
     void handle_refusal();
     void handle_server_failure();
     void fail_after_execution(const error& cause);
+    bool is_hedgeable() const;
+    void start_hedge_timer();
+    void try_hedge();
+    hedge_situation make_hedge_situation() const;
+    void send_hedge(const slot_request& slot, const slot_grant& granted);
+    void on_hedge_answered(const response_info& head, const http_headers& headers, const std::string& body);
+    void on_hedge_failed(execution_state executed);
+    void cancel_hedge();
     void send_buffered_response(const std::string& body);
     void reject(const error& cause);
     void fail_with_unknown_outcome(const error& cause);
     void finish(std::string_view outcome, int status);
+    void record_organisation(std::string_view outcome, int status);
     bool may_have_executed() const;
     std::optional<quarantine_verdict> find_quarantine() const;
     std::optional<error> find_refusal();
@@ -157,6 +173,13 @@
     double used_timeout_ratio() const;
     duration server_time_since(time_point began) const;
 
+    // How an attempt ended while a second one was under way.
+    struct failed_attempt {
+        error cause;
+        execution_state execution = execution_state::unknown;
+        std::optional<http_response> response; // of the server, if it has answered with a failure
+    };
+
     forwarding_context context;
     routed_request routed;
     std::function<void()> done;
@@ -198,6 +221,9 @@
     std::unique_ptr<loop_timer> deadline_timer;
     std::unique_ptr<loop_timer> connect_timer;
     std::unique_ptr<loop_timer> idle_timer;
+    std::unique_ptr<loop_timer> hedge_timer;
+    std::shared_ptr<hedge_attempt> hedge;              // null unless a second attempt is under way
+    std::optional<failed_attempt> failed_before_hedge; // the first attempt, if it ended before the second
 };
 
 } // namespace tanager
--- a/src/gateway/internal/request_log.cpp
+++ b/src/gateway/internal/request_log.cpp
@@ -14,6 +14,11 @@
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
 }
 
+std::string or_dash(const std::string& name)
+{
+    return name.empty() ? "-" : name;
+}
+
 std::string name_of_source(const slot_grant& grant)
 {
     return grant.prefix_source == nullptr ? "-" : grant.prefix_source->id;
@@ -131,6 +136,37 @@
                  {"gateways", std::to_string(allowance.gateway_count)}});
 }
 
+void request_log::write_hedge_sent(const std::string& server_id, duration waited) const
+{
+    write_event(log_event::hedge_sent,
+                {{"request", this->request_id},
+                 {"server", server_id},
+                 {"first_server", this->server},
+                 {"waited_ms", to_milliseconds(waited)}});
+}
+
+void request_log::write_hedge_withheld(hedge_verdict verdict, const hedge_situation& situation) const
+{
+    write_event(log_event::hedge_withheld,
+                {{"request", this->request_id},
+                 {"first_server", this->server},
+                 {"reason", std::string{name_of(verdict)}},
+                 {"used_slots", std::to_string(situation.used_slots)},
+                 {"total_slots", std::to_string(situation.total_slots)},
+                 {"retry_balance", std::to_string(situation.retry_balance)}});
+}
+
+void request_log::write_hedge_ended(const std::string& server_id,
+                                    std::string_view outcome,
+                                    duration elapsed) const
+{
+    write_event(log_event::hedge_ended,
+                {{"request", this->request_id},
+                 {"server", server_id},
+                 {"outcome", std::string{outcome}},
+                 {"elapsed_ms", to_milliseconds(elapsed)}});
+}
+
 void request_log::write_broken(const error& cause, const std::string& outcome) const
 {
     write_event(log_event::request_broken,
@@ -147,6 +183,7 @@
     write_event(log_event::request_rejected,
                 {{"request", this->request_id},
                  {"content", this->content},
+                 {"organisation", or_dash(details.organisation)},
                  {"cause", cause.detail},
                  {"configuration", std::to_string(details.configuration_version)},
                  {"lacking", name_of_lacking(details.denial_reason)},
@@ -174,6 +211,7 @@
                 {{"request", this->request_id},
                  {"content", this->content},
                  {"route", summary.route},
+                 {"organisation", or_dash(summary.organisation)},
                  {"configuration", std::to_string(summary.configuration_version)},
                  {"server", this->server},
                  {"outcome", summary.outcome},
--- a/src/gateway/types/gateway_settings.h
+++ b/src/gateway/types/gateway_settings.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "duties/types/usage_types.h"
+#include "hedging/types/hedging_policy.h"
 #include "limits/fleet_retry_share.h"
 #include "net/http_server.h"
+#include "organisations/caller_gate.h"
 #include "settings/settings_reader.h"
 
 #include <chrono>
@@ -28,7 +30,9 @@
     std::size_t max_open_requests = 2'000;
     std::size_t memory_megabytes = 256; // that the process may use
     fleet_retry_bound retry_bound;
+    caller_gate_settings callers;
     std::chrono::milliseconds role_order_lease{3'000}; // minimum time between role orders of two gateways
+    hedging_policy hedging;                            // second attempts at slow requests; off unless set
     double min_role_gain_ratio = 0.15; // minimum gain of a role change, relative to the service's capacity
     std::vector<std::string> duties;   // that the platform asks for, by its names
     std::string duty_address;          // of the platform's calls for duties, ip:port; empty without duties
--- a/src/logging/internal/log_event.cpp
+++ b/src/logging/internal/log_event.cpp
@@ -64,6 +64,9 @@
     event_row{log_event::relay_lost, "relay_lost", log_level::info},
     event_row{log_event::store_object_unreadable, "store_object_unreadable", log_level::warning},
     event_row{log_event::store_called, "store_called", log_level::info},
+    event_row{log_event::store_era_changed, "store_era_changed", log_level::warning},
+    event_row{log_event::store_era_rejected, "store_era_rejected", log_level::warning},
+    event_row{log_event::store_registration_renewed, "store_registration_renewed", log_level::info},
     event_row{log_event::log_lines_dropped, "log_lines_dropped", log_level::warning},
     event_row{log_event::settings_reloaded, "settings_reloaded", log_level::info},
     event_row{log_event::address_in_use, "address_in_use", log_level::warning},
@@ -99,6 +102,11 @@
     event_row{log_event::retry_share_changed, "retry_share_changed", log_level::info},
     event_row{log_event::retry_denied, "retry_denied", log_level::info},
     event_row{log_event::organisation_entry_invalid, "organisation_entry_invalid", log_level::warning},
+    event_row{log_event::keys_uncertain, "keys_uncertain", log_level::warning},
+    event_row{log_event::keys_certain, "keys_certain", log_level::info},
+    event_row{log_event::hedge_sent, "hedge_sent", log_level::info},
+    event_row{log_event::hedge_withheld, "hedge_withheld", log_level::info},
+    event_row{log_event::hedge_ended, "hedge_ended", log_level::info},
     event_row{log_event::fault_switched, "fault_switched", log_level::info},
 };
 
--- a/src/logging/types/log_event.h
+++ b/src/logging/types/log_event.h
@@ -40,6 +40,9 @@
     relay_lost = 2015,
     store_object_unreadable = 2016,
     store_called = 2017,
+    store_era_changed = 2018,
+    store_era_rejected = 2019,
+    store_registration_renewed = 2020,
 
     // 3000: entry
     request_refused = 3001,
@@ -82,6 +85,11 @@
     retry_share_changed = 3047,
     retry_denied = 3048,
     organisation_entry_invalid = 3050,
+    keys_uncertain = 3051,
+    keys_certain = 3052,
+    hedge_sent = 3076,
+    hedge_withheld = 3077,
+    hedge_ended = 3078,
     duty_taken = 3055,
     duty_lost = 3056,
     usage_fixed = 3057,
