Usage over kills, freezes, stops and a store from a copy, with real processes

Seen in the first run of the new test: a holder that stops kept its counts to itself, since the others no longer know its address and it took itself for the deputy; it now sends them to the next gateways. A woken gateway took the time of old announcements that arrived all at once (by_ms=-3616); it now takes two of them some time apart. After a store came back from a copy, an object that names this process no longer skips the lease, and what it fixed is kept.

--- a/src/duties/internal/duty_lease.cpp
+++ b/src/duties/internal/duty_lease.cpp
@@ -111,7 +111,7 @@
 
 std::uint64_t duty_lease::token() const
 {
-    return make_fencing_token(this->held_version);
+    return token_of_version(this->held_version);
 }
 
 std::uint64_t duty_lease::version() const
--- a/src/duties/internal/duty_owner.cpp
+++ b/src/duties/internal/duty_owner.cpp
@@ -1,6 +1,7 @@
 #include "duties/duty_owner.h"
 
 #include "logging/event_log.h"
+#include "store/types/fencing_token.h"
 
 #include <nlohmann/json.hpp>
 
@@ -96,9 +97,10 @@
         write_event(log_event::store_object_unreadable,
                     {{"object", found->name}, {"detail", "no holder of a duty"}});
     }
-    this->write_holder(found ? found->version : 0,
-                       record.text,
-                       this->is_lease_known && record.instance == std::to_string(this->instance));
+    // In an object from a copy of the store, this process may stand as the holder though others followed it.
+    const bool is_own_write = found && record.instance == std::to_string(this->instance) &&
+                              era_of(found->version) == era_of(this->own_lease.version());
+    this->write_holder(found ? found->version : 0, record.text, this->is_lease_known && is_own_write);
 }
 
 void duty_owner::write_holder(std::uint64_t expected, const std::string& text, bool was_held_here)
--- a/src/duties/internal/true_time.cpp
+++ b/src/duties/internal/true_time.cpp
@@ -11,6 +11,8 @@
 constexpr std::size_t min_voters = 3;
 // Gateways report several times within this while they take requests.
 constexpr std::chrono::seconds max_claim_age{10};
+// Shorter than the interval in which the holder announces itself, and longer than a burst of old messages.
+constexpr std::chrono::milliseconds min_time_between_messages{300};
 // More gateways don't make the median better.
 constexpr std::size_t max_claims = 1'000;
 
@@ -52,7 +54,26 @@
 
 bool true_time::record_agreed(wall_time_point agreed, std::size_t voters)
 {
-    return voters >= min_voters && this->correct_to(offset_between(this->time.now(), agreed));
+    if (voters < min_voters) {
+        return false;
+    }
+    const auto now = this->time.now();
+    const auto agreed_offset = offset_between(now, agreed);
+    if (std::chrono::abs(agreed_offset - this->offset) <= this->tolerance) {
+        this->proposed.reset();
+        return false;
+    }
+    const bool is_repeated =
+        this->proposed && std::chrono::abs(agreed_offset - this->proposed->offset) <= this->tolerance;
+    if (!is_repeated) {
+        this->proposed = time_claim{agreed_offset, now};
+        return false;
+    }
+    if (now - this->proposed->received_at < min_time_between_messages) {
+        return false;
+    }
+    this->proposed.reset();
+    return this->correct_to(agreed_offset);
 }
 
 bool true_time::agree()
--- a/src/duties/internal/usage_reporter.cpp
+++ b/src/duties/internal/usage_reporter.cpp
@@ -97,8 +97,13 @@
             write_event(log_event::store_object_unreadable,
                         {{"object", usage_subject}, {"detail", found.error().detail}});
         }
-        // Without a state, windows that this process knows as fixed still must not be fixed again.
-        this->fixed = found.value_or(usage_state{});
+        // A state that cannot be read, or that comes from a copy of the store, may lack windows that are
+        // fixed and perhaps sent. They are not fixed again; those that this process has fixed are reported by
+        // it.
+        const auto read = found.value_or(usage_state{});
+        if (read.fixed_through >= this->fixed.fixed_through) {
+            this->fixed = read;
+        }
         this->fixed.fixed_through = std::max(this->fixed.fixed_through, this->known_fixed_through);
         this->drop_through(this->fixed.fixed_through);
         this->retry_at = {};
@@ -154,8 +159,8 @@
             }
         }
         const auto& own_name = this->settings.duty.holder;
-        // The gateway that would be the deputy of all others needs none for itself.
-        if (deputy && holder != own_name && own_name < *deputy) {
+        // The gateway that would be the deputy of all others needs none for itself, unless it stops.
+        if (deputy && !this->is_leaving && holder != own_name && own_name < *deputy) {
             deputy.reset();
         }
         this->outbox.set_receiver(usage_outbox::receiver::holder, holder == own_name ? std::nullopt : holder);
@@ -391,6 +396,7 @@
             this->announce(true);
         }
         this->owner->resign();
+        this->is_leaving = true;
         this->send_counts();
     }
 
@@ -414,6 +420,7 @@
     time_point announced_at;
     time_point retry_at;
     bool is_call_in_flight = false;
+    bool is_leaving = false;
     int refusals = 0; // of the first unsent window
 };
 
--- a/src/duties/tests/duties_tests.cpp
+++ b/src/duties/tests/duties_tests.cpp
@@ -236,6 +236,7 @@
     CPPUNIT_TEST(usage_is_reported_once);
     CPPUNIT_TEST(holders_end);
     CPPUNIT_TEST(the_platform_is_away);
+    CPPUNIT_TEST(the_store_comes_back_from_a_copy);
     CPPUNIT_TEST(faults_come_together);
     CPPUNIT_TEST_SUITE_END();
 
@@ -326,11 +327,22 @@
                 CPPUNIT_ASSERT(!truth.agree());
                 CPPUNIT_ASSERT(truth.now() == shifted(7s));
             });
-            section("it takes the time that the holder tells for several", [&] {
+            section("it takes the time that the holder tells for several, twice", [&] {
+                CPPUNIT_ASSERT(!truth.record_agreed(time.wall_now(), 3));
+                time.advance(500ms);
                 CPPUNIT_ASSERT(truth.record_agreed(time.wall_now(), 3));
                 CPPUNIT_ASSERT(truth.now() == time.wall_now());
             });
         });
+        section("a process is woken: old messages of the holder arrive at once, then a new one", [&] {
+            true_time truth(time, tolerance);
+            for (const auto age : {3'600ms, 3'100ms, 2'600ms, 2'500ms, 600ms}) {
+                CPPUNIT_ASSERT(!truth.record_agreed(shifted(-age), 3));
+            }
+            time.advance(500ms);
+            CPPUNIT_ASSERT(!truth.record_agreed(time.wall_now(), 3));
+            CPPUNIT_ASSERT(truth.now() == time.wall_now());
+        });
         section("the holder's own time is wrong: it takes the median", [&] {
             const host_clock host(time, -4s);
             true_time truth(host, tolerance);
@@ -531,6 +543,40 @@
             fleet.calls, {}, [](const auto& call) { return std::stoull(call.window.substr(1)); }));
     }
 
+    void the_store_comes_back_from_a_copy()
+    {
+        gateway_fleet fleet(6);
+        for (const auto* name : {"a", "b", "c"}) {
+            fleet.start(name);
+        }
+        const auto count_for = [&fleet](int seconds) {
+            for (int second = 0; second < seconds; ++second) {
+                fleet.gateways.at("b")->reporter.record_began("bank");
+                fleet.run(1s);
+            }
+        };
+        count_for(12);
+        const auto copy = fleet.store.objects;
+        const auto copied = fleet.store.last_revision();
+        count_for(10);
+        fleet.store.restore(copy, copied);
+        count_for(20);
+        section("no window is sent again with other counts, tokens rise, and all is reported", [&] {
+            fleet.run(10s);
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{42}, fleet.sum("bank"));
+        });
+        section("the holder is killed at the same moment: its successor knows what was fixed", [&] {
+            const auto older = fleet.store.objects;
+            const auto older_revision = fleet.store.last_revision();
+            count_for(10);
+            fleet.kill("a");
+            fleet.store.restore(older, older_revision);
+            count_for(10);
+            fleet.run(10s);
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{62}, fleet.sum("bank"));
+        });
+    }
+
     // Gateways are killed, frozen and restarted in turn, while the store rejects calls and loses answers, and
     // messages are lost.
     void faults_come_together()
--- a/src/duties/true_time.h
+++ b/src/duties/true_time.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace tanager {
@@ -25,7 +26,8 @@
     // Another gateway has said which time it believes.
     void record_claim(const std::string& gateway, wall_time_point claimed);
 
-    // The holder has told the median of `voters` gateways. Returns whether this gateway's time has changed.
+    // The holder has told the median of `voters` gateways. Returns whether this gateway's time has changed,
+    // which takes two messages some time apart: after a standstill, old ones arrive all at once.
     bool record_agreed(wall_time_point agreed, std::size_t voters);
 
     // Takes the median of the claims and the own time. Returns whether the own time has changed.
@@ -47,6 +49,7 @@
     duration tolerance;
     duration offset;
     std::map<std::string, time_claim> claims;
+    std::optional<time_claim> proposed; // the holder's time, if it differs
 };
 
 } // namespace tanager
--- a/src/duties/types/duty_types.h
+++ b/src/duties/types/duty_types.h
@@ -14,9 +14,9 @@
     friend bool operator==(const duty_settings&, const duty_settings&) = default;
 };
 
-// Returns the fencing token of a holder whose object was written with this version. The one place where
-// tokens are made: they are below 2^53, since receivers may read them as floating-point numbers.
-inline std::uint64_t make_fencing_token(std::uint64_t version)
+// Returns the fencing token of a holder whose object was written with this version. Versions join era and
+// revision, and are below 2^53 (see store/types/fencing_token.h).
+inline std::uint64_t token_of_version(std::uint64_t version)
 {
     return version;
 }
--- a/standins/site/main.cpp
+++ b/standins/site/main.cpp
@@ -1,6 +1,7 @@
 // Stand-in for a small part of the platform: its store and backend servers in one process.
 #include "logging/event_log.h"
 #include "standins/site/fake_backend_server.h"
+#include "standins/site/fake_duty_platform.h"
 #include "standins/site/fake_object_store.h"
 #include "standins/support/standin_program.h"
 
@@ -26,15 +27,22 @@
             {"maxAttempts", 2}};
 }
 
-json make_configuration(int timeout_ms)
+// Each organisation `org-N` has the key `key-N`.
+json make_configuration(int timeout_ms, std::size_t organisations)
 {
-    return {{"version", 1},
-            {"routes",
-             {make_route("order", "non_idempotent", false, timeout_ms),
-              make_route("read", "idempotent", false, timeout_ms),
-              make_route("stream", "streaming", true, timeout_ms)}},
-            {"services", {{{"name", "desk"}}}},
-            {"limits", json::object()}};
+    json configuration{{"version", 1},
+                       {"routes",
+                        {make_route("order", "non_idempotent", false, timeout_ms),
+                         make_route("read", "idempotent", false, timeout_ms),
+                         make_route("stream", "streaming", true, timeout_ms)}},
+                       {"services", {{{"name", "desk"}}}},
+                       {"limits", json::object()}};
+    for (std::size_t index = 0; index < organisations; ++index) {
+        const auto number = std::to_string(index);
+        configuration["tenants"].push_back(
+            {{"name", "org-" + number}, {"apiKeys", json::array({"key-" + number})}});
+    }
+    return configuration;
 }
 
 std::unique_ptr<tanager::http_server> listen(tanager::event_loop& loop, tanager::http_server::handler serve)
@@ -55,11 +63,13 @@
     std::string prefix = "i-";
     int timeout_ms = 5'000; // NOLINT(*-magic-numbers)
     std::uint64_t era = 0;
+    std::size_t organisations = 0;
     CLI::App app{"Stand-in for the platform's store and a few backend servers.", "standin-site"};
     app.add_option("--servers", servers, "number of backend servers");
     app.add_option("--prefix", prefix, "prefix of the ids of the backend servers");
     app.add_option("--timeout-ms", timeout_ms, "timeout of the routes in milliseconds");
     app.add_option("--era", era, "era that the store states in its answers; none if 0");
+    app.add_option("--organisations", organisations, "number of organisations; 0: callers need no key");
     CLI11_PARSE(app, argc, argv);
     const auto loop = init_standin("standin-site");
     fake_object_store store(*loop, era);
@@ -81,13 +91,17 @@
                      {"state", "ready"},
                      {"born", index + 1}});
     }
-    store.write("config/main", make_configuration(timeout_ms));
+    fake_duty_platform duties(*loop);
+    http_servers.push_back(listen(*loop, [&duties](const auto& exchange) { duties.serve(exchange); }));
+    const auto duty_address = http_servers.back()->address();
+    store.write("config/main", make_configuration(timeout_ms, organisations));
     http_servers.push_back(listen(*loop, [&store](const auto& exchange) {
         if (!store.serve(exchange)) {
             exchange->send_response({404, {}, {}}); // NOLINT(*-magic-numbers)
         }
     }));
-    tanager::write_event(tanager::log_event::program_listening,
-                         {{"http", http_servers.back()->address()}, {"servers", addresses}});
+    tanager::write_event(
+        tanager::log_event::program_listening,
+        {{"http", http_servers.back()->address()}, {"servers", addresses}, {"duties", duty_address}});
     return run_until_terminated(*loop);
 }
--- a/tests/support/gateway_group.h
+++ b/tests/support/gateway_group.h
@@ -23,8 +23,11 @@
 public:
     // `site_arguments` are those of the stand-in for the store and the backend servers.
     explicit gateway_group(int gateway_count,
-                           const std::vector<std::string>& site_arguments = {"--timeout-ms", "5000"})
-        : standin_site("standin-site", site_arguments), store_address(standin_site.address("http"))
+                           const std::vector<std::string>& site_arguments = {"--timeout-ms", "5000"},
+                           const std::string& duty_settings = {})
+        : standin_site("standin-site", site_arguments),
+          store_address(standin_site.address("http")),
+          duty_settings(duty_settings)
     {
         for (int count = 0; count < gateway_count; ++count) {
             this->start("g" + std::to_string(count));
@@ -155,10 +158,16 @@
                                "[http]\nlisten = 127.0.0.1:0\n[pages]\nlisten = 127.0.0.1:0\n"
                                "[peers]\nlisten = 127.0.0.1:0\n[store]\naddress = "
                             << this->store_address << "\n";
+        if (!this->duty_settings.empty()) {
+            std::ofstream(path, std::ios::app)
+                << this->duty_settings << "address = " << this->standin_site.address("duties") << "\n";
+        }
         this->settings_paths.push_back(path);
         return path;
     }
 
+    // The sections that follow, up to the keys of [duties] without its address; empty without duties.
+    std::string duty_settings;
     std::vector<std::string> settings_paths;
     std::uint64_t last_request_number = 0;
 };
