Counts are kept by two gateways also while nobody holds the duty

Without a holder, the last one and the first by name get them; a gateway that stops passes on what others have told it (64 KB at most).

--- a/src/duties/internal/usage_ledger.cpp
+++ b/src/duties/internal/usage_ledger.cpp
@@ -59,6 +59,19 @@
     return this->windows.empty() ? std::nullopt : std::optional{this->windows.begin()->first};
 }
 
+std::map<std::uint64_t, std::vector<usage_entry>> usage_ledger::counts_by_process() const
+{
+    std::map<std::uint64_t, std::vector<usage_entry>> entries;
+    for (const auto& [window, processes] : this->windows) {
+        for (const auto& [instance, counts] : processes) {
+            for (const auto& [number, count] : counts) {
+                entries[instance].push_back({window, this->organisations.at(number), count});
+            }
+        }
+    }
+    return entries;
+}
+
 organisation_counts usage_ledger::counts_in(window_number window) const
 {
     organisation_counts sums;
--- a/src/duties/internal/usage_reporter.cpp
+++ b/src/duties/internal/usage_reporter.cpp
@@ -4,6 +4,7 @@
 #include "logging/event_log.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace tanager {
 
@@ -28,6 +29,10 @@
 constexpr std::chrono::milliseconds retry_delay{1'000};
 // A report that the platform has refused so often is given up, for the later ones to go on.
 constexpr int max_refusals = 5;
+// A message with so many counts fits into two datagrams of the usual size.
+constexpr std::size_t max_entries_handed_over = 100;
+// Takes a link of 10 Mbit/s a tenth of a second to two receivers.
+constexpr std::size_t max_bytes_handed_over = std::size_t{64} * 1024;
 constexpr double milliseconds_per_second = 1'000;
 
 std::string text_of(std::uint64_t number)
@@ -148,23 +153,37 @@
         this->work();
     }
 
+    // Two other gateways hold the counts, or one if this one is among those who may report them: the holder,
+    // or the last one while there is none and it lives, and the first gateways by name, who would follow it.
     void update_receivers(const std::vector<std::string>& sorted_peers)
     {
-        const auto holder = this->owner->lease().holder();
-        std::optional<std::string> deputy;
-        for (const auto& peer : sorted_peers) {
-            if (peer != holder) {
-                deputy = peer;
-                break;
-            }
-        }
         const auto& own_name = this->settings.duty.holder;
-        // The gateway that would be the deputy of all others needs none for itself, unless it stops.
-        if (deputy && !this->is_leaving && holder != own_name && own_name < *deputy) {
-            deputy.reset();
+        const auto known = this->owner->lease().holder();
+        this->last_holder = known ? known : this->last_holder;
+        const bool is_heard =
+            known || (this->last_holder && std::ranges::binary_search(sorted_peers, *this->last_holder));
+        std::vector<std::string> receivers;
+        if (is_heard && this->last_holder != own_name) {
+            receivers.push_back(*this->last_holder);
+        }
+        std::vector<std::string> followers{own_name};
+        std::ranges::copy_if(sorted_peers, std::back_inserter(followers), [&](const auto& peer) {
+            return peer != this->last_holder;
+        });
+        std::ranges::sort(followers);
+        const bool keeps_own = !this->is_leaving && (known == own_name || followers.front() == own_name);
+        const std::size_t needed = keeps_own ? 1 : 2;
+        for (const auto& follower : followers) {
+            if (receivers.size() < needed && follower != own_name) {
+                receivers.push_back(follower);
+            }
         }
-        this->outbox.set_receiver(usage_outbox::receiver::holder, holder == own_name ? std::nullopt : holder);
-        this->outbox.set_receiver(usage_outbox::receiver::deputy, deputy);
+        receivers.resize(std::min(receivers.size(), needed));
+        const auto receiver_at = [&receivers](std::size_t index) {
+            return index < receivers.size() ? std::optional{receivers[index]} : std::nullopt;
+        };
+        this->outbox.set_receiver(usage_outbox::receiver::holder, receiver_at(0));
+        this->outbox.set_receiver(usage_outbox::receiver::deputy, receiver_at(1));
     }
 
     void send_counts()
@@ -183,6 +202,38 @@
         }
     }
 
+    // Passes on what other gateways have told this one, some of which may have ended since.
+    void hand_over_ledger()
+    {
+        std::size_t bytes = 0;
+        for (const auto& [process, entries] : this->ledger.counts_by_process()) {
+            usage_counts_message message{this->make_sender(), 0, {}};
+            message.sender.instance = process;
+            for (const auto& entry : entries) {
+                message.entries.push_back(entry);
+                if (message.entries.size() == max_entries_handed_over) {
+                    bytes += this->send_to_receivers(message);
+                    message.entries.clear();
+                }
+            }
+            bytes += message.entries.empty() ? 0 : this->send_to_receivers(message);
+            if (bytes > max_bytes_handed_over) {
+                return;
+            }
+        }
+    }
+
+    std::size_t send_to_receivers(const usage_counts_message& message)
+    {
+        const auto bytes = encode_usage_message(message);
+        for (const auto role : {usage_outbox::receiver::holder, usage_outbox::receiver::deputy}) {
+            if (const auto gateway = this->outbox.gateway_of(role)) {
+                this->channel.send_to(*gateway, bytes);
+            }
+        }
+        return bytes.size();
+    }
+
     void announce(bool is_resigning)
     {
         this->announced_at = this->time.now();
@@ -397,7 +448,11 @@
         }
         this->owner->resign();
         this->is_leaving = true;
+        auto peers = this->channel.live_gateways();
+        std::ranges::sort(peers);
+        this->update_receivers(peers);
         this->send_counts();
+        this->hand_over_ledger();
     }
 
     const clock& time;
@@ -413,6 +468,7 @@
     usage_outbox outbox;
     usage_ledger ledger;
     usage_state fixed; // as it was last written or read by the holder, less what has been sent since
+    std::optional<std::string> last_holder; // that was heard of, or this gateway
     window_number first_window = 0;
     window_number known_fixed_through = 0;
     time_point counts_sent_at;
--- a/src/duties/tests/duties_tests.cpp
+++ b/src/duties/tests/duties_tests.cpp
@@ -235,6 +235,7 @@
     CPPUNIT_TEST(messages_are_read_back);
     CPPUNIT_TEST(usage_is_reported_once);
     CPPUNIT_TEST(holders_end);
+    CPPUNIT_TEST(gateways_stop_while_the_store_is_away);
     CPPUNIT_TEST(the_platform_is_away);
     CPPUNIT_TEST(the_store_comes_back_from_a_copy);
     CPPUNIT_TEST(faults_come_together);
@@ -522,6 +523,31 @@
         });
     }
 
+    void gateways_stop_while_the_store_is_away()
+    {
+        gateway_fleet fleet(7);
+        for (const auto* name : {"a", "b", "c", "d", "e", "f"}) {
+            fleet.start(name);
+        }
+        fleet.run(8s);
+        fleet.store.fault_rates = {100, 0, 0};
+        std::uint64_t requests = 0;
+        for (const auto* name : {"e", "a", "b", "c"}) {
+            for (const auto& [other, member] : fleet.gateways) {
+                member->reporter.record_began("bank");
+                ++requests;
+            }
+            fleet.run(1s);
+            fleet.gateways.at(name)->reporter.leave();
+            fleet.run(1s);
+            fleet.gateways.at(name)->reporter.flush();
+            fleet.kill(name);
+        }
+        fleet.store.fault_rates = {};
+        fleet.run(15s);
+        CPPUNIT_ASSERT_EQUAL(requests, fleet.sum("bank"));
+    }
+
     void the_platform_is_away()
     {
         gateway_fleet fleet(5);
--- a/src/duties/usage_ledger.h
+++ b/src/duties/usage_ledger.h
@@ -29,6 +29,9 @@
     // Returns the sum over all processes.
     organisation_counts counts_in(window_number window) const;
 
+    // Returns all counts, by the number of the process that has reported them.
+    std::map<std::uint64_t, std::vector<usage_entry>> counts_by_process() const;
+
 private:
     using process_counts = std::vector<std::pair<std::uint32_t, std::uint64_t>>; // by number of organisation
 
