--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -22,6 +22,10 @@
 constexpr auto drain_time = 4'000ms;
 // The entry of a crashed server is removed from the store after three missed heartbeats.
 constexpr auto entry_expiry = 1'500ms;
+constexpr auto min_copy_age = 500ms;
+constexpr auto max_copy_age = 4'000ms;
+// The stand-in has written everything again after 0.9 s, and gateways list within a second more.
+constexpr auto restore_duration = 2'000ms;
 constexpr std::size_t min_servers = 2;
 constexpr unsigned planned_kind_count = 5;
 constexpr unsigned fault_kind_count = 16; // numbers without a case in inject_fault are server faults
@@ -214,12 +218,31 @@
             });
         break;
     }
+    case 12:
+        this->restore_store();
+        break;
     default:
         this->inject_server_fault();
         break;
     }
 }
 
+// The operators' writes wait until what the copy lacks has been written again.
+void fault_injector::restore_store()
+{
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+        this->random_duration(min_copy_age, max_copy_age));
+    ++this->injected_counts_by_kind["store came back from a copy"];
+    ++this->active_store_faults;
+    const auto index = this->record.fault_intervals.size();
+    this->record.fault_intervals.push_back({now()});
+    this->post_fault(this->cluster.store_address(), "restore_ms=" + std::to_string(age.count()));
+    this->schedule(restore_duration, [this, index] {
+        --this->active_store_faults;
+        this->record.fault_intervals[index].ended_at = now();
+    });
+}
+
 void fault_injector::inject_for_interval(const std::string& kind, const action& begin, const action& end)
 {
     ++this->injected_counts_by_kind[kind];
--- a/soak/fault_injector.h
+++ b/soak/fault_injector.h
@@ -58,6 +58,7 @@
     void crash_server();
     void inject_server_fault();
     void change_configuration();
+    void restore_store();
     bool is_store_healthy() const;
     bool has_active_fault(const std::string& target) const;
 
--- a/soak/soak_cluster.cpp
+++ b/soak/soak_cluster.cpp
@@ -41,8 +41,8 @@
 
 soak_cluster::soak_cluster(std::size_t gateways, std::size_t servers, soak_record& record)
     : record(record),
-      store_process(
-          std::make_unique<child_process>("standin-site", std::vector<std::string>{"--servers", "0"})),
+      store_process(std::make_unique<child_process>(
+          "standin-site", std::vector<std::string>{"--servers", "0", "--era", "1"})),
       store_http_address(this->store_process->address("http"))
 {
     for (std::size_t count = 0; count < servers; ++count) {
--- a/src/fleet/internal/server_list.cpp
+++ b/src/fleet/internal/server_list.cpp
@@ -2,6 +2,18 @@
 
 namespace tanager {
 
+namespace {
+
+// A copy of the store is some seconds old. A later return of an entry is not due to a copy.
+constexpr std::chrono::seconds max_copy_age{60};
+
+bool is_same_incarnation(const backend_server& one, const backend_server& other)
+{
+    return one.incarnation == other.incarnation && one.address == other.address;
+}
+
+} // namespace
+
 server_list::server_list(const clock& time, duration recovery_grace)
     : time(time), recovery_grace(recovery_grace), recovery_grace_until(time.now())
 {
@@ -38,9 +50,8 @@
 {
     ++this->changes;
     auto& row = this->servers[server.id];
-    const bool is_same_incarnation = row.server != nullptr && row.server->incarnation == server.incarnation &&
-                                     row.server->address == server.address;
-    row.is_draining = is_same_incarnation && row.is_draining;
+    const bool is_known = row.server != nullptr && is_same_incarnation(*row.server, server);
+    row.is_draining = is_known ? row.is_draining : this->is_retired(server);
     row.expires_at.reset();
     if (row.server == nullptr || *row.server != server) {
         row.server = std::make_shared<const backend_server>(server);
@@ -56,13 +67,38 @@
     }
     const bool may_have_expired = this->time.now() < this->recovery_grace_until && !found->second.is_draining;
     if (!may_have_expired) {
-        ++this->changes;
-        this->servers.erase(found);
+        this->erase(id);
     } else if (!found->second.expires_at) {
         found->second.expires_at = this->recovery_grace_until;
     }
 }
 
+void server_list::erase(const std::string& id)
+{
+    const auto now = this->time.now();
+    std::erase_if(this->retired, [&](const auto& row) { return now - row.second.removed_at > max_copy_age; });
+    const auto& row = this->servers.at(id);
+    if (row.is_draining) {
+        this->retired.insert_or_assign(id, retired_server{row.server, now});
+    }
+    ++this->changes;
+    this->servers.erase(id);
+}
+
+bool server_list::is_retired(const backend_server& server) const
+{
+    const auto found = this->retired.find(server.id);
+    return this->is_restored && found != this->retired.end() &&
+           this->time.now() - found->second.removed_at <= max_copy_age &&
+           is_same_incarnation(*found->second.server, server);
+}
+
+void server_list::note_store_restored()
+{
+    this->is_restored = true;
+    this->note_store_recovered();
+}
+
 void server_list::note_store_recovered()
 {
     this->recovery_grace_until = this->time.now() + this->recovery_grace;
@@ -87,8 +123,7 @@
         }
     }
     for (const auto& id : expired) {
-        ++this->changes;
-        this->servers.erase(id);
+        this->erase(id);
     }
     return expired;
 }
--- a/src/fleet/server_list.h
+++ b/src/fleet/server_list.h
@@ -23,7 +23,8 @@
 // Load pattern: entries are added, drain and expire while the store becomes unavailable and recovers. A
 // draining server takes no further requests in that incarnation. A server whose entry is missing just after
 // the store has recovered may only have had its entry expire, so it is kept for a grace period; a removal at
-// any other time takes effect at once.
+// any other time takes effect at once. A store that comes back from a copy lists again what was removed
+// since.
 class server_list {
 public:
     // `recovery_grace` is the time that an entry has to be written again after the store has recovered.
@@ -37,6 +38,10 @@
     // Starts the grace period, when the store is reachable again after it was not.
     void note_store_recovered();
 
+    // Starts the grace period, when the store has come back from a copy. Servers that were draining when they
+    // were removed, not long before, take no requests when they are listed again in that incarnation.
+    void note_store_restored();
+
     // Marks a server as draining for its incarnation, because it reported so itself.
     void mark_draining(const std::string& id);
 
@@ -67,7 +72,15 @@
         std::optional<time_point> expires_at; // set while the entry is missing from the store
     };
 
+    // A server that was draining when it was removed.
+    struct retired_server {
+        std::shared_ptr<const backend_server> server;
+        time_point removed_at;
+    };
+
     void put(const backend_server& server);
+    void erase(const std::string& id);
+    bool is_retired(const backend_server& server) const;
     void remove(const std::string& id);
 
     const clock& time;
@@ -75,6 +88,8 @@
     time_point recovery_grace_until;
     std::uint64_t changes = 0;
     std::map<std::string, listed_server> servers;
+    std::map<std::string, retired_server> retired; // by id; kept for as long as a copy may be old
+    bool is_restored = false;
 };
 
 } // namespace tanager
--- a/src/fleet/tests/fleet_tests.cpp
+++ b/src/fleet/tests/fleet_tests.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST_SUITE(fleet_tests);
     CPPUNIT_TEST(never_uses_a_draining_server_again_in_its_incarnation);
     CPPUNIT_TEST(keeps_missing_entries_for_the_grace_period);
+    CPPUNIT_TEST(uses_no_drained_server_that_a_copy_lists_again);
     CPPUNIT_TEST(stops_using_a_server_whose_address_was_reassigned);
     CPPUNIT_TEST(ejects_unresponsive_servers);
     CPPUNIT_TEST(ejects_servers_that_fail_often);
@@ -104,6 +105,40 @@
         });
     }
 
+    void uses_no_drained_server_that_a_copy_lists_again()
+    {
+        section("a server has drained and was removed, another one lost its entry", [] {
+            manual_clock time;
+            server_list servers(time, grace);
+            servers.replace_all({make_server("drained", true), make_server("lost")});
+            time.advance(1min);
+            servers.replace_all({});
+            time.advance(5s);
+            section("the store comes back from a copy that lists both as ready", [&] {
+                servers.note_store_restored();
+                servers.replace_all({make_server("drained"), make_server("lost")});
+                CPPUNIT_ASSERT(!servers.takes_work("drained"));
+                CPPUNIT_ASSERT(servers.takes_work("lost"));
+            });
+            section("once it is removed again, it is gone without a grace period", [&] {
+                servers.apply({"drained", std::nullopt});
+                CPPUNIT_ASSERT(!servers.ids().contains("drained"));
+            });
+            section("its next incarnation takes requests", [&] {
+                servers.apply({"drained", make_server("drained", false, 2)});
+                CPPUNIT_ASSERT(servers.takes_work("drained"));
+            });
+        });
+        section("without a copy, an entry that returns counts as before", [] {
+            const manual_clock time;
+            server_list servers(time, grace);
+            servers.apply({"a", make_server("a", true)});
+            servers.apply({"a", std::nullopt});
+            servers.apply({"a", make_server("a")});
+            CPPUNIT_ASSERT(servers.takes_work("a"));
+        });
+    }
+
     void stops_using_a_server_whose_address_was_reassigned()
     {
         section("the address of a server now belongs to another server", [] {
--- a/src/gateway/internal/server_observer.cpp
+++ b/src/gateway/internal/server_observer.cpp
@@ -43,7 +43,7 @@
 {
     // A copy lacks the entries that were written after it, until their servers write them again.
     if (this->has_snapshot && era_of(listing.revision) > era_of(this->revision)) {
-        this->servers.note_store_recovered();
+        this->servers.note_store_restored();
     }
     if (listing.is_snapshot) {
         this->apply_all(listing);
--- a/src/gateway/tests/quarantine_archive_tests.cpp
+++ b/src/gateway/tests/quarantine_archive_tests.cpp
@@ -6,6 +6,7 @@
 #include "gateway/internal/quarantine_archive.h"
 #include "gateway/mocks/fake_server_connector.h"
 #include "quarantine/stored_suspicion_codec.h"
+#include "store/types/fencing_token.h"
 #include "testing/section.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -140,6 +141,7 @@
     CPPUNIT_TEST(a_quarantine_is_known_although_others_explain_its_first_ends);
     CPPUNIT_TEST(a_quarantine_that_another_gateway_removed_is_written_again);
     CPPUNIT_TEST(writes_again_when_the_store_is_back);
+    CPPUNIT_TEST(writes_again_what_a_copy_lacks);
     CPPUNIT_TEST(a_released_request_is_not_kept);
     CPPUNIT_TEST(objects_of_others_that_cannot_be_read_are_left_out);
     CPPUNIT_TEST_SUITE_END();
@@ -329,6 +331,32 @@
         });
     }
 
+    void writes_again_what_a_copy_lacks()
+    {
+        section("a quarantine is in the store, which comes back from a copy without it", [] {
+            manual_clock time;
+            holding_store store;
+            archiving_gateway gateway(time, store);
+            gateway.archive.on_listing(store.snapshot());
+            gateway.end_server("x");
+            gateway.end_server("y");
+            store.deliver();
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, store.objects.size());
+            store.objects.clear();
+            store.revision = fencing_token(1, 0);
+            gateway.archive.on_listing(store.snapshot());
+            section("it is still refused, and written again after a while", [&] {
+                CPPUNIT_ASSERT(gateway.is_quarantined());
+                CPPUNIT_ASSERT_EQUAL(fencing_token(1, 0), gateway.archive.known_revision());
+                gateway.archive.check();
+                time.advance(3s);
+                gateway.archive.check();
+                store.deliver();
+                CPPUNIT_ASSERT_EQUAL(std::size_t{1}, store.objects.size());
+            });
+        });
+    }
+
     void a_released_request_is_not_kept()
     {
         section("a server completes a copy while the quarantine is being written", [] {
--- a/src/relay/tests/relay_tests.cpp
+++ b/src/relay/tests/relay_tests.cpp
@@ -196,6 +196,7 @@
     CPPUNIT_TEST(takes_confirmations_by_their_age);
     CPPUNIT_TEST(takes_nothing_across_eras);
     CPPUNIT_TEST(lists_again_when_the_store_comes_back_from_a_copy);
+    CPPUNIT_TEST(leaves_an_era_that_peers_know_to_be_over);
     CPPUNIT_TEST(calls_the_store_once_a_data_centre);
     CPPUNIT_TEST(reads_large_changes_from_the_store);
     CPPUNIT_TEST(serves_a_gateway_that_the_store_rejects);
@@ -285,6 +286,11 @@
                 CPPUNIT_ASSERT(tracker.is_in_earlier_era());
                 CPPUNIT_ASSERT_EQUAL(fencing_token(1, 120), tracker.known_revision());
             });
+            section("nor is one that claims to reach from era 1 into era 2", [&] {
+                tracker.record_confirmation({0, fencing_token(1, 120), fencing_token(2, 100), 0ms});
+                CPPUNIT_ASSERT(tracker.confirmation_age() == 3s);
+                CPPUNIT_ASSERT_EQUAL(fencing_token(1, 120), tracker.known_revision());
+            });
             section("neither are changes of era 2, wherever they begin", [&] {
                 for (const auto since : {fencing_token(2, 90), fencing_token(1, 120)}) {
                     CPPUNIT_ASSERT(!tracker.record_peer_changes(
@@ -366,6 +372,44 @@
         });
     }
 
+    // The store may hold a watch from a revision that it has given out again, and call that an answer.
+    void leaves_an_era_that_peers_know_to_be_over()
+    {
+        section("a gateway waits for an answer of the store", [] {
+            manual_clock time;
+            simulated_history history;
+            simulated_gateway gateway(time, history, "gateway", "here", 7);
+            const auto run = [&](duration span) {
+                for (const auto until = time.now() + span; time.now() < until; time.advance(10ms)) {
+                    gateway.step();
+                }
+            };
+            run(100ms);
+            CPPUNIT_ASSERT(gateway.has_listed);
+            gateway.store.is_silent = true;
+            run(100ms);
+            section("a peer confirms a later era, and it lists again within a second", [&] {
+                auto confirmation = gateway.relay.confirmations().front();
+                confirmation.last_change = confirmation.revision = fencing_token(1, 1);
+                gateway.relay.record_confirmations({confirmation});
+                run(1'050ms);
+                CPPUNIT_ASSERT(!gateway.has_listed);
+            });
+            section("while the store goes on in the earlier era, it lists a few times a second at most", [&] {
+                gateway.store.is_silent = false;
+                const auto calls_before = gateway.store.call_count;
+                run(3s);
+                CPPUNIT_ASSERT(gateway.store.call_count - calls_before <= 3 * 8);
+            });
+            section("once the store answers in the later era, nothing remains of it", [&] {
+                history.restore(history.revision);
+                run(1s);
+                CPPUNIT_ASSERT(gateway.has_listed);
+                CPPUNIT_ASSERT_EQUAL(history.revision, gateway.revision);
+            });
+        });
+    }
+
     // Load pattern: 100 gateways in five data centres, which changes reach within seconds of each other and
     // which mostly wait.
     void calls_the_store_once_a_data_centre()
