--- a/src/relay/internal/watch_relay.cpp
+++ b/src/relay/internal/watch_relay.cpp
@@ -26,6 +26,8 @@
 // All gateways list all feeds when the store is in a new era. Spread over this, a few hundred of them make
 // fewer calls than the store takes, and a configuration is still in force within its bound of seconds.
 constexpr std::chrono::milliseconds new_era_spread{1'000};
+// Up to 10 to 19 s between lists in vain.
+constexpr unsigned max_list_delay_doublings = 5;
 
 std::chrono::milliseconds
 draw_between(std::chrono::milliseconds low, std::chrono::milliseconds high, random_source& random)
@@ -239,6 +241,7 @@
 {
     if (!feed.tracker.is_in_earlier_era()) {
         feed.era_ends_at.reset();
+        feed.lists_in_vain = 0;
         return false;
     }
     const auto now = this->time.now();
@@ -248,8 +251,10 @@
     if (now < *feed.era_ends_at) {
         return false;
     }
-    // A store that still answers from the earlier era is not listed over and over.
-    feed.era_ends_at = now + draw_between(min_retry_delay, max_retry_delay, this->random);
+    // While the store still answers from the earlier era, a peer that states a wrong one must not make every
+    // gateway list over and over.
+    const auto factor = 1U << std::min(feed.lists_in_vain++, max_list_delay_doublings);
+    feed.era_ends_at = now + factor * draw_between(min_retry_delay, max_retry_delay, this->random);
     const auto callback = std::exchange(feed.callback, nullptr);
     callback(fail(result_code::history_lost, "a peer knows a new era of the store"));
     return true;
--- a/src/relay/watch_relay.h
+++ b/src/relay/watch_relay.h
@@ -96,6 +96,7 @@
         time_point failed_at;
         time_point retry_at;
         std::optional<time_point> era_ends_at; // set while peers know a later era of the store
+        unsigned lists_in_vain = 0;            // since then
     };
 
     feed_state& feed_of(const std::string& prefix);
