--- a/standins/site/fake_backend_server.cpp
+++ b/standins/site/fake_backend_server.cpp
@@ -34,6 +34,10 @@
         exchange->send_response({status_ok, {}, nlohmann::json(this->execution_counts).dump()});
         return;
     }
+    if (request.path == "/callers") {
+        exchange->send_response({status_ok, {}, nlohmann::json(this->callers).dump()});
+        return;
+    }
     const auto expected = find_header(request.headers, "Expect-Instance");
     if (!expected.empty() && expected != this->id) {
         exchange->send_response({status_misdirected, {{"Instance-Id", this->id}}, {}});
@@ -61,7 +65,11 @@
 
 void fake_backend_server::run(const std::shared_ptr<http_exchange>& exchange)
 {
-    ++this->execution_counts[find_header(exchange->request().headers, "Attempt-Id")];
+    const auto& headers = exchange->request().headers;
+    const auto request_id = find_header(headers, "Attempt-Id");
+    ++this->execution_counts[request_id];
+    this->callers[request_id].push_back(find_header(headers, "Authorization") + "|" +
+                                        find_header(headers, "Tenant"));
     if (exchange->request().path.starts_with("/stream/")) {
         this->start_stream(exchange);
         return;
--- a/standins/site/fake_backend_server.h
+++ b/standins/site/fake_backend_server.h
@@ -9,11 +9,13 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace tanager::standin {
 
 // Paths below /stream/ send `events` events, one every `event_ms`; all other paths send one response after
-// `work_ms`. GET /runs returns the number of executions by request id.
+// `work_ms`. GET /runs returns the number of executions by request id, and GET /callers the credentials and
+// the organisation that each execution named.
 //
 // Faults, each used up by one per occurrence: `refuse` (the request is refused as not run), `cut` (the
 // request runs, then its connection is closed; that of a stream in the middle of an event), `foreign` (the
@@ -37,6 +39,7 @@
     std::string id;
     fault_registry faults;
     std::map<std::string, unsigned> execution_counts;
+    std::map<std::string, std::vector<std::string>> callers; // by request id
     std::uint64_t last_timer_id = 0;
     std::map<std::uint64_t, std::unique_ptr<loop_timer>> pending_timers;
 };
--- a/tests/support/gateway_group.h
+++ b/tests/support/gateway_group.h
@@ -9,6 +9,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <functional>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -21,10 +22,14 @@
 // A store and gateways that share one data centre.
 class gateway_group {
 public:
-    // `site_arguments` are those of the stand-in for the store and the backend servers.
+    // `site_arguments` are those of the stand-in for the store and the backend servers; `more_settings` is
+    // appended to the settings of each gateway.
     explicit gateway_group(int gateway_count,
-                           const std::vector<std::string>& site_arguments = {"--timeout-ms", "5000"})
-        : standin_site("standin-site", site_arguments), store_address(standin_site.address("http"))
+                           const std::vector<std::string>& site_arguments = {"--timeout-ms", "5000"},
+                           std::string more_settings = {})
+        : standin_site("standin-site", site_arguments),
+          store_address(standin_site.address("http")),
+          more_settings(std::move(more_settings))
     {
         for (int count = 0; count < gateway_count; ++count) {
             this->start("g" + std::to_string(count));
@@ -112,11 +117,14 @@
         }
     }
 
-    void apply_configuration(int version)
+    void apply_configuration(int version, const std::function<void(nlohmann::json&)>& edit = {})
     {
         auto object =
             nlohmann::json::parse(this->caller.get(this->store_address, "/objects/config/main").body);
         object["spec"]["version"] = version;
+        if (edit) {
+            edit(object["spec"]);
+        }
         const auto response =
             this->caller.fetch(this->store_address, {"PUT", "/objects/config/main", {}, object.dump()});
         CPPUNIT_ASSERT_EQUAL(200, response.status);
@@ -154,11 +162,13 @@
                             << "\ndata_centre = here\nregion = r\nstop_grace_seconds = 8\n"
                                "[http]\nlisten = 127.0.0.1:0\n[pages]\nlisten = 127.0.0.1:0\n"
                                "[peers]\nlisten = 127.0.0.1:0\n[store]\naddress = "
-                            << this->store_address << "\n";
+                            << this->store_address << "\n"
+                            << this->more_settings;
         this->settings_paths.push_back(path);
         return path;
     }
 
+    std::string more_settings;
     std::vector<std::string> settings_paths;
     std::uint64_t last_request_number = 0;
 };
