--- a/src/gateway/tests/caller_identity_tests.cpp
+++ b/src/gateway/tests/caller_identity_tests.cpp
@@ -41,7 +41,7 @@
             this->scheduler.release_slot(this->short_prompt_request(), "e");
             this->send(10s, {}, "filler");
         }
-        const auto waiting = this->send();
+        auto waiting = this->send();
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, this->scheduler.queued_count());
         return waiting;
     }
