--- a/tests/tests/usage_tests.cpp
+++ b/tests/tests/usage_tests.cpp
@@ -24,6 +24,7 @@
     usage_fixture()
         : group(4,
                 {"--timeout-ms", "5000", "--organisations", std::to_string(organisations)},
+                {},
                 "[roles]\norder_lease_ms = " + std::to_string(lease_ms) +
                     "\n[duties]\nkinds = usage_report\nper_second = 50\nusage_window_seconds = 2\n"
                     "usage_late_seconds = 8\n"),
