Load reports leave a slow link to requests

Cause: 26 gateways report their load to each other fifty times a second. On a link of 10 Mbit/s that traffic competes with prompts, and at a peak prompts waited for hundreds of milliseconds on small hosts.

Change: the report interval grows on a slow link until reports take a twelfth of its time, to 100 ms at most; faster and unlimited links report as before. Reports carry their interval, so that every gateway knows how old its view of the others may be, and how long a prompt waits for the link (still 0).

--- a/src/peers/internal/load_codec.cpp
+++ b/src/peers/internal/load_codec.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::uint64_t codec_version = 6;
+constexpr std::uint64_t codec_version = 7;
 // The shortest encodings of a list's elements: a hash and a byte for each number.
 constexpr std::size_t min_hash_bytes = 4;
 constexpr std::size_t min_load_bytes = min_hash_bytes + 3;
@@ -78,6 +78,8 @@
         writer.write_number(confirmation.revision);
         writer.write_number(static_cast<std::uint64_t>(confirmation.age.count()));
     });
+    writer.write_number(report.link_wait_milliseconds);
+    writer.write_number(report.interval_milliseconds);
     return writer.bytes();
 }
 
@@ -111,6 +113,8 @@
                                  reader.read_number(),
                                  std::chrono::milliseconds{read_number32(reader)}};
     });
+    report.link_wait_milliseconds = read_number32(reader);
+    report.interval_milliseconds = read_number32(reader);
     if (!reader.is_complete()) {
         return fail(result_code::request_malformed, "a load report is cut off or has further bytes");
     }
--- a/src/peers/internal/peer_exchange.cpp
+++ b/src/peers/internal/peer_exchange.cpp
@@ -3,6 +3,7 @@
 #include "logging/event_log.h"
 #include "membership/watcher_election.h"
 #include "peers/load_codec.h"
+#include "peers/report_interval.h"
 #include "relay/change_codec.h"
 #include "store/object_watcher.h"
 
@@ -15,10 +16,8 @@
 namespace {
 
 constexpr const char* gateway_prefix = "gateways/";
-// A slot is occupied for tens of milliseconds, so load is reported at about a tenth of that.
-constexpr std::chrono::milliseconds min_report_interval{5};
-// With more peers the report interval grows in proportion, so that the cost of reporting stays constant.
-constexpr std::size_t max_peers_at_full_rate = 6;
+// Whether a report is due is checked this often.
+constexpr std::chrono::milliseconds tick_interval{5};
 // An unchanged load is reported at this interval, so that peers can distinguish an idle gateway from a silent
 // one.
 constexpr std::chrono::milliseconds idle_report_interval{200};
@@ -93,7 +92,7 @@
         this->store.set_channel(this);
         this->peer_watcher->start();
         this->register_gateway();
-        this->tick_timer = this->loop.run_every(min_report_interval, [this] { this->on_tick(); });
+        this->tick_timer = this->loop.run_every(tick_interval, [this] { this->on_tick(); });
         return {};
     }
 
@@ -109,7 +108,7 @@
 
     duration max_report_age() const override
     {
-        return 2 * this->interval() + transit_time;
+        return 2 * std::max(this->interval(), this->received_loads.longest_report_interval()) + transit_time;
     }
 
     void mark_load_changed() override
@@ -193,7 +192,8 @@
 
     duration interval() const
     {
-        return min_report_interval * std::max<std::size_t>(1, this->peers.size() / max_peers_at_full_rate);
+        return min_time_between_reports(this->peers.size(),
+                                        this->link.estimate_send_delay(this->last_report_bytes).own);
     }
 
     std::string own_name() const
@@ -340,8 +340,11 @@
         own_report.role_change_servers = this->role_change_servers;
         own_report.confirmations = this->store.confirmations();
         own_report.is_store_failing = this->store.is_store_failing();
+        own_report.interval_milliseconds = static_cast<std::uint32_t>(
+            std::chrono::ceil<std::chrono::milliseconds>(this->interval()).count());
         const auto datagram = report_message + encode_report({this->settings.host, std::move(own_report)});
-        this->link.record_sent(this->peers.size() * (datagram.size() + datagram_header_bytes));
+        this->last_report_bytes = this->peers.size() * (datagram.size() + datagram_header_bytes);
+        this->link.record_sent(this->last_report_bytes);
         for (const auto& [name, peer] : this->peers) {
             // A datagram that the kernel does not accept is made up for by the next report.
             static_cast<void>(this->socket->send(peer.address, datagram));
@@ -410,6 +413,7 @@
     std::uint64_t revision = 0;
     std::uint64_t incarnation = 0;
     std::uint64_t sequence = 0;
+    std::size_t last_report_bytes = 0; // to all peers together
     std::vector<std::uint32_t> role_change_servers;
     bool is_list_known = false;
     bool is_load_changed = false;
--- a/src/peers/internal/peer_loads.cpp
+++ b/src/peers/internal/peer_loads.cpp
@@ -35,6 +35,8 @@
     state.demands = report.demands;
     state.role_change_servers = report.role_change_servers;
     state.is_store_failing = report.is_store_failing;
+    state.link_wait = std::chrono::milliseconds{report.link_wait_milliseconds};
+    state.report_interval = std::chrono::milliseconds{report.interval_milliseconds};
     this->add_to_totals(state);
     return true;
 }
@@ -139,11 +141,25 @@
     return this->peers.size();
 }
 
+std::size_t peer_loads::peers_with_link_room(duration max_wait) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        this->peers, [&](const auto& entry) { return entry.second.link_wait <= max_wait; }));
+}
+
+duration peer_loads::longest_report_interval() const
+{
+    return this->longest_interval;
+}
+
 std::vector<peer_change> peer_loads::expire()
 {
     const auto oldest_live = this->time.now() - this->peer_timeout;
+    this->longest_interval = duration{0};
     for (auto entry = this->peers.begin(); entry != this->peers.end();) {
         if (entry->second.received_at >= oldest_live) {
+            const auto interval = std::min<duration>(entry->second.report_interval, this->peer_timeout);
+            this->longest_interval = std::max(this->longest_interval, interval);
             ++entry;
             continue;
         }
--- a/src/peers/peer_loads.h
+++ b/src/peers/peer_loads.h
@@ -51,6 +51,12 @@
     // Returns the number of peers that have not timed out.
     std::size_t live_peer_count() const;
 
+    // Returns how many peers could pass a prompt to their link within `max_wait`.
+    std::size_t peers_with_link_room(duration max_wait) const;
+
+    // Returns the longest time between two reports of any peer under load, as of the last `expire`.
+    duration longest_report_interval() const;
+
     // Drops peers that have timed out; returns who became live or was dropped since the last call.
     std::vector<peer_change> expire();
 
@@ -63,6 +69,8 @@
         std::vector<service_demand> demands;
         std::vector<std::uint32_t> role_change_servers;
         bool is_store_failing = false;
+        std::chrono::milliseconds link_wait{0};
+        std::chrono::milliseconds report_interval{0};
     };
 
     // The demand for one service at all peers.
@@ -85,6 +93,7 @@
     std::unordered_map<std::uint32_t, service_total> demand_totals;
     std::unordered_map<std::uint32_t, std::uint32_t> role_changing_peers;
     std::vector<peer_change> changes;
+    duration longest_interval{0};
 };
 
 } // namespace tanager
--- a/src/peers/tests/peers_tests.cpp
+++ b/src/peers/tests/peers_tests.cpp
@@ -1,9 +1,11 @@
 #include "base/mocks/manual_clock.h"
 #include "peers/load_codec.h"
 #include "peers/peer_loads.h"
+#include "peers/report_interval.h"
 #include "testing/section.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <utility>
 
 namespace tanager {
 
@@ -21,13 +23,17 @@
             {name_hash("changing"), running},
             {{name_hash("engine"), running + 1}, {name_hash("engine"), running + 2}},
             {{running, running, running + 1, std::chrono::milliseconds{running}}},
-            running == 1};
+            running == 1,
+            running * 3,
+            running * 5};
 }
 
 class peers_tests : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(peers_tests);
     CPPUNIT_TEST(counts_the_newest_report_of_each_peer);
     CPPUNIT_TEST(drops_silent_peers);
+    CPPUNIT_TEST(knows_which_peers_can_carry_more);
+    CPPUNIT_TEST(leaves_a_slow_link_to_requests);
     CPPUNIT_TEST(decodes_arbitrary_datagrams_safely);
     CPPUNIT_TEST_SUITE_END();
 
@@ -91,6 +97,44 @@
         });
     }
 
+    void knows_which_peers_can_carry_more()
+    {
+        section("three peers report how long a prompt waits for their links", [] {
+            manual_clock time;
+            peer_loads loads(time, 1s);
+            for (const auto& [peer, running] : {std::pair{"fast", 0U}, {"busy", 10U}, {"full", 60U}}) {
+                loads.apply(peer, make_report(5, 1, running));
+            }
+            CPPUNIT_ASSERT_EQUAL(std::size_t{2}, loads.peers_with_link_room(50ms));
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, loads.peers_with_link_room(0ms));
+            section("their views are as old as the slowest reporter's", [&] {
+                loads.expire();
+                CPPUNIT_ASSERT(loads.longest_report_interval() == 300ms);
+                section("until it is dropped", [&] {
+                    time.advance(1s + 1ms);
+                    loads.expire();
+                    CPPUNIT_ASSERT(loads.longest_report_interval() == 0ms);
+                    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, loads.peers_with_link_room(1h));
+                });
+            });
+        });
+    }
+
+    // Load: 26 gateways report 300 bytes on each server and peer, over links of 10 or 200 Mbit/s.
+    void leaves_a_slow_link_to_requests()
+    {
+        section("a fast or unlimited link reports at the rate that fits the number of peers", [] {
+            CPPUNIT_ASSERT(min_time_between_reports(0, 0ms) == 5ms);
+            CPPUNIT_ASSERT(min_time_between_reports(25, 0ms) == 20ms);
+            CPPUNIT_ASSERT(min_time_between_reports(25, 350us) == 20ms);
+            CPPUNIT_ASSERT(min_time_between_reports(299, 4ms) == 245ms);
+        });
+        section("a slow link spends a twelfth of its time on reports",
+                [] { CPPUNIT_ASSERT(min_time_between_reports(25, 7ms) == 84ms); });
+        section("its reports come often enough that peers do not take it for silent",
+                [] { CPPUNIT_ASSERT(min_time_between_reports(25, 1s) == 100ms); });
+    }
+
     void decodes_arbitrary_datagrams_safely()
     {
         section("a decoded report equals the encoded one", [] {
--- a/src/peers/types/load_report.h
+++ b/src/peers/types/load_report.h
@@ -46,6 +46,8 @@
     std::vector<sent_prefix> new_prefixes; // sent within the last few reports, and not known there before
     std::vector<feed_confirmation> confirmations; // of the feeds for which this gateway calls the store
     bool is_store_failing = false;                // the store did not answer its last calls
+    std::uint32_t link_wait_milliseconds = 0;     // until a prompt that arrives now would have left its host
+    std::uint32_t interval_milliseconds = 0;      // between two reports under load
 
     friend bool operator==(const load_report&, const load_report&) = default;
 };
