Organisations wait by weighted shares; retries elsewhere are a decision of their own

Cause: when three times the room is asked for, requests of one priority start in the order of arrival. An organisation that presses beyond its usual use, or whose callers repeat rejected requests at once, takes the room from all others.

Change: the wait queue starts, of the requests of one priority, the one whose organisation has lately had the smallest part of its entitlement: room in proportion to its usual use, and at least to a quarter of what it asks for. Whoever would then start too late is displaced at once. Requests without organisations keep the order of arrival. retry_elsewhere decides whether a caller is sent to another gateway at once. Nothing uses the two yet.

--- a/src/admission/tests/admission_tests.cpp
+++ b/src/admission/tests/admission_tests.cpp
@@ -1,5 +1,7 @@
 #include "admission/caller_timeout_tracker.h"
+#include "admission/organisation_shares.h"
 #include "admission/retry_after_estimator.h"
+#include "admission/retry_elsewhere.h"
 #include "admission/slot_share.h"
 #include "admission/slot_wait_queue.h"
 #include "base/mocks/manual_clock.h"
@@ -8,7 +10,9 @@
 
 #include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
+#include <deque>
 #include <numeric>
+#include <string>
 #include <vector>
 
 namespace tanager {
@@ -29,6 +33,9 @@
     CPPUNIT_TEST(limits_gateways_to_their_share_of_slots);
     CPPUNIT_TEST(follows_callers_that_move_to_other_gateways);
     CPPUNIT_TEST(estimates_time_spent_on_earlier_attempts);
+    CPPUNIT_TEST(sends_callers_to_other_gateways_while_these_have_room);
+    CPPUNIT_TEST(counts_a_bounded_number_of_organisations);
+    CPPUNIT_TEST(lets_an_organisation_that_presses_pay_itself);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -210,7 +217,152 @@
         });
     }
 
+    void sends_callers_to_other_gateways_while_these_have_room()
+    {
+        section("most gateways can carry a prompt", [] {
+            CPPUNIT_ASSERT(retry_after_elsewhere({13, 25}) == std::optional{1ms});
+        });
+        section("as many cannot, or none is known", [] {
+            CPPUNIT_ASSERT(!retry_after_elsewhere({12, 25}) && !retry_after_elsewhere({0, 0}));
+        });
+    }
+
+    void counts_a_bounded_number_of_organisations()
+    {
+        manual_clock time;
+        organisation_shares shares(time);
+        for (int number = 0; number < 3'000; ++number) {
+            shares.record_arrival("o" + std::to_string(number));
+            time.advance(1ms);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1'000}, shares.size());
+        section("one that was forgotten goes before one that was served", [&] {
+            shares.record_start("o2999");
+            CPPUNIT_ASSERT(shares.rank("o0", 0) < shares.rank("o2999", 0));
+        });
+    }
+
+    // Load: 79 organisations, of which four have a tenth each of the usual use, press on 26 gateways for four
+    // seconds with three times the room; one of the large ones asks three times more than that, and its
+    // callers repeat each rejected request at once.
+    void lets_an_organisation_that_presses_pay_itself()
+    {
+        const auto in_order = serve_organisations(26, false);
+        const auto shared = serve_organisations(26, true);
+        const auto known_to_all = serve_organisations(1, true);
+        section("in the order of arrival, it takes the room from all others",
+                [&] { CPPUNIT_ASSERT(in_order.pressing > in_order.others); });
+        section("with shares, the others get nine tenths of what they would get if it did not press", [&] {
+            constexpr double room_without_pressing = 37; // for a hundred requests
+            CPPUNIT_ASSERT(in_order.others < room_without_pressing * 9 / 10);
+            CPPUNIT_ASSERT(shared.others > room_without_pressing * 9 / 10);
+        });
+        section("none of them is served less than a quarter as often as all",
+                [&] { CPPUNIT_ASSERT(shared.least > shared.all / 4); });
+        section("it is served less often, but no less than a quarter as often as all", [&] {
+            CPPUNIT_ASSERT(shared.pressing < shared.others);
+            CPPUNIT_ASSERT(shared.pressing > shared.all / 4);
+        });
+        section("as many requests are served in all",
+                [&] { CPPUNIT_ASSERT(shared.all > in_order.all * 95 / 100); });
+        section("gateways that count alone come close to one that sees everything",
+                [&] { CPPUNIT_ASSERT(shared.others > known_to_all.others * 9 / 10); });
+    }
+
 private:
+    // Of a hundred requests, how many were served: of the organisation that presses, of the others together,
+    // of the other one that was served least, and of all.
+    struct served_shares {
+        double pressing = 0;
+        double others = 0;
+        double least = 100;
+        double all = 0;
+    };
+
+    static served_shares serve_organisations(std::size_t gateway_count, bool has_shares)
+    {
+        constexpr std::size_t organisation_count = 79;
+        constexpr std::size_t large_count = 4;
+        constexpr std::size_t arrivals_per_tick = 4; // of 2 ms, at the peak, without the one that presses
+        constexpr auto tick = 2ms;
+        constexpr int warm_up_ticks = 15'000;
+        constexpr int peak_ticks = 2'000;
+        constexpr std::size_t slots_per_second = 740;
+        struct gateway {
+            explicit gateway(const clock& time, bool has_shares)
+                : shares(time), queue(time, has_shares ? &this->shares : nullptr)
+            {
+            }
+            organisation_shares shares;
+            slot_wait_queue queue;
+            double free_slots = 0;
+        };
+        manual_clock time;
+        seeded_random random(seed);
+        std::deque<gateway> gateways;
+        for (std::size_t index = 0; index < gateway_count; ++index) {
+            gateways.emplace_back(time, has_shares);
+        }
+        std::vector<double> asked(organisation_count);
+        std::vector<double> served(organisation_count);
+        std::uint64_t ticket = 0;
+        bool is_peak = false;
+        // Retries reach other gateways.
+        const auto arrive = [&](std::size_t organisation) {
+            const int attempts = organisation == 0 && is_peak ? 3 : 1;
+            asked[organisation] += 1;
+            for (int attempt = 0; attempt < attempts; ++attempt) {
+                auto& chosen = gateways[random.next() % gateway_count];
+                const auto name = std::to_string(organisation);
+                chosen.shares.record_arrival(name);
+                if (chosen.queue.try_push({++ticket, 2, time.now() + 160ms, name})) {
+                    chosen.queue.remove_displaced();
+                    return;
+                }
+            }
+        };
+        for (int step = 0; step < warm_up_ticks + peak_ticks; ++step) {
+            if (step == warm_up_ticks) {
+                is_peak = true;
+                std::ranges::fill(asked, 0);
+                std::ranges::fill(served, 0);
+            }
+            const auto arrivals = is_peak ? arrivals_per_tick : (step % 3 == 0 ? arrivals_per_tick : 0);
+            for (std::size_t count = 0; count < arrivals; ++count) {
+                const auto draw = random.next() % 10;
+                arrive(draw < large_count ? draw
+                                          : large_count + random.next() % (organisation_count - large_count));
+            }
+            if (is_peak) {
+                arrive(0);
+            }
+            for (auto& each : gateways) {
+                each.queue.remove_expired();
+                each.free_slots += static_cast<double>(slots_per_second) / gateway_count * 0.002;
+                for (; each.free_slots >= 1; each.free_slots -= 1) {
+                    each.queue.record_slot_release();
+                    if (const auto next = each.queue.front()) {
+                        each.queue.remove(next->ticket);
+                        each.shares.record_start(next->organisation);
+                        served[static_cast<std::size_t>(std::stoi(next->organisation))] += 1;
+                    }
+                }
+            }
+            time.advance(tick);
+        }
+        served_shares result;
+        const auto sum = [](const std::vector<double>& counts) {
+            return std::accumulate(counts.begin(), counts.end(), 0.0);
+        };
+        result.pressing = 100 * served[0] / asked[0];
+        result.others = 100 * (sum(served) - served[0]) / (sum(asked) - asked[0]);
+        result.all = 100 * sum(served) / sum(asked);
+        for (std::size_t index = 1; index < organisation_count; ++index) {
+            result.least = std::min(result.least, 100 * served[index] / asked[index]);
+        }
+        return result;
+    }
+
     struct served_counts {
         int before = 0;       // in the second before the callers move
         int second_after = 0; // in the second second after it
