Small hosts carry what their link can carry in time

Cause: gateways with links of 10 Mbit/s get as many connections as those with 200. Prompts fill the kernel's queue, which no urgent request can overtake, prompts with a separate prefill cross the link twice, and callers that are refused for it are told to come back as if the fleet were full.

Change: sending_plan decides what goes to the link and when. Prompts wait in the gateway for a slow link, are sent once while it has a queue, and are refused on arrival (lacking=link) when they would be late; their callers are sent to another gateway at once while most have room, as load reports say. The scheduler passes organisations to the wait queue, so that their shares decide who waits. Hosts with fast or unlimited links decide as before.

--- a/src/gateway/gateway_setup.cpp
+++ b/src/gateway/gateway_setup.cpp
@@ -19,6 +19,7 @@
 #include "store/observed_object_store.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace tanager {
 
@@ -44,6 +45,11 @@
 constexpr std::chrono::milliseconds queue_processing_interval{5};
 constexpr std::chrono::milliseconds housekeeping_interval{100};
 constexpr std::chrono::milliseconds role_control_interval{500};
+// Bounds the lines on a full link.
+constexpr std::chrono::seconds link_log_interval{1};
+// A peer counts as having room, in the log, when a prompt waits no longer than this: an eighth of the
+// objective of long prompts.
+constexpr std::chrono::milliseconds max_wait_on_roomy_link{50};
 // Long enough that a server keeps its measurements while its entry is briefly missing.
 constexpr std::chrono::minutes cleanup_interval{1};
 // A longer time between two housekeeping runs means that the process was suspended.
@@ -96,6 +102,15 @@
                this->exchange->known_loads().should_isolate_long_outputs(service);
     }
 
+    gateways_with_room link_room(duration max_wait) const override
+    {
+        if (this->exchange == nullptr) {
+            return {};
+        }
+        const auto& loads = this->exchange->known_loads();
+        return {loads.peers_with_link_room(max_wait), loads.live_peer_count()};
+    }
+
     bool is_changing_role(const std::string& server_id) const override
     {
         return this->exchange != nullptr && this->exchange->is_changing_role(server_id);
@@ -332,6 +347,9 @@
                 {name_hash(service), prompts, this->pool.should_isolate_long_outputs(service)});
         }
         report.new_prefixes = this->pool.new_prefixes();
+        report.link_wait_milliseconds = static_cast<std::uint32_t>(std::min<std::int64_t>(
+            std::chrono::ceil<std::chrono::milliseconds>(this->scheduler.link_wait()).count(),
+            std::numeric_limits<std::uint32_t>::max()));
         return report;
     }
 
@@ -388,6 +406,7 @@
                       std::chrono::duration_cast<std::chrono::milliseconds>(time_between_runs).count())}});
         }
         this->update_retry_share(time_between_runs);
+        this->report_full_link();
         this->quarantine.check();
         this->quarantines.check();
         for (const auto& id : this->pool.servers().expire()) {
@@ -396,6 +415,25 @@
         }
     }
 
+    // Logs once a second that the link could not carry requests.
+    void report_full_link()
+    {
+        const auto now = this->time.now();
+        const auto refused = this->scheduler.link_refusal_count();
+        if (refused == this->logged_link_refusals || now - this->link_logged_at < link_log_interval) {
+            return;
+        }
+        const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(this->scheduler.link_wait());
+        const auto peers = this->peer_loads.link_room(max_wait_on_roomy_link);
+        write_event(log_event::link_full,
+                    {{"refused", std::to_string(refused - this->logged_link_refusals)},
+                     {"wait_ms", std::to_string(wait.count())},
+                     {"peers", std::to_string(peers.all)},
+                     {"peers_with_room", std::to_string(peers.able)}});
+        this->logged_link_refusals = refused;
+        this->link_logged_at = now;
+    }
+
     // Counts the gateways and takes this one's share of the retries that all may use.
     void update_retry_share(duration elapsed)
     {
@@ -433,6 +471,12 @@
         this->metrics.set_gauge("tanager_requests_open", static_cast<double>(this->handler->open_requests()));
         this->metrics.set_gauge("tanager_requests_waiting",
                                 static_cast<double>(this->scheduler.queued_count()));
+        this->metrics.set_gauge("tanager_link_wait_seconds",
+                                std::chrono::duration<double>(this->scheduler.link_wait()).count());
+        this->metrics.set_gauge("tanager_link_refusals",
+                                static_cast<double>(this->scheduler.link_refusal_count()));
+        this->metrics.set_gauge("tanager_organisations_counted",
+                                static_cast<double>(this->scheduler.counted_organisations()));
         this->metrics.set_gauge("tanager_peers_heard",
                                 static_cast<double>(this->peers->known_loads().live_peer_count()));
         this->metrics.set_gauge("tanager_store_watcher", this->peers->is_elected_watcher() ? 1 : 0);
@@ -516,6 +560,8 @@
     std::unique_ptr<loop_timer> stop_timer;
     time_point last_housekeeping_at;
     time_point stopped_at;
+    std::uint64_t logged_link_refusals = 0;
+    time_point link_logged_at;
     task on_drained;
 };
 
--- a/src/gateway/internal/request_forwarder.cpp
+++ b/src/gateway/internal/request_forwarder.cpp
@@ -152,6 +152,7 @@
     slot.start_deadline = std::max(latest_start, now);
     slot.first_event_deadline =
         this->routed.received + std::chrono::duration_cast<duration>(first_event_deadline_ratio * objective);
+    slot.latency_objective = this->routed.chosen_route->latency_objective;
     slot.gap_objective = this->routed.chosen_route->gap_objective;
     slot.request_bytes = this->routed.exchange->request().body.size() + estimated_head_bytes;
     slot.may_have_executed = this->may_have_executed();
@@ -923,11 +924,20 @@
     this->finish("unknown", status);
 }
 
+std::chrono::milliseconds request_forwarder::suggest_retry_after(const error& cause)
+{
+    if (cause.code == result_code::servers_ended_under_request) {
+        return std::chrono::ceil<std::chrono::milliseconds>(this->quarantine_left);
+    }
+    if (this->denial_reason == placement_error::link_busy) {
+        return this->context.scheduler.suggest_retry_elsewhere(this->requested_slot);
+    }
+    return this->context.scheduler.suggest_retry_after(this->routed.service);
+}
+
 void request_forwarder::reject(const error& cause)
 {
-    const auto retry_after = cause.code == result_code::servers_ended_under_request
-                                 ? std::chrono::ceil<std::chrono::milliseconds>(this->quarantine_left)
-                                 : this->context.scheduler.suggest_retry_after(this->routed.service);
+    const auto retry_after = this->suggest_retry_after(cause);
     this->log.write_rejection(cause,
                               {this->routed.configuration_version,
                                this->context.scheduler.slot_usage_of(this->routed.service),
--- a/src/gateway/internal/request_forwarder.h
+++ b/src/gateway/internal/request_forwarder.h
@@ -130,6 +130,7 @@
     void handle_server_failure();
     void fail_after_execution(const error& cause);
     void send_buffered_response(const std::string& body);
+    std::chrono::milliseconds suggest_retry_after(const error& cause);
     void reject(const error& cause);
     void fail_with_unknown_outcome(const error& cause);
     void finish(std::string_view outcome, int status);
--- a/src/gateway/internal/request_log.cpp
+++ b/src/gateway/internal/request_log.cpp
@@ -34,6 +34,8 @@
         return "share";
     case placement_error::no_engine_in_time:
         return "prefill";
+    case placement_error::link_busy:
+        return "link";
     }
     return "unlisted";
 }
--- a/src/gateway/internal/request_scheduler.cpp
+++ b/src/gateway/internal/request_scheduler.cpp
@@ -17,7 +17,7 @@
                                      server_pool& pool,
                                      const uplink_queue_model& link,
                                      const demand_meter& demand)
-    : time(time), random(random), pool(pool), link(link), demand(demand)
+    : time(time), random(random), pool(pool), link(link), sending(link), demand(demand)
 {
 }
 
@@ -80,10 +80,14 @@
     if (request.is_prefilled) {
         return choose_decode_engine(candidates, this->random);
     }
+    const auto on_link = this->make_link_demand(request);
+    if (!request.may_have_executed && !this->sending.may_send_now(on_link)) {
+        return tl::make_unexpected(placement_error::link_busy);
+    }
     if (!this->is_within_share(request, candidates)) {
         return tl::make_unexpected(placement_error::share_exceeded);
     }
-    if (!request.allows_separate_prefill) {
+    if (!request.allows_separate_prefill || !this->sending.may_send_twice(on_link)) {
         std::erase_if(candidates,
                       [](const auto& candidate) { return candidate.server->role == engine_role::prefill; });
     }
@@ -108,6 +112,7 @@
     if (chosen.prefill_engine) {
         granted.prefill_engine = candidates[*chosen.prefill_engine].server;
     }
+    this->queues_of(request.service).shares.record_start(request.organisation);
     this->pool.begin_request(granted.server->id, request.prompt.has_long_output());
     if (granted.prefill_tokens > 0) {
         const auto& prefill_server =
@@ -118,11 +123,18 @@
     listener.on_slot_granted(granted);
 }
 
+void request_scheduler::deny(slot_listener& listener, placement_error reason)
+{
+    this->link_refusals += reason == placement_error::link_busy ? 1 : 0;
+    listener.on_slot_denied(reason);
+}
+
 std::uint64_t request_scheduler::request_slot(const slot_request& request,
                                               const std::shared_ptr<slot_listener>& listener)
 {
     const std::uint64_t ticket = ++this->last_ticket;
     auto& queue = this->queue_of(request);
+    this->queues_of(request.service).shares.record_arrival(request.organisation);
     const auto first = queue.front();
     const bool is_first_in_queue = !first || first->priority > request.priority;
     std::vector<placement_candidate> candidates;
@@ -135,15 +147,83 @@
         this->grant(request, *chosen, candidates, *listener);
         return ticket;
     }
-    if (request.has_missed_objective || !queue.try_push({ticket, request.priority, request.start_deadline})) {
-        listener->on_slot_denied(chosen ? placement_error::no_free_slot : chosen.error());
+    const auto reason = chosen ? this->why_is_waiting(*first) : chosen.error();
+    if (request.has_missed_objective || !this->try_queue(ticket, request, reason)) {
+        this->deny(*listener, reason);
         return ticket;
     }
-    const auto last_error = chosen ? placement_error::no_free_slot : chosen.error();
-    this->queued_requests.emplace(ticket, queued_request{request, listener, last_error});
+    this->queued_requests.emplace(ticket, queued_request{request, listener, reason});
+    this->deny_displaced(queue);
     return ticket;
 }
 
+// Returns why a queued request was not placed when that was last tried.
+placement_error request_scheduler::why_is_waiting(const waiting_request& waiting) const
+{
+    const auto found = this->queued_requests.find(waiting.ticket);
+    return found != this->queued_requests.end() && found->second.last_error == placement_error::link_busy
+               ? placement_error::link_busy
+               : placement_error::no_free_slot;
+}
+
+// Queues the request if what it waits for is expected in time.
+bool request_scheduler::try_queue(std::uint64_t ticket, const slot_request& request, placement_error reason)
+{
+    auto& queue = this->queue_of(request);
+    const waiting_request waiting{ticket, request.priority, request.start_deadline, request.organisation};
+    if (reason != placement_error::link_busy) {
+        return queue.try_push(waiting);
+    }
+    if (!this->can_carry_in_time(request)) {
+        return false;
+    }
+    queue.push(waiting);
+    return true;
+}
+
+std::size_t request_scheduler::queued_bytes() const
+{
+    std::size_t bytes = 0;
+    for (const auto& [ticket, queued] : this->queued_requests) {
+        bytes += queued.request.request_bytes;
+    }
+    return bytes;
+}
+
+link_demand request_scheduler::make_link_demand(const slot_request& request) const
+{
+    return {request.request_bytes, 0, request.latency_objective, request.start_deadline - this->time.now()};
+}
+
+bool request_scheduler::can_carry_in_time(const slot_request& request)
+{
+    auto on_link = this->make_link_demand(request);
+    if (!this->queued_requests.empty()) {
+        const auto ahead = this->queue_of(request).count_ahead(request.priority, request.organisation);
+        on_link.bytes_ahead = ahead * (this->queued_bytes() / this->queued_requests.size());
+    }
+    return this->sending.can_carry_in_time(on_link);
+}
+
+std::uint64_t request_scheduler::link_refusal_count() const
+{
+    return this->link_refusals;
+}
+
+std::size_t request_scheduler::counted_organisations() const
+{
+    std::size_t counted = 0;
+    for (const auto& [service, queues] : this->queues_by_service) {
+        counted = std::max(counted, queues.shares.size());
+    }
+    return counted;
+}
+
+duration request_scheduler::link_wait() const
+{
+    return this->sending.expected_wait(this->queued_bytes());
+}
+
 bool request_scheduler::has_free_slot(const slot_request& request)
 {
     std::vector<placement_candidate> candidates;
@@ -183,12 +263,26 @@
     this->process_queue(queues.queue);
 }
 
+void request_scheduler::deny_displaced(slot_wait_queue& queue)
+{
+    const auto first = queue.front();
+    if (!first || this->why_is_waiting(*first) == placement_error::link_busy) {
+        return; // the rate at which slots are released says nothing of the link
+    }
+    for (const auto& displaced : queue.remove_displaced()) {
+        const auto entry = this->queued_requests.extract(displaced.ticket);
+        if (!entry.empty()) {
+            this->deny(*entry.mapped().listener, entry.mapped().last_error);
+        }
+    }
+}
+
 void request_scheduler::process_queue(slot_wait_queue& queue)
 {
     for (const auto& expired : queue.remove_expired()) {
         const auto entry = this->queued_requests.extract(expired.ticket);
         if (!entry.empty()) {
-            entry.mapped().listener->on_slot_denied(entry.mapped().last_error);
+            this->deny(*entry.mapped().listener, entry.mapped().last_error);
         }
     }
     for (auto next = queue.front(); next; next = queue.front()) {
@@ -227,6 +321,16 @@
     return this->queued_requests.size();
 }
 
+std::chrono::milliseconds request_scheduler::suggest_retry_elsewhere(const slot_request& request)
+{
+    const auto others =
+        this->pool.link_room_of_peers(sending_plan::max_link_queue(request.latency_objective));
+    const auto elsewhere = retry_after_elsewhere(others);
+    const auto usage = this->slot_usage_of(request.service);
+    const bool has_free_slots = usage.local_running + usage.peer_running < usage.total_slots;
+    return elsewhere && has_free_slots ? *elsewhere : this->suggest_retry_after(request.service);
+}
+
 std::chrono::milliseconds request_scheduler::suggest_retry_after(const std::string& service)
 {
     auto& queues = this->queues_of(service);
--- a/src/gateway/internal/server_pool.cpp
+++ b/src/gateway/internal/server_pool.cpp
@@ -116,6 +116,11 @@
     return this->peers.prompts_per_second(service);
 }
 
+gateways_with_room server_pool::link_room_of_peers(duration max_wait) const
+{
+    return this->peers.link_room(max_wait);
+}
+
 duration server_pool::peer_report_age() const
 {
     return this->peers.report_age();
--- a/src/gateway/mocks/no_peers.h
+++ b/src/gateway/mocks/no_peers.h
@@ -27,6 +27,11 @@
         return {};
     }
 
+    gateways_with_room link_room(duration /*max_wait*/) const override
+    {
+        return {};
+    }
+
     bool is_changing_role(const std::string& /*server_id*/) const override
     {
         return false;
--- a/src/gateway/request_scheduler.h
+++ b/src/gateway/request_scheduler.h
@@ -9,6 +9,7 @@
 #include "gateway/types/caller_request.h"
 #include "placement/server_selection.h"
 #include "roles/demand_meter.h"
+#include "uplink/sending_plan.h"
 #include "uplink/uplink.h"
 
 #include <cstdint>
@@ -35,6 +36,7 @@
     bool is_prefilled = false;                  // the server will fetch the KV cache of the prompt
     bool allows_separate_prefill = true;
     std::vector<std::string> tried_server_ids;
+    std::chrono::milliseconds latency_objective{0}; // of the route
 };
 
 // The slot that a request was granted.
@@ -93,6 +95,18 @@
     // Returns the current slot usage of a service, for the log.
     slot_usage slot_usage_of(const std::string& service);
 
+    // Returns how many requests this host's link could not carry in time.
+    std::uint64_t link_refusal_count() const;
+
+    // Returns the number of organisations whose use is counted for one service.
+    std::size_t counted_organisations() const;
+
+    // Returns how long a prompt that arrives now would wait for this host's link.
+    duration link_wait() const;
+
+    // Returns after which time the caller of a request that this host's link cannot carry should retry.
+    std::chrono::milliseconds suggest_retry_elsewhere(const slot_request& request);
+
     // Records a rejection and returns after which time the caller should retry.
     std::chrono::milliseconds suggest_retry_after(const std::string& service);
 
@@ -103,6 +117,12 @@
         placement_error last_error; // why it was not placed when that was last tried
     };
 
+    void deny(slot_listener& listener, placement_error reason);
+    link_demand make_link_demand(const slot_request& request) const;
+    std::size_t queued_bytes() const;
+    bool can_carry_in_time(const slot_request& request);
+    placement_error why_is_waiting(const waiting_request& waiting) const;
+    bool try_queue(std::uint64_t ticket, const slot_request& request, placement_error reason);
     bool is_within_share(const slot_request& request, const std::vector<placement_candidate>& candidates);
     slot_usage count_slots(const std::string& service, const std::vector<placement_candidate>& candidates);
     placement_result choose(const slot_request& request, std::vector<placement_candidate>& candidates);
@@ -112,10 +132,20 @@
                slot_listener& listener);
     // The queues of one service.
     struct service_queues {
-        explicit service_queues(const clock& time) : queue(time), long_output_queue(time), retry_after(time)
+        explicit service_queues(const clock& time)
+            : shares(time),
+              queue(time, &this->shares),
+              long_output_queue(time, &this->shares),
+              retry_after(time)
         {
         }
+        service_queues(const service_queues&) = delete;
+        service_queues& operator=(const service_queues&) = delete;
+        service_queues(service_queues&&) = delete;
+        service_queues& operator=(service_queues&&) = delete;
+        ~service_queues() = default;
 
+        organisation_shares shares;
         slot_wait_queue queue;
         slot_wait_queue
             long_output_queue; // served first: long outputs are few, and each is worth many short ones
@@ -124,6 +154,7 @@
 
     void process_queues_of(service_queues& queues);
     void process_queue(slot_wait_queue& queue);
+    void deny_displaced(slot_wait_queue& queue);
     service_queues& queues_of(const std::string& service);
     slot_wait_queue& queue_of(const slot_request& request);
 
@@ -131,8 +162,10 @@
     random_source& random;
     server_pool& pool;
     const uplink_queue_model& link;
+    sending_plan sending;
     const demand_meter& demand;
     std::uint64_t last_ticket = 0;
+    std::uint64_t link_refusals = 0;
     std::map<std::string, service_queues> queues_by_service;
     std::map<std::uint64_t, queued_request> queued_requests;
 };
--- a/src/gateway/server_pool.h
+++ b/src/gateway/server_pool.h
@@ -1,6 +1,7 @@
 // Health, latency and load of the backend servers, as measured by this gateway and reported by its peers.
 #pragma once
 
+#include "admission/retry_elsewhere.h"
 #include "fleet/misdirection_detector.h"
 #include "fleet/outlier_detector.h"
 #include "fleet/prefill_interference_monitor.h"
@@ -50,6 +51,9 @@
     // Returns the maximum age of the reports.
     virtual duration report_age() const = 0;
 
+    // Returns the other gateways, and how many of them could pass a prompt to their link within `max_wait`.
+    virtual gateways_with_room link_room(duration max_wait) const = 0;
+
     // Returns whether any gateway is changing the role of an engine.
     virtual bool is_changing_role(const std::string& server_id) const = 0;
 };
@@ -75,6 +79,9 @@
     // Returns the maximum age of the other gateways' reports.
     duration peer_report_age() const;
 
+    // Returns the other gateways, and how many of them could pass a prompt to their link within `max_wait`.
+    gateways_with_room link_room_of_peers(duration max_wait) const;
+
     // Returns the load of all gateways on a server: the local load plus the last reports of the others.
     load_counts total_load(const std::string& server_id) const;
 
--- a/src/placement/server_selection.h
+++ b/src/placement/server_selection.h
@@ -16,7 +16,8 @@
     no_available_server, // no server accepts this request
     no_free_slot,        // the servers that accept it are full
     share_exceeded,      // this gateway has taken its share of the slots
-    no_engine_in_time    // slots are free, but no engine can prefill the prompt within its objective
+    no_engine_in_time,   // slots are free, but no engine can prefill the prompt within its objective
+    link_busy            // this host's link cannot carry the request now
 };
 
 using placement_result = tl::expected<placement, placement_error>;
