Merge main into part-r

Conflicts: both sides added log events, metrics, tests and functions of the scheduler next to each other; both are kept. Both had raised the version of load reports to 7; it is 8. Tests of admission, uplink, peers, gateway, small hosts, long outputs, attempts, usage counts and caller identity pass.

--- a/src/gateway/gateway_setup.cpp
+++ b/src/gateway/gateway_setup.cpp
@@ -3,6 +3,7 @@
 #include "base/boot_time_clock.h"
 #include "base/system_clock.h"
 #include "base/system_random.h"
+#include "duties/usage_reporter.h"
 #include "gateway/crash_quarantine.h"
 #include "gateway/internal/configuration_observer.h"
 #include "gateway/internal/quarantine_archive.h"
@@ -50,6 +51,8 @@
 // A peer counts as having room, in the log, when a prompt waits no longer than this: an eighth of the
 // objective of long prompts.
 constexpr std::chrono::milliseconds max_wait_on_roomy_link{50};
+// Short compared with the lease of a duty.
+constexpr std::chrono::milliseconds duty_check_interval{100};
 // Long enough that a server keeps its measurements while its entry is briefly missing.
 constexpr std::chrono::minutes cleanup_interval{1};
 // A longer time between two housekeeping runs means that the process was suspended.
@@ -120,6 +123,12 @@
     const peer_exchange* exchange = nullptr;
 };
 
+std::chrono::milliseconds configuration_wait(const gateway_settings& settings)
+{
+    return settings.callers.fail_closed ? std::min(watch_wait, caller_gate(settings.callers).max_watch_wait())
+                                        : watch_wait;
+}
+
 class probing_connector final : public server_connector {
 public:
     explicit probing_connector(event_loop& loop) : loop(loop) {}
@@ -151,6 +160,48 @@
     peer_exchange& exchange;
 };
 
+class peer_duty_channel final : public duty_channel {
+public:
+    explicit peer_duty_channel(peer_exchange& exchange) : exchange(exchange) {}
+
+    void send_to_all(const std::string& message) override
+    {
+        this->exchange.send_to_all(message_topic::usage, message);
+    }
+
+    void send_to(const std::string& gateway, const std::string& message) override
+    {
+        this->exchange.send_to(gateway, message_topic::usage, message);
+    }
+
+    std::vector<std::string> live_gateways() const override
+    {
+        return this->exchange.known_loads().peer_names();
+    }
+
+private:
+    peer_exchange& exchange;
+};
+
+// Counts only once the reporter has been set up, which needs the exchange with the peers.
+class late_usage_recorder final : public usage_recorder {
+public:
+    void set_recorder(usage_recorder* new_recorder)
+    {
+        this->recorder = new_recorder;
+    }
+
+    void record_began(const std::string& organisation) override
+    {
+        if (this->recorder != nullptr) {
+            this->recorder->record_began(organisation);
+        }
+    }
+
+private:
+    usage_recorder* recorder = nullptr;
+};
+
 class gateway_process final : public server_process {
 public:
     gateway_process(event_loop& loop,
@@ -162,17 +213,23 @@
           platform(std::move(platform)),
           client(http_client::create(loop)),
           store_client(http_client::create(loop)),
-          platform_store(this->platform.make_store(*this->store_client, store_address)),
+          platform_store(this->platform.make_store(loop, *this->store_client, store_address)),
           store(this->time, this->metrics, *this->platform_store),
           relay(this->relay_time, this->random, this->store),
           pool(this->time, settings.data_centre, settings.store_recovery_grace, this->peer_loads),
           link(this->time, settings.link_megabits_per_second),
           demand(this->time),
           scheduler(this->time, this->random, this->pool, this->link, this->demand),
+          hedges(this->time, settings.hedging),
           retries(share_of_fleet(settings.retry_bound, std::nullopt)),
           connector(loop),
           quarantine(this->time, this->metrics, this->connector),
           quarantines(this->time, this->random, this->relay, this->quarantine),
+          callers(this->relay_time,
+                  *this->platform.caller_codec,
+                  this->routes,
+                  settings.callers,
+                  [this] { return this->configuration_current_at(); }),
           configuration_handler(*this->platform.object_codec, this->routes),
           server_handler(*this->platform.object_codec, this->pool.servers()),
           configuration_watcher(object_watcher::create(loop,
@@ -180,7 +237,7 @@
                                                        this->random,
                                                        this->platform.object_codec->configuration_prefix(),
                                                        this->configuration_handler,
-                                                       {watch_batch_window, watch_wait})),
+                                                       {watch_batch_window, configuration_wait(settings)})),
           server_watcher(object_watcher::create(loop,
                                                 this->relay,
                                                 this->random,
@@ -276,6 +333,7 @@
                                       *this->platform.engines,
                                       {this->settings.host, this->settings.role_order_lease}),
             role_policy{this->settings.min_role_gain_ratio});
+        this->start_usage_reports();
         this->role_timer = this->loop.run_every(role_control_interval, [this] { this->roles->reconcile(); });
         write_event(log_event::program_listening,
                     {{"http", this->server->address()},
@@ -293,6 +351,9 @@
         auto settings_to_compare = new_settings;
         settings_to_compare.stop_grace = this->settings.stop_grace;
         settings_to_compare.max_open_requests = this->settings.max_open_requests;
+        settings_to_compare.hedging = this->settings.hedging;
+        this->settings.hedging = new_settings.hedging;
+        this->hedges.set_policy(new_settings.hedging);
         this->settings.stop_grace = new_settings.stop_grace;
         this->settings.max_open_requests = new_settings.max_open_requests;
         this->handler->set_max_open_requests(new_settings.max_open_requests);
@@ -306,6 +367,9 @@
         this->on_drained = std::move(finished);
         this->stopped_at = this->time.now();
         this->server->disable_keep_alive();
+        if (this->usage) {
+            this->usage->leave();
+        }
         this->peers->leave();
         this->role_timer.reset();
         this->roles->reset();
@@ -327,6 +391,37 @@
         }
     }
 
+    // Nothing of this runs where the platform does not ask for it.
+    void start_usage_reports()
+    {
+        const auto address = parse_address(this->settings.duty_address);
+        if (!address || std::ranges::find(this->settings.duties, this->platform.usage_duty) ==
+                            this->settings.duties.end()) {
+            return;
+        }
+        this->duties = std::make_unique<peer_duty_channel>(*this->peers);
+        this->usage = std::make_unique<usage_reporter>(
+            this->relay_time,
+            this->store,
+            *this->client,
+            *this->platform.usage,
+            *this->duties,
+            this->metrics,
+            this->random,
+            usage_settings{{this->settings.host, this->settings.role_order_lease},
+                           *address,
+                           this->settings.usage,
+                           this->settings.duty_calls_per_second});
+        this->usage_counts.set_recorder(this->usage.get());
+        this->peers->set_message_handler(message_topic::usage, [this](std::string_view message) {
+            const auto received = this->usage->receive(message);
+            if (!received) {
+                write_event(log_event::frame_dropped, {{"detail", received.error().detail}});
+            }
+        });
+        this->usage_timer = this->loop.run_every(duty_check_interval, [this] { this->usage->check(); });
+    }
+
     void receive_suspicions(std::string_view message)
     {
         const auto received = this->quarantine.receive(message);
@@ -367,7 +462,18 @@
                 this->link,
                 this->caller_timeouts,
                 this->response_buffer_budget,
-                this->quarantine};
+                this->quarantine,
+                this->callers,
+                this->organisations,
+                this->hedges,
+                &this->usage_counts};
+    }
+
+    std::optional<time_point> configuration_current_at() const
+    {
+        return this->configuration_handler.is_newest_in_force()
+                   ? this->relay.current_as_of(this->platform.object_codec->configuration_prefix())
+                   : std::nullopt;
     }
 
     bool is_ready() const
@@ -409,6 +515,7 @@
         this->report_full_link();
         this->quarantine.check();
         this->quarantines.check();
+        this->callers.check();
         for (const auto& id : this->pool.servers().expire()) {
             write_event(log_event::server_unlisted,
                         {{"server", id}, {"detail", "not back after the store returned"}});
@@ -464,10 +571,14 @@
     {
         this->pool.remove_unlisted();
         this->caller_timeouts.keep_only(this->routes.route_names());
+        this->hedges.keep_only(this->routes.route_names());
     }
 
     void refresh_gauges()
     {
+        if (this->usage) {
+            this->usage->refresh_gauges();
+        }
         this->metrics.set_gauge("tanager_requests_open", static_cast<double>(this->handler->open_requests()));
         this->metrics.set_gauge("tanager_requests_waiting",
                                 static_cast<double>(this->scheduler.queued_count()));
@@ -480,6 +591,10 @@
         this->metrics.set_gauge("tanager_peers_heard",
                                 static_cast<double>(this->peers->known_loads().live_peer_count()));
         this->metrics.set_gauge("tanager_store_watcher", this->peers->is_elected_watcher() ? 1 : 0);
+        if (const auto age = this->callers.configuration_age()) {
+            this->metrics.set_gauge("tanager_configuration_age_seconds",
+                                    std::chrono::duration<double>(*age).count());
+        }
         this->metrics.set_gauge("tanager_configuration_version", static_cast<double>(this->routes.version()));
         const auto& quarantined = this->quarantine.quarantined();
         const auto contents = std::ranges::count_if(quarantined, &request_trait::is_content);
@@ -510,6 +625,9 @@
             return;
         }
         const auto finished = std::exchange(this->on_drained, nullptr);
+        if (finished && this->usage) {
+            this->usage->flush();
+        }
         if (finished) {
             finished();
         }
@@ -536,11 +654,14 @@
     byte_budget response_buffer_budget{max_response_buffer_bytes};
     demand_meter demand;
     request_scheduler scheduler;
+    hedge_limiter hedges;
     retry_budget retries;
     gateway_count_tracker gateway_count;
     probing_connector connector;
     crash_quarantine quarantine;
     quarantine_archive quarantines;
+    caller_identification callers;
+    organisation_metrics organisations{this->metrics};
     configuration_observer configuration_handler;
     server_observer server_handler;
     std::shared_ptr<object_watcher> configuration_watcher;
@@ -552,7 +673,11 @@
     std::unique_ptr<http_server> admin_server;
     std::unique_ptr<peer_exchange> peers;
     std::unique_ptr<peer_suspicion_channel> suspicions;
+    late_usage_recorder usage_counts;
+    std::unique_ptr<peer_duty_channel> duties;
+    std::unique_ptr<usage_reporter> usage;
     std::unique_ptr<role_controller> roles;
+    std::unique_ptr<loop_timer> usage_timer;
     std::unique_ptr<loop_timer> role_timer;
     std::unique_ptr<loop_timer> queue_timer;
     std::unique_ptr<loop_timer> housekeeping_timer;
--- a/src/gateway/mocks/forwarding_fixture.h
+++ b/src/gateway/mocks/forwarding_fixture.h
@@ -66,7 +66,11 @@
                                         std::optional<std::chrono::milliseconds> caller_timeout = {},
                                         const std::string& id = "r1")
     {
-        auto exchange = std::make_shared<fake_exchange>(http_request{"POST", "/x", {{"id", id}}, "body"});
+        http_request received{"POST", "/x", {{"id", id}}, "body"};
+        if (!this->key.empty()) {
+            received.headers.push_back({"key", this->key});
+        }
+        auto exchange = std::make_shared<fake_exchange>(std::move(received));
         exchange->caller_left = this->next_caller_has_left;
         caller_request request;
         request.id = id;
@@ -74,6 +78,8 @@
         request.prompt = this->prompt;
         request.caller_timeout = caller_timeout;
         const auto now = this->time.now();
+        const auto caller =
+            this->callers.identify(exchange->request(), this->active_route, now).value_or(std::nullopt);
         const auto forwarder = std::make_shared<request_forwarder>(
             forwarding_context{this->loop_ref(),
                                this->time,
@@ -87,16 +93,22 @@
                                this->uplink_queue,
                                this->caller_timeouts,
                                this->response_buffer_budget,
-                               this->quarantine},
+                               this->quarantine,
+                               this->callers,
+                               this->organisations,
+                               this->hedges,
+                               this->usage},
             routed_request{exchange,
                            request,
                            std::make_shared<const route>(this->active_route),
                            "desk",
                            this->is_model,
-                           {},
+                           caller ? caller->organisation : std::string{},
                            1,
                            now,
-                           now + time_left},
+                           now + time_left,
+                           now,
+                           caller},
             [this] { ++this->finished_requests; });
         forwarder->start();
         return exchange;
@@ -133,10 +145,20 @@
     request_scheduler scheduler{time, random, pool, uplink_queue, demand};
     fake_server_connector connector;
     crash_quarantine quarantine{time, metrics, connector};
+    route_directory routes;
+    std::optional<time_point> configuration_current_at = time.now();
+    caller_gate_settings gate_settings{true, std::chrono::seconds{5}};
+    caller_identification callers{time, codec, routes, gate_settings, [this] {
+                                      return this->configuration_current_at;
+                                  }};
+    organisation_metrics organisations{metrics};
+    hedge_limiter hedges{time, {}};
     retry_budget retries{retry_budget_ratio, retry_reserve};
     route active_route;
     prompt_shape prompt;
     std::vector<std::uint64_t> prompt_parts; // fingerprints
+    std::string key;                         // of the next caller; it has none if empty
+    usage_recorder* usage = nullptr;
     bool is_model = false;
     bool next_caller_has_left = false; // before its request was read
     int finished_requests = 0;
--- a/src/peers/internal/peer_exchange.cpp
+++ b/src/peers/internal/peer_exchange.cpp
@@ -6,6 +6,7 @@
 #include "peers/report_interval.h"
 #include "relay/change_codec.h"
 #include "store/object_watcher.h"
+#include "store/types/fencing_token.h"
 
 #include <algorithm>
 #include <map>
@@ -24,6 +25,9 @@
 // Five idle reports in a row are missing: the peer has ended or cannot be reached.
 constexpr std::chrono::milliseconds peer_timeout{1'000};
 constexpr std::chrono::milliseconds registration_retry_delay{300};
+// In a new era of the store every gateway writes its entry again. A few hundred writes are spread over this;
+// until then, a gateway whose entry is missing gets no reports.
+constexpr std::uint64_t new_era_spread_ms = 500;
 // Gateways that start together are taken from the store in one batch. Until a new peer is known, it receives
 // no reports, which only makes its view of the load less exact.
 constexpr std::chrono::milliseconds coalescing_delay{1'000};
@@ -84,11 +88,13 @@
             this->loop,
             this->settings.listen,
             [this](std::string_view datagram) { this->on_datagram(datagram); },
-            this->settings.max_bind_wait);
+            this->settings.max_bind_wait,
+            [this] { this->store.record_idle_channel(); });
         if (!created) {
             return tl::make_unexpected(created.error());
         }
         this->socket = std::move(*created);
+        this->store.record_idle_channel();
         this->store.set_channel(this);
         this->peer_watcher->start();
         this->register_gateway();
@@ -163,7 +169,7 @@
 
     void send_to(const std::string& peer, message_topic topic, const std::string& message) override
     {
-        const auto found = this->peers.find(peer);
+        const auto found = this->peers.find(gateway_prefix + peer);
         if (found != this->peers.end()) {
             this->send_message(found->second.address, static_cast<char>(topic) + message);
         }
@@ -201,8 +207,24 @@
         return gateway_prefix + this->settings.host;
     }
 
+    // A store that comes back from a copy may lack this gateway's entry, or have an earlier one.
+    void renew_registration(std::uint64_t listed_revision)
+    {
+        const bool is_outdated = era_of(listed_revision) > era_of(this->incarnation);
+        if (this->incarnation == 0 || !is_outdated || this->is_leaving) {
+            return;
+        }
+        write_event(log_event::store_registration_renewed,
+                    {{"object", this->own_name()}, {"era", std::to_string(era_of(listed_revision))}});
+        const std::chrono::milliseconds delay{this->random.next() % new_era_spread_ms};
+        this->registration_timer = this->loop.run_after(delay, [this] { this->register_gateway(); });
+    }
+
     void register_gateway()
     {
+        if (this->is_leaving) {
+            return;
+        }
         this->store.get(this->own_name(), [this](const result<stored_object>& found) {
             if (!found && found.error().code != result_code::object_unknown) {
                 this->retry_registration(found.error());
@@ -214,6 +236,9 @@
 
     void write_own_object(std::uint64_t expected)
     {
+        if (this->is_leaving) {
+            return;
+        }
         const nlohmann::json spec{{"address", this->socket->address()},
                                   {"data_centre", this->settings.data_centre}};
         this->store.put(
@@ -366,6 +391,9 @@
         }
         this->revision = std::max(this->revision, listing.revision);
         this->is_list_known = true;
+        if (listing.is_snapshot) {
+            this->renew_registration(listing.revision);
+        }
         return watch_action::continue_watching;
     }
 
--- a/src/relay/mocks/simulated_site.h
+++ b/src/relay/mocks/simulated_site.h
@@ -7,6 +7,7 @@
 #include "relay/change_codec.h"
 #include "relay/watch_relay.h"
 #include "store/mocks/watch_only_store.h"
+#include "store/types/fencing_token.h"
 
 #include <algorithm>
 #include <map>
@@ -40,6 +41,18 @@
         this->oldest_since = this->revision;
     }
 
+    // Comes back from a copy as of `copied`, in a new era.
+    void restore(std::uint64_t copied)
+    {
+        this->events_by_era[era_of(copied)] = this->events;
+        std::erase_if(this->events, [copied](const auto& event) { return event.version > copied; });
+        const auto era = era_of(copied) + 1;
+        for (auto& event : this->events) {
+            event.version = fencing_token(era, revision_of(event.version));
+        }
+        this->revision = fencing_token(era, revision_of(copied));
+    }
+
     object_listing list() const
     {
         object_listing listing{0, this->revision, true, {}};
@@ -51,7 +64,7 @@
 
     result<object_listing> changes_since(std::uint64_t since) const
     {
-        if (since < this->oldest_since) {
+        if (since < this->oldest_since || era_of(since) != era_of(this->revision)) {
             return fail(result_code::history_lost, "compacted");
         }
         object_listing changes{since, this->revision, false, {}};
@@ -64,7 +77,8 @@
     object_values values_at(std::uint64_t at_revision) const
     {
         object_values values;
-        for (const auto& event : this->events) {
+        const auto earlier = this->events_by_era.find(era_of(at_revision));
+        for (const auto& event : earlier == this->events_by_era.end() ? this->events : earlier->second) {
             if (event.version > at_revision) {
                 break;
             }
@@ -82,6 +96,7 @@
 private:
     std::uint64_t oldest_since = 0;
     std::vector<stored_object> events;
+    std::map<std::uint64_t, std::vector<stored_object>> events_by_era; // of earlier eras
 };
 
 // The connection of one gateway to the store. Calls end in `step`.
--- a/src/relay/watch_relay.h
+++ b/src/relay/watch_relay.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -41,7 +42,8 @@
 // others leave a watch pending, without a call, while their feed is confirmed; they call the store when it is
 // not, or when changes are missing. A gateway that the store does not answer keeps its watch pending while
 // its peers confirm the feed. While the store does not answer, the watches and reads of all feeds share one
-// probe, and the answer to it starts those that wait.
+// probe, and the answer to it starts those that wait. Watches from an earlier era than one that peers know
+// end with history_lost.
 class watch_relay final : public object_store {
 public:
     // `time` must count the time for which the host is suspended. The references must outlive the relay.
@@ -66,6 +68,14 @@
     void record_changes(const relayed_changes& relayed);
     void record_confirmations(const std::vector<feed_confirmation>& confirmations);
 
+    // Records that no datagram of a peer was waiting to be read. What is read next was sent after that,
+    // however long this host was suspended meanwhile.
+    void record_idle_channel();
+
+    // Returns the latest time at which the store certainly had nothing newer under a prefix than what the
+    // watcher has been given, by the clock of this relay.
+    std::optional<time_point> current_as_of(const std::string& prefix) const;
+
     // Returns this gateway's own confirmations, for its load reports.
     std::vector<feed_confirmation> confirmations() const;
 
@@ -93,6 +103,7 @@
         bool relies_on_peers = false; // they confirm the feed, so the store is not called
         time_point failed_at;
         time_point retry_at;
+        std::optional<time_point> era_ends_at; // set while peers know a later era of the store
     };
 
     feed_state& feed_of(const std::string& prefix);
@@ -102,8 +113,9 @@
     void set_relies_on_peers(feed_state& feed, bool relies_on_peers) const;
     void advance(feed_state& feed);
     static void deliver(feed_state& feed);
+    bool leave_earlier_era(feed_state& feed);
     void call_store(feed_state& feed);
-    void on_store_response(feed_state& feed, const result<object_listing>& listing);
+    void on_store_response(feed_state& feed, const result<object_listing>& listing, time_point asked_at);
     void on_store_failure(feed_state& feed, const error& cause);
     void call_list(const std::string& prefix, const listing_callback& callback);
     void call_get(const std::string& name, const object_callback& callback);
@@ -118,6 +130,7 @@
     store_circuit_breaker breaker;
     std::deque<std::function<void()>> held_reads; // lists and gets that wait for the store to answer
     std::map<std::string, std::shared_ptr<feed_state>> feeds;
+    std::optional<time_point> channel_idle_at;
     std::shared_ptr<char> lifetime = std::make_shared<char>();
 };
 
