--- a/src/admission/tests/admission_tests.cpp
+++ b/src/admission/tests/admission_tests.cpp
@@ -338,7 +338,8 @@
             }
             for (auto& each : gateways) {
                 each.queue.remove_expired();
-                each.free_slots += static_cast<double>(slots_per_second) / gateway_count * 0.002;
+                each.free_slots +=
+                    static_cast<double>(slots_per_second) / static_cast<double>(gateway_count) * 0.002;
                 for (; each.free_slots >= 1; each.free_slots -= 1) {
                     each.queue.record_slot_release();
                     if (const auto next = each.queue.front()) {
