--- a/src/gateway/internal/request_forwarder.h
+++ b/src/gateway/internal/request_forwarder.h
@@ -150,6 +150,7 @@
     void on_hedge_failed(execution_state executed);
     void cancel_hedge();
     void send_buffered_response(const std::string& body);
+    std::chrono::milliseconds suggest_retry_after(const error& cause);
     void reject(const error& cause);
     void fail_with_unknown_outcome(const error& cause);
     void finish(std::string_view outcome, int status);
--- a/src/logging/internal/log_event.cpp
+++ b/src/logging/internal/log_event.cpp
@@ -107,6 +107,7 @@
     event_row{log_event::hedge_sent, "hedge_sent", log_level::info},
     event_row{log_event::hedge_withheld, "hedge_withheld", log_level::info},
     event_row{log_event::hedge_ended, "hedge_ended", log_level::info},
+    event_row{log_event::link_full, "link_full", log_level::warning},
     event_row{log_event::fault_switched, "fault_switched", log_level::info},
 };
 
--- a/src/logging/types/log_event.h
+++ b/src/logging/types/log_event.h
@@ -98,6 +98,7 @@
     usage_postponed = 3060,
     usage_given_up = 3061,
     time_corrected = 3062,
+    link_full = 3070,
 
     // 4000: agent
     attempt_refused = 4001,
--- a/src/peers/internal/load_codec.cpp
+++ b/src/peers/internal/load_codec.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::uint64_t codec_version = 7;
+constexpr std::uint64_t codec_version = 8;
 // The shortest encodings of a list's elements: a hash and a byte for each number.
 constexpr std::size_t min_hash_bytes = 4;
 constexpr std::size_t min_load_bytes = min_hash_bytes + 4;
@@ -79,6 +79,8 @@
         writer.write_number(static_cast<std::uint64_t>(confirmation.age.count()));
         writer.write_number(static_cast<std::uint64_t>(confirmation.asked_age.count()));
     });
+    writer.write_number(report.link_wait_milliseconds);
+    writer.write_number(report.interval_milliseconds);
     return writer.bytes();
 }
 
@@ -113,6 +115,8 @@
                                  std::chrono::milliseconds{read_number32(reader)},
                                  std::chrono::milliseconds{read_number32(reader)}};
     });
+    report.link_wait_milliseconds = read_number32(reader);
+    report.interval_milliseconds = read_number32(reader);
     if (!reader.is_complete()) {
         return fail(result_code::request_malformed, "a load report is cut off or has further bytes");
     }
