Long outputs run on engines whose events keep the gap objective

Cause: engines of one service decode at two speeds. Long outputs were gathered on the engines with the most of them, and these are the slow ones, where they stay longest; one event that noise stretches there makes them late. Change: the time of an event is learned for each engine from the gaps of its streams (fleet/server_speed_model, without I/O), compared at equal load, and shared with the peers in every few load reports. Placement prefers engines whose events, noise included, keep the gap objective. Nothing changes while speeds hardly differ. The codec of load reports has version 7. The fixture of the gateway tests compiles again with routed_request.organisation.

--- a/src/gateway/gateway_setup.cpp
+++ b/src/gateway/gateway_setup.cpp
@@ -236,7 +236,10 @@
             {this->settings.host, this->settings.data_centre, this->settings.peer_address, max_bind_wait},
             this->link,
             [this] { return this->report_load(); },
-            [this](const load_report& report) { this->pool.record_peer_prefixes(report.new_prefixes); });
+            [this](const load_report& report) {
+                this->pool.record_peer_prefixes(report.new_prefixes);
+                this->pool.record_peer_event_times(report.event_times);
+            });
         if (!exchange) {
             return tl::make_unexpected(exchange.error());
         }
@@ -320,7 +323,7 @@
         }
     }
 
-    load_report report_load() const
+    load_report report_load()
     {
         load_report report;
         for (const auto& [id, local] : this->pool.local_loads()) {
@@ -332,6 +335,7 @@
                 {name_hash(service), prompts, this->pool.should_isolate_long_outputs(service)});
         }
         report.new_prefixes = this->pool.new_prefixes();
+        report.event_times = this->pool.take_event_times(this->peers->known_loads().live_peer_count());
         return report;
     }
 
--- a/src/gateway/internal/request_forwarder.cpp
+++ b/src/gateway/internal/request_forwarder.cpp
@@ -232,6 +232,9 @@
         this->state == request_state::responding ? request_state::responding : request_state::queued;
     this->slot_requested_at = this->context.time.now();
     this->requested_slot = this->make_slot_request(this->slot_requested_at);
+    if (this->requested_slot.prompt.has_long_output() && this->requested_slot.gap_objective.count() > 0) {
+        this->context.servers.record_long_output(this->routed.service, this->requested_slot.gap_objective);
+    }
     this->ticket = this->context.scheduler.request_slot(this->requested_slot, this->shared_from_this());
 }
 
@@ -699,9 +702,10 @@
         }
         return;
     }
+    const auto events_before = this->events.event_count();
     const auto complete_events = this->events.feed(data);
     if (!complete_events.empty()) {
-        this->forward_events(complete_events);
+        this->forward_events(complete_events, this->events.event_count() - events_before);
     }
     if (this->events.pending_bytes() > max_event_bytes && this->call != nullptr) {
         this->abandon_response(
@@ -709,7 +713,7 @@
     }
 }
 
-void request_forwarder::forward_events(const std::string& complete_events)
+void request_forwarder::forward_events(const std::string& complete_events, std::uint64_t count)
 {
     const auto now = this->context.time.now();
     const std::chrono::duration<double> gap_objective = this->routed.chosen_route->gap_objective;
@@ -719,6 +723,7 @@
             this->context.servers.record_event_gap(
                 *this->server, (now - this->last_event_at) / gap_objective, this->used_timeout_ratio());
         }
+        this->context.servers.record_event_time(*this->server, count, now - this->last_event_at);
     }
     this->last_event_at = now;
     if (this->state != request_state::responding) {
--- a/src/gateway/internal/request_forwarder.h
+++ b/src/gateway/internal/request_forwarder.h
@@ -119,7 +119,7 @@
 
     bool has_active_call() const;
     void cancel_active_call();
-    void forward_events(const std::string& events);
+    void forward_events(const std::string& events, std::uint64_t count);
     void end_attempt(server_outcome outcome);
     void cancel_attempt(server_outcome outcome);
     void abandon_response(const error& cause);
--- a/src/gateway/internal/server_pool.cpp
+++ b/src/gateway/internal/server_pool.cpp
@@ -12,6 +12,11 @@
 constexpr std::chrono::milliseconds prefix_report_time{300};
 // Bounds the size of a report.
 constexpr std::size_t max_recent_prefixes = 40;
+// Reports carry event times this often, and less often with more peers than `max_peers_at_full_rate`, so that
+// what a gateway sends and receives does not grow with their number. Speeds are learned over seconds.
+constexpr std::chrono::milliseconds event_time_interval{500};
+constexpr std::size_t max_peers_at_full_rate = 20;
+constexpr std::size_t max_reported_event_times = 8;
 
 std::uint32_t prefix_hash(std::uint64_t prefix_key)
 {
@@ -45,6 +50,8 @@
       outliers(time),
       misdirections(time),
       prefill_interference(time),
+      speeds(time),
+      event_times_taken_at(time.now()),
       peers(peers)
 {
 }
@@ -87,9 +94,26 @@
         found.push_back(std::move(candidate));
     }
     this->exclude_suspended(found);
+    this->rate_speeds(found);
     return found;
 }
 
+void server_pool::rate_speeds(std::vector<placement_candidate>& candidates) const
+{
+    std::vector<std::pair<std::shared_ptr<const backend_server>, std::uint32_t>> engines;
+    std::vector<placement_candidate*> rated_candidates;
+    for (auto& candidate : candidates) {
+        if (candidate.server->role == engine_role::decode) {
+            engines.emplace_back(candidate.server, candidate.local_running + candidate.peer_running);
+            rated_candidates.push_back(&candidate);
+        }
+    }
+    const auto rated = this->speeds.rate(engines);
+    for (std::size_t index = 0; index < rated.size(); ++index) {
+        rated_candidates[index]->speed = rated[index];
+    }
+}
+
 // Excludes the servers of a service whose addresses answered with 421, as long as others can take requests.
 void server_pool::exclude_suspended(std::vector<placement_candidate>& candidates) const
 {
@@ -190,9 +214,16 @@
 
 void server_pool::record_peer_prefixes(const std::vector<sent_prefix>& prefixes)
 {
-    if (prefixes.empty()) {
-        return;
+    for (const auto& sent : prefixes) {
+        const auto server = this->find_by_hash(sent.server);
+        if (server != nullptr) {
+            this->cached_prefixes.insert(*server, sent.prefix);
+        }
     }
+}
+
+std::shared_ptr<const backend_server> server_pool::find_by_hash(std::uint32_t hash)
+{
     if (this->servers_by_hash.empty() || this->hashed_generation != this->server_directory.generation()) {
         this->hashed_generation = this->server_directory.generation();
         this->servers_by_hash.clear();
@@ -200,12 +231,8 @@
             this->servers_by_hash.emplace(name_hash(server->id), std::move(server));
         }
     }
-    for (const auto& sent : prefixes) {
-        const auto server = this->servers_by_hash.find(sent.server);
-        if (server != this->servers_by_hash.end()) {
-            this->cached_prefixes.insert(*server->second, sent.prefix);
-        }
-    }
+    const auto found = this->servers_by_hash.find(hash);
+    return found == this->servers_by_hash.end() ? nullptr : found->second;
 }
 
 void server_pool::end_prefill(const std::string& server_id, std::uint32_t tokens)
@@ -254,6 +281,48 @@
     }
 }
 
+// Prefill on the engine lengthens its events, which says nothing about its speed.
+void server_pool::record_event_time(const backend_server& server, std::uint64_t events, duration elapsed)
+{
+    const auto load = this->total_load(server.id);
+    if (load.pending_prefill_tokens == 0) {
+        this->speeds.record(server, {static_cast<std::uint32_t>(events), elapsed, load.running_requests});
+    }
+}
+
+void server_pool::record_long_output(const std::string& service, std::chrono::milliseconds gap_objective)
+{
+    this->speeds.record_gap_objective(service, gap_objective);
+}
+
+std::vector<server_event_times> server_pool::take_event_times(std::size_t peer_count)
+{
+    const auto now = this->time.now();
+    const auto interval = event_time_interval * std::max<std::size_t>(1, peer_count / max_peers_at_full_rate);
+    if (now - this->event_times_taken_at < interval) {
+        return {};
+    }
+    // The events lie in the middle of the interval on average.
+    const auto age = std::chrono::round<std::chrono::milliseconds>((now - this->event_times_taken_at) / 2);
+    this->event_times_taken_at = now;
+    std::vector<server_event_times> reported;
+    for (const auto& [id, times] : this->speeds.take_unreported(max_reported_event_times)) {
+        const auto total = std::chrono::round<std::chrono::milliseconds>(times.total);
+        reported.push_back({name_hash(id), times.events, total, times.running, age});
+    }
+    return reported;
+}
+
+void server_pool::record_peer_event_times(const std::vector<server_event_times>& reported)
+{
+    for (const auto& times : reported) {
+        const auto server = this->find_by_hash(times.server);
+        if (server != nullptr) {
+            this->speeds.record_reported(*server, {times.events, times.total, times.running}, times.age);
+        }
+    }
+}
+
 bool server_pool::has_sent_event_since(const std::string& server_id, time_point moment) const
 {
     return this->prefill_interference.has_event_since(server_id, moment);
@@ -326,6 +395,7 @@
     this->prefill_latency.keep_only(listed);
     this->cached_prefixes.keep_only(listed);
     this->prefill_interference.keep_only(listed);
+    this->speeds.keep_only(listed);
 }
 
 const std::map<std::string, load_counts>& server_pool::local_loads() const
--- a/src/gateway/mocks/forwarding_fixture.h
+++ b/src/gateway/mocks/forwarding_fixture.h
@@ -93,6 +93,7 @@
                            std::make_shared<const route>(this->active_route),
                            "desk",
                            this->is_model,
+                           {},
                            1,
                            now,
                            now + time_left},
--- a/src/gateway/server_pool.h
+++ b/src/gateway/server_pool.h
@@ -7,6 +7,7 @@
 #include "fleet/prefill_latency_model.h"
 #include "fleet/prefix_cache_index.h"
 #include "fleet/server_list.h"
+#include "fleet/server_speed_model.h"
 #include "peers/types/load_report.h"
 #include "placement/types/placement_candidate.h"
 
@@ -109,6 +110,18 @@
     // the part of the route's timeout that a long output has used, and 0 for other requests.
     void record_event_gap(const backend_server& server, double gap_ratio, double used_timeout_ratio);
 
+    // Records that `events` of a stream have arrived together, `elapsed` after those before them.
+    void record_event_time(const backend_server& server, std::uint64_t events, duration elapsed);
+
+    // Records the gap objective of a route with long outputs, for which the engines' speeds are rated.
+    void record_long_output(const std::string& service, std::chrono::milliseconds gap_objective);
+
+    // Returns the event times that the next load report carries; none most of the time.
+    std::vector<server_event_times> take_event_times(std::size_t peer_count);
+
+    // Records the event times that a peer has reported.
+    void record_peer_event_times(const std::vector<server_event_times>& reported);
+
     // Returns whether this gateway has received an event of any stream from the engine since `moment`.
     bool has_sent_event_since(const std::string& server_id, time_point moment) const;
 
@@ -137,6 +150,8 @@
     };
 
     void drop_if_idle(const std::string& server_id);
+    std::shared_ptr<const backend_server> find_by_hash(std::uint32_t hash);
+    void rate_speeds(std::vector<placement_candidate>& candidates) const;
     void exclude_suspended(std::vector<placement_candidate>& candidates) const;
     void end_suspensions_of_changed_servers();
 
@@ -148,6 +163,8 @@
     std::uint64_t misdirections_generation = 0; // of the list, when changed servers were last looked for
     prefill_latency_model prefill_latency;
     prefill_interference_monitor prefill_interference;
+    server_speed_model speeds;
+    time_point event_times_taken_at;
     prefix_cache_index cached_prefixes;
     std::deque<reported_prefix> recent_prefixes; // oldest first
     // The servers that take requests, by name_hash, as of a generation of the list.
--- a/src/peers/internal/load_codec.cpp
+++ b/src/peers/internal/load_codec.cpp
@@ -8,13 +8,14 @@
 
 namespace {
 
-constexpr std::uint64_t codec_version = 6;
+constexpr std::uint64_t codec_version = 7;
 // The shortest encodings of a list's elements: a hash and a byte for each number.
 constexpr std::size_t min_hash_bytes = 4;
 constexpr std::size_t min_load_bytes = min_hash_bytes + 3;
 constexpr std::size_t min_demand_bytes = min_hash_bytes + 2;
 constexpr std::size_t min_prefix_bytes = 2 * min_hash_bytes;
 constexpr std::size_t min_confirmation_bytes = min_hash_bytes + 3;
+constexpr std::size_t min_event_times_bytes = min_hash_bytes + 4;
 
 std::uint32_t read_number32(byte_reader& reader)
 {
@@ -78,6 +79,13 @@
         writer.write_number(confirmation.revision);
         writer.write_number(static_cast<std::uint64_t>(confirmation.age.count()));
     });
+    write_list(writer, report.event_times, [&](const server_event_times& times) {
+        writer.write_hash(times.server);
+        writer.write_number(times.events);
+        writer.write_number(static_cast<std::uint64_t>(times.total.count()));
+        writer.write_number(times.running);
+        writer.write_number(static_cast<std::uint64_t>(times.age.count()));
+    });
     return writer.bytes();
 }
 
@@ -111,6 +119,13 @@
                                  reader.read_number(),
                                  std::chrono::milliseconds{read_number32(reader)}};
     });
+    report.event_times = read_list<server_event_times>(reader, min_event_times_bytes, [&] {
+        return server_event_times{reader.read_hash(),
+                                  read_number32(reader),
+                                  std::chrono::milliseconds{read_number32(reader)},
+                                  read_number32(reader),
+                                  std::chrono::milliseconds{read_number32(reader)}};
+    });
     if (!reader.is_complete()) {
         return fail(result_code::request_malformed, "a load report is cut off or has further bytes");
     }
--- a/src/peers/tests/peers_tests.cpp
+++ b/src/peers/tests/peers_tests.cpp
@@ -21,7 +21,8 @@
             {name_hash("changing"), running},
             {{name_hash("engine"), running + 1}, {name_hash("engine"), running + 2}},
             {{running, running, running + 1, std::chrono::milliseconds{running}}},
-            running == 1};
+            running == 1,
+            {{name_hash("engine"), running, 30ms * running, running, 250ms}}};
 }
 
 class peers_tests : public CppUnit::TestFixture {
--- a/src/peers/types/load_report.h
+++ b/src/peers/types/load_report.h
@@ -3,6 +3,7 @@
 
 #include "relay/types/feed_types.h"
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -36,6 +37,17 @@
     friend bool operator==(const sent_prefix&, const sent_prefix&) = default;
 };
 
+// Events of streams that a server has sent to a gateway since the report before that had some.
+struct server_event_times {
+    std::uint32_t server = 0; // name_hash of the server's id
+    std::uint32_t events = 0;
+    std::chrono::milliseconds total{0}; // time for all of them
+    std::uint32_t running = 0;          // requests on the server meanwhile, of all gateways
+    std::chrono::milliseconds age{0};   // of the events, on average
+
+    friend bool operator==(const server_event_times&, const server_event_times&) = default;
+};
+
 // The whole load of a gateway, so that each report makes up for lost ones.
 struct load_report {
     std::uint64_t incarnation = 0; // of the sending process
@@ -46,6 +58,7 @@
     std::vector<sent_prefix> new_prefixes; // sent within the last few reports, and not known there before
     std::vector<feed_confirmation> confirmations; // of the feeds for which this gateway calls the store
     bool is_store_failing = false;                // the store did not answer its last calls
+    std::vector<server_event_times> event_times;  // in few of the reports; a lost one is not made up for
 
     friend bool operator==(const load_report&, const load_report&) = default;
 };
--- a/src/placement/internal/engine_split.cpp
+++ b/src/placement/internal/engine_split.cpp
@@ -35,8 +35,10 @@
     }
     std::ranges::sort(split.others, {}, [&](std::size_t index) {
         const auto& candidate = candidates[index];
-        return std::tuple{
-            candidate.is_slow, -static_cast<double>(candidate.long_outputs), candidate.server->id};
+        return std::tuple{candidate.speed,
+                          candidate.is_slow,
+                          -static_cast<double>(candidate.long_outputs),
+                          candidate.server->id};
     });
     double required = 0;
     for (const auto index : decoders) {
--- a/src/placement/internal/engine_split.h
+++ b/src/placement/internal/engine_split.h
@@ -16,9 +16,9 @@
 // Splits `decoders`. Load pattern: long outputs last for seconds, and each prefill on the same engine
 // lengthens their event gaps. Spread over all engines, they would leave none that may prefill. They are
 // therefore isolated on as few engines as can hold them, plus spare slots for the long outputs of a lost
-// engine. The engines with the most long outputs are isolated, so that all gateways compute the same split
-// and the other engines drain of long outputs. At least one engine stays in `others`. No engine is isolated
-// unless a candidate has `isolate_long_outputs` set.
+// engine. Of the engines whose speed suits long outputs best, those with the most long outputs are isolated,
+// so that all gateways compute the same split and the other engines drain of long outputs. At least one
+// engine stays in `others`. No engine is isolated unless a candidate has `isolate_long_outputs` set.
 engine_split split_engines(const std::vector<placement_candidate>& candidates,
                            const std::vector<std::size_t>& decoders);
 
--- a/src/placement/internal/server_selection.cpp
+++ b/src/placement/internal/server_selection.cpp
@@ -303,10 +303,10 @@
 }
 
 // Returns the isolated engine with the most long outputs that can take one more, or else the least loaded
-// other engine.
-std::size_t choose_for_long_output(const std::vector<placement_candidate>& candidates,
-                                   const engine_split& engines,
-                                   random_source& random)
+// other engine, of engines of equal speed.
+std::size_t choose_of_equal_speed(const std::vector<placement_candidate>& candidates,
+                                  const engine_split& engines,
+                                  random_source& random)
 {
     if (engines.isolated.empty()) {
         return least_used(candidates, engines.others, random);
@@ -327,6 +327,26 @@
     });
 }
 
+// Chooses among the engines with free slots whose speed suits a long output best: an engine that is too slow
+// makes it late, however little that engine is used.
+std::size_t choose_for_long_output(const std::vector<placement_candidate>& candidates,
+                                   const engine_split& engines,
+                                   random_source& random)
+{
+    for (const auto speed : {decode_speed::suitable, decode_speed::unknown}) {
+        auto of_speed = engines;
+        const auto has_other_speed = [&](std::size_t index) {
+            return candidates[index].speed != speed;
+        };
+        std::erase_if(of_speed.isolated, has_other_speed);
+        std::erase_if(of_speed.others, has_other_speed);
+        if (!of_speed.isolated.empty() || !of_speed.others.empty()) {
+            return choose_of_equal_speed(candidates, of_speed, random);
+        }
+    }
+    return choose_of_equal_speed(candidates, engines, random);
+}
+
 // Returns the least used engine in this data centre unless it is much fuller than others. The decode engine
 // of a prompt that was prefilled on another engine needs no prefix affinity, and traffic between data centres
 // costs.
--- a/src/placement/types/placement_candidate.h
+++ b/src/placement/types/placement_candidate.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "fleet/types/backend_server.h"
+#include "fleet/types/server_speed.h"
 
 #include <chrono>
 #include <cstdint>
@@ -38,19 +39,20 @@
 // The state of a server as this gateway sees it at the moment of the decision.
 struct placement_candidate {
     std::shared_ptr<const backend_server> server;
-    std::uint32_t local_running = 0;           // requests of this gateway
-    std::uint32_t peer_running = 0;            // requests of the peers, as last reported
-    std::uint64_t pending_prefill_tokens = 0;  // prompt tokens still to prefill, of all gateways
-    std::uint32_t long_outputs = 0;            // running requests with long outputs
-    bool isolate_long_outputs = false;         // prefill interference makes the event gaps too long
-    bool is_slow = false;                      // its event gaps are long even without prefill interference
-    double base_latency_milliseconds = 0;      // time to first token, independent of the prompt length
-    double prefill_milliseconds_per_token = 0; // added to the time to first token
-    bool has_prefix_cached = false;            // the prompt's prefix is in its KV cache
-    bool is_excluded = false;                  // gets no new requests for now, because of failures
-    bool is_probing = false;                   // ejected, and no request has succeeded since
-    bool is_same_data_centre = false;          // as this gateway
-    bool was_tried = false;                    // an earlier attempt of this request went to it
+    std::uint32_t local_running = 0;             // requests of this gateway
+    std::uint32_t peer_running = 0;              // requests of the peers, as last reported
+    std::uint64_t pending_prefill_tokens = 0;    // prompt tokens still to prefill, of all gateways
+    std::uint32_t long_outputs = 0;              // running requests with long outputs
+    bool isolate_long_outputs = false;           // prefill interference makes the event gaps too long
+    bool is_slow = false;                        // its event gaps are long even without prefill interference
+    decode_speed speed = decode_speed::suitable; // of its events, for long outputs
+    double base_latency_milliseconds = 0;        // time to first token, independent of the prompt length
+    double prefill_milliseconds_per_token = 0;   // added to the time to first token
+    bool has_prefix_cached = false;              // the prompt's prefix is in its KV cache
+    bool is_excluded = false;                    // gets no new requests for now, because of failures
+    bool is_probing = false;                     // ejected, and no request has succeeded since
+    bool is_same_data_centre = false;            // as this gateway
+    bool was_tried = false;                      // an earlier attempt of this request went to it
 };
 
 // The servers that are chosen for one attempt.
