--- a/src/fleet/internal/server_speed_model.cpp
+++ b/src/fleet/internal/server_speed_model.cpp
@@ -35,6 +35,9 @@
 constexpr double ratio_bins_per_octave = 12;
 // Differences up to this ratio are left to chance and to the load.
 constexpr double min_speed_ratio = 1.5;
+// Part of the gap objective that an event may take, noise included; the rest is for the network and for short
+// prompts that are prefilled in between.
+constexpr double max_event_gap_ratio = 0.8;
 // Gap objectives are taken from routes that were in use within this time.
 constexpr std::chrono::minutes max_gap_objective_age{5};
 // Placement reads the speeds of all engines for each request; they are computed anew this often.
@@ -252,7 +255,7 @@
     for (std::size_t index = 0; index < engines.size(); ++index) {
         if (known[index] == 0) {
             rated[index] = decode_speed::unknown;
-        } else if (known[index] * noise > objective) {
+        } else if (known[index] * noise > objective * max_event_gap_ratio) {
             rated[index] = decode_speed::too_slow;
         }
     }
--- a/src/gateway/gateway_setup.cpp
+++ b/src/gateway/gateway_setup.cpp
@@ -392,6 +392,7 @@
                       std::chrono::duration_cast<std::chrono::milliseconds>(time_between_runs).count())}});
         }
         this->update_retry_share(time_between_runs);
+        this->pool.rate_speeds();
         this->quarantine.check();
         this->quarantines.check();
         for (const auto& id : this->pool.servers().expire()) {
@@ -453,6 +454,10 @@
         this->metrics.set_gauge("tanager_retry_gateways_counted", static_cast<double>(share.gateway_count));
         this->metrics.set_gauge("tanager_retry_gateways_age_seconds",
                                 std::chrono::duration<double>(counted_age).count());
+        this->metrics.set_gauge("tanager_engines_too_slow",
+                                static_cast<double>(this->pool.count_speed(decode_speed::too_slow)));
+        this->metrics.set_gauge("tanager_engines_of_unknown_speed",
+                                static_cast<double>(this->pool.count_speed(decode_speed::unknown)));
         this->metrics.set_gauge("tanager_servers_taking_work",
                                 static_cast<double>(this->pool.servers().serving().size()));
     }
--- a/src/gateway/internal/server_pool.cpp
+++ b/src/gateway/internal/server_pool.cpp
@@ -38,6 +38,19 @@
     return "unlisted";
 }
 
+std::string_view name_of_speed(decode_speed speed)
+{
+    switch (speed) {
+    case decode_speed::suitable:
+        return "suitable";
+    case decode_speed::unknown:
+        return "unknown";
+    case decode_speed::too_slow:
+        return "too_slow";
+    }
+    return "unlisted";
+}
+
 } // namespace
 
 server_pool::server_pool(const clock& time,
@@ -81,6 +94,7 @@
         candidate.long_outputs = local.long_outputs + peer.long_outputs;
         candidate.isolate_long_outputs = isolate_long_outputs;
         candidate.is_slow = this->prefill_interference.is_slow(server->id);
+        candidate.speed = this->speed_of(server->id);
         candidate.base_latency_milliseconds = this->prefill_latency.base_latency_milliseconds(*server);
         candidate.prefill_milliseconds_per_token =
             this->prefill_latency.prefill_milliseconds_per_token(*server);
@@ -94,24 +108,49 @@
         found.push_back(std::move(candidate));
     }
     this->exclude_suspended(found);
-    this->rate_speeds(found);
     return found;
 }
 
-void server_pool::rate_speeds(std::vector<placement_candidate>& candidates) const
+void server_pool::rate_speeds()
 {
-    std::vector<std::pair<std::shared_ptr<const backend_server>, std::uint32_t>> engines;
-    std::vector<placement_candidate*> rated_candidates;
-    for (auto& candidate : candidates) {
-        if (candidate.server->role == engine_role::decode) {
-            engines.emplace_back(candidate.server, candidate.local_running + candidate.peer_running);
-            rated_candidates.push_back(&candidate);
+    std::map<std::string, std::vector<std::pair<std::shared_ptr<const backend_server>, std::uint32_t>>>
+        engines_by_service;
+    for (auto& server : this->server_directory.serving()) {
+        if (server->role == engine_role::decode) {
+            const auto running = this->total_load(server->id).running_requests;
+            engines_by_service[server->service].emplace_back(std::move(server), running);
         }
     }
-    const auto rated = this->speeds.rate(engines);
-    for (std::size_t index = 0; index < rated.size(); ++index) {
-        rated_candidates[index]->speed = rated[index];
+    std::map<std::string, decode_speed> ratings;
+    for (const auto& [service, engines] : engines_by_service) {
+        const auto rated = this->speeds.rate(engines);
+        for (std::size_t index = 0; index < rated.size(); ++index) {
+            const auto& [server, running] = engines[index];
+            ratings.emplace(server->id, rated[index]);
+            if (this->speed_of(server->id) != rated[index]) {
+                write_event(log_event::engine_speed_rated,
+                            {{"service", service},
+                             {"server", server->id},
+                             {"speed", std::string{name_of_speed(rated[index])}},
+                             {"event_ms", std::to_string(this->speeds.event_milliseconds(*server, running))},
+                             {"running", std::to_string(running)},
+                             {"noise", std::to_string(this->speeds.noise_factor(service))}});
+            }
+        }
     }
+    this->speed_ratings = std::move(ratings);
+}
+
+decode_speed server_pool::speed_of(const std::string& server_id) const
+{
+    const auto found = this->speed_ratings.find(server_id);
+    return found == this->speed_ratings.end() ? decode_speed::suitable : found->second;
+}
+
+std::size_t server_pool::count_speed(decode_speed speed) const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count(this->speed_ratings, speed, [](const auto& entry) { return entry.second; }));
 }
 
 // Excludes the servers of a service whose addresses answered with 421, as long as others can take requests.
--- a/src/gateway/server_pool.h
+++ b/src/gateway/server_pool.h
@@ -116,6 +116,12 @@
     // Records the gap objective of a route with long outputs, for which the engines' speeds are rated.
     void record_long_output(const std::string& service, std::chrono::milliseconds gap_objective);
 
+    // Rates the decode speed of all engines, for the placements until the next call.
+    void rate_speeds();
+
+    // Returns how many engines have been rated so.
+    std::size_t count_speed(decode_speed speed) const;
+
     // Returns the event times that the next load report carries; none most of the time.
     std::vector<server_event_times> take_event_times(std::size_t peer_count);
 
@@ -151,7 +157,7 @@
 
     void drop_if_idle(const std::string& server_id);
     std::shared_ptr<const backend_server> find_by_hash(std::uint32_t hash);
-    void rate_speeds(std::vector<placement_candidate>& candidates) const;
+    decode_speed speed_of(const std::string& server_id) const;
     void exclude_suspended(std::vector<placement_candidate>& candidates) const;
     void end_suspensions_of_changed_servers();
 
@@ -165,6 +171,7 @@
     prefill_interference_monitor prefill_interference;
     server_speed_model speeds;
     time_point event_times_taken_at;
+    std::map<std::string, decode_speed> speed_ratings; // by server id
     prefix_cache_index cached_prefixes;
     std::deque<reported_prefix> recent_prefixes; // oldest first
     // The servers that take requests, by name_hash, as of a generation of the list.
--- a/src/logging/internal/log_event.cpp
+++ b/src/logging/internal/log_event.cpp
@@ -90,6 +90,7 @@
     event_row{log_event::response_judged, "response_judged", log_level::info},
     event_row{log_event::retry_share_changed, "retry_share_changed", log_level::info},
     event_row{log_event::retry_denied, "retry_denied", log_level::info},
+    event_row{log_event::engine_speed_rated, "engine_speed_rated", log_level::info},
     event_row{log_event::fault_switched, "fault_switched", log_level::info},
 };
 
--- a/src/logging/types/log_event.h
+++ b/src/logging/types/log_event.h
@@ -81,6 +81,7 @@
     response_judged = 3046,
     retry_share_changed = 3047,
     retry_denied = 3048,
+    engine_speed_rated = 3065,
 
     // 4000: agent
     attempt_refused = 4001,
