Long outputs prefer much faster engines; noise is learned over half a minute

Cause: a gateway's estimate of the noise fell to 1.5 within seconds when few of its streams met any, since it was averaged over the last thousand events, a few seconds of a burst. Slow engines then counted as suitable, and long outputs gathered there while fast ones were idle. Change: the noise decays with time (half-life 30 s). Engines that keep the objective but are 1.5 times slower than the fastest come after those that are not.

--- a/src/fleet/internal/server_speed_model.cpp
+++ b/src/fleet/internal/server_speed_model.cpp
@@ -26,12 +26,13 @@
 // one busy engine does not determine it.
 constexpr double fit_decay = 0.9995;
 constexpr double min_fit_events = 50;
-// Factor on the weight of older events, so that the last thousand count.
-constexpr double ratio_decay = 0.999;
+// Noise is a property of the service rather than of the moment, and spans of it are rare at a single gateway.
+constexpr std::chrono::duration<double> ratio_half_life{30};
+constexpr std::chrono::seconds ratio_decay_interval{1};
 constexpr double min_ratio_weight = 30;
 // The share of the time in which events may be slower than what counts as noise. An output of a hundred
 // events meets several spans of noise that take more of the time than this.
-constexpr double max_slower_time_ratio = 0.08;
+constexpr double max_slower_time_ratio = 0.05;
 constexpr double ratio_bins_per_octave = 12;
 // Differences up to this ratio are left to chance and to the load.
 constexpr double min_speed_ratio = 1.5;
@@ -143,9 +144,14 @@
 void server_speed_model::record_noise(const std::string& service, double ratio)
 {
     // Slow events are fewer in the same time, so each one counts by its length.
-    auto& counts = this->services[service].ratio_counts;
-    for (auto& count : counts) {
-        count *= ratio_decay;
+    auto& state = this->services[service];
+    auto& counts = state.ratio_counts;
+    const auto now = this->time.now();
+    const auto since_decay = now - state.ratios_decayed_at;
+    if (since_decay >= ratio_decay_interval) {
+        const double factor = std::exp2(-std::chrono::duration<double>(since_decay) / ratio_half_life);
+        std::ranges::for_each(counts, [&](double& count) { count *= factor; });
+        state.ratios_decayed_at = now;
     }
     const double bin = std::ceil(std::log2(std::max(1.0, ratio)) * ratio_bins_per_octave);
     counts.at(std::min(static_cast<std::size_t>(bin), counts.size() - 1)) += ratio;
@@ -257,6 +263,9 @@
             rated[index] = decode_speed::unknown;
         } else if (known[index] * noise > objective * max_event_gap_ratio) {
             rated[index] = decode_speed::too_slow;
+        } else if (known[index] / load_ratio(service->second, engines[index].second + 1) >
+                   fastest * min_speed_ratio) {
+            rated[index] = decode_speed::slower;
         }
     }
     return rated;
--- a/src/fleet/server_speed_model.h
+++ b/src/fleet/server_speed_model.h
@@ -97,6 +97,7 @@
         double products = 0; // of running and milliseconds
         static constexpr std::size_t ratio_bins = 48;
         std::array<double, ratio_bins> ratio_counts{};
+        time_point ratios_decayed_at;
         std::chrono::milliseconds gap_objective{0};
         time_point gap_objective_at;
     };
--- a/src/fleet/types/server_speed.h
+++ b/src/fleet/types/server_speed.h
@@ -9,7 +9,8 @@
 
 // How an engine's decode speed suits long outputs.
 enum class decode_speed {
-    suitable, // its events keep the gap objective, noise included, or all engines are equally fast
+    suitable, // its events keep the gap objective, noise included, and no engine is much faster
+    slower,   // its events keep the gap objective, noise included, but others are much faster
     unknown,  // not measured lately, while other engines are known to differ
     too_slow  // its events exceed the gap objective, noise included
 };
--- a/src/gateway/internal/server_pool.cpp
+++ b/src/gateway/internal/server_pool.cpp
@@ -43,6 +43,8 @@
     switch (speed) {
     case decode_speed::suitable:
         return "suitable";
+    case decode_speed::slower:
+        return "slower";
     case decode_speed::unknown:
         return "unknown";
     case decode_speed::too_slow:
--- a/src/placement/internal/server_selection.cpp
+++ b/src/placement/internal/server_selection.cpp
@@ -333,15 +333,28 @@
                                    const engine_split& engines,
                                    random_source& random)
 {
-    for (const auto speed : {decode_speed::suitable, decode_speed::unknown}) {
-        auto of_speed = engines;
+    const auto of_speed = [&](decode_speed speed) {
+        auto found = engines;
         const auto has_other_speed = [&](std::size_t index) {
             return candidates[index].speed != speed;
         };
-        std::erase_if(of_speed.isolated, has_other_speed);
-        std::erase_if(of_speed.others, has_other_speed);
-        if (!of_speed.isolated.empty() || !of_speed.others.empty()) {
-            return choose_of_equal_speed(candidates, of_speed, random);
+        std::erase_if(found.isolated, has_other_speed);
+        std::erase_if(found.others, has_other_speed);
+        return found;
+    };
+    const auto takes_one = [&](std::size_t index) {
+        return takes_long_output(candidates[index]);
+    };
+    for (const auto speed : {decode_speed::suitable, decode_speed::slower}) {
+        const auto found = of_speed(speed);
+        if (std::ranges::any_of(found.isolated, takes_one) || std::ranges::any_of(found.others, takes_one)) {
+            return choose_of_equal_speed(candidates, found, random);
+        }
+    }
+    for (const auto speed : {decode_speed::suitable, decode_speed::slower, decode_speed::unknown}) {
+        const auto found = of_speed(speed);
+        if (!found.isolated.empty() || !found.others.empty()) {
+            return choose_of_equal_speed(candidates, found, random);
         }
     }
     return choose_of_equal_speed(candidates, engines, random);
