The fastest engines are suitable even if none keeps the gap objective

Cause: while the measured noise was high, after engines had crashed or turned slow, even the fastest engines were rated too slow, and long outputs gathered where most of them were. Change: if no engine keeps the objective, those within 1.5 times of the fastest are suitable. Noise is again what is exceeded in 8% of the time, as spans of engines that turn slow are no noise.

--- a/src/fleet/internal/server_speed_model.cpp
+++ b/src/fleet/internal/server_speed_model.cpp
@@ -32,7 +32,7 @@
 constexpr double min_ratio_weight = 30;
 // The share of the time in which events may be slower than what counts as noise. An output of a hundred
 // events meets several spans of noise that take more of the time than this.
-constexpr double max_slower_time_ratio = 0.05;
+constexpr double max_slower_time_ratio = 0.08;
 constexpr double ratio_bins_per_octave = 12;
 // Differences up to this ratio are left to chance and to the load.
 constexpr double min_speed_ratio = 1.5;
@@ -258,10 +258,13 @@
     }
     const double noise = this->noise_factor(service->first);
     const auto objective = static_cast<double>(service->second.gap_objective.count());
+    // If even the fastest engines cannot keep the objective, they come nearest to it.
+    const double max_milliseconds =
+        std::max(objective * max_event_gap_ratio / noise, fastest * min_speed_ratio);
     for (std::size_t index = 0; index < engines.size(); ++index) {
         if (known[index] == 0) {
             rated[index] = decode_speed::unknown;
-        } else if (known[index] * noise > objective * max_event_gap_ratio) {
+        } else if (known[index] > max_milliseconds) {
             rated[index] = decode_speed::too_slow;
         } else if (known[index] / load_ratio(service->second, engines[index].second + 1) >
                    fastest * min_speed_ratio) {
--- a/src/fleet/server_speed_model.h
+++ b/src/fleet/server_speed_model.h
@@ -52,7 +52,8 @@
     double noise_factor(const std::string& service) const;
 
     // Rates engines of one service, each with the requests that it runs. All are suitable while no route with
-    // long outputs has a gap objective, or while the known speeds hardly differ.
+    // long outputs has a gap objective, or while the known speeds hardly differ. The fastest ones are
+    // suitable even if they cannot keep the objective.
     std::vector<decode_speed> rate(const std::vector<std::pair<listed_server, std::uint32_t>>& engines) const;
 
     // Returns what was recorded here since the last call, at most `max_count` entries, those with the most
--- a/src/fleet/tests/server_speed_tests.cpp
+++ b/src/fleet/tests/server_speed_tests.cpp
@@ -153,6 +153,25 @@
                         decode_speed::suitable, decode_speed::too_slow, decode_speed::unknown};
                     CPPUNIT_ASSERT(rate() == expected);
                 });
+                section("the fastest one is suitable even if it cannot keep an objective of 50 ms", [&] {
+                    server_speed_model strict(time);
+                    strict.record_gap_objective("pool", 50ms);
+                    for (int round = 0; round < 6; ++round) {
+                        stream(strict, time, *fast, 60ms, 600ms);
+                        stream(strict, time, *slow, 130ms, 600ms);
+                    }
+                    const auto rated = strict.rate({{fast, 1}, {slow, 1}});
+                    CPPUNIT_ASSERT(rated[0] == decode_speed::suitable);
+                    CPPUNIT_ASSERT(rated[1] == decode_speed::too_slow);
+                });
+                section("an engine that is in time but much slower than the fastest is rated so", [&] {
+                    const auto between = std::make_shared<backend_server>(make_engine("between"));
+                    stream(speeds, time, *fast, 30ms, 1'700ms);
+                    stream(speeds, time, *between, 46ms, 1'700ms);
+                    const auto rated = speeds.rate({{fast, 1}, {between, 1}});
+                    CPPUNIT_ASSERT(rated[0] == decode_speed::suitable);
+                    CPPUNIT_ASSERT(rated[1] == decode_speed::slower);
+                });
                 section("all are forgotten when they are no longer listed", [&] {
                     speeds.keep_only({});
                     const std::vector<decode_speed> suitable(3, decode_speed::suitable);
--- a/src/placement/tests/decode_speed_tests.cpp
+++ b/src/placement/tests/decode_speed_tests.cpp
@@ -297,6 +297,7 @@
     CPPUNIT_TEST_SUITE(decode_speed_tests);
     CPPUNIT_TEST(places_long_outputs_on_engines_that_keep_the_gap_objective);
     CPPUNIT_TEST(changes_nothing_on_equally_fast_engines);
+    CPPUNIT_TEST(takes_slower_engines_when_faster_ones_are_full);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -351,6 +352,51 @@
             });
         });
     }
+
+    void takes_slower_engines_when_faster_ones_are_full()
+    {
+        section("three engines with ten slots each are rated unlike", [] {
+            std::vector<placement_candidate> engines(3);
+            const std::array speeds{decode_speed::slower, decode_speed::suitable, decode_speed::too_slow};
+            for (std::size_t index = 0; index < engines.size(); ++index) {
+                auto server = std::make_shared<backend_server>();
+                server->id = std::to_string(index);
+                server->slots = 10;
+                server->role = engine_role::decode;
+                engines[index].server = server;
+                engines[index].speed = speeds.at(index);
+            }
+            engines[2].long_outputs = 3;
+            for (const bool is_isolating : {false, true}) {
+                std::ranges::for_each(engines,
+                                      [&](auto& engine) { engine.isolate_long_outputs = is_isolating; });
+                seeded_random random{seed};
+                const auto chosen = [&] {
+                    return choose_engines(long_output, {250ms, gap_objective}, engines, random)->server;
+                };
+                const auto fill = [&](std::size_t index, std::uint32_t long_outputs) {
+                    engines[index].long_outputs = long_outputs;
+                    engines[index].peer_running = long_outputs;
+                };
+                section("the suitable one is chosen, although the too slow one has the most long outputs",
+                        [&] { CPPUNIT_ASSERT_EQUAL(std::size_t{1}, chosen()); });
+                section("the slower one is chosen when the suitable one has its share of long outputs", [&] {
+                    fill(1, 6);
+                    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, chosen());
+                });
+                section("the last slots of both are used before the too slow one", [&] {
+                    fill(0, 6);
+                    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, chosen());
+                    fill(1, 10);
+                    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, chosen());
+                    fill(0, 10);
+                    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, chosen());
+                });
+                fill(0, 0);
+                fill(1, 0);
+            }
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(decode_speed_tests);
