--- a/src/gateway/internal/role_controller.cpp
+++ b/src/gateway/internal/role_controller.cpp
@@ -21,25 +21,6 @@
 // A prefill engine prefills about twice as fast as a decode engine. Used while a service has no prefill
 // engine.
 constexpr double prefill_engine_speed_up = 2;
-// Engines that are faster than others by less are as good as equal.
-constexpr double min_fast_speed_ratio = 1.5;
-
-// Returns the time per prompt token of a prefill engine that is much faster than a third of them.
-double fast_prefill_token_milliseconds(const std::vector<placement_candidate>& candidates)
-{
-    std::vector<double> milliseconds;
-    for (const auto& candidate : candidates) {
-        if (candidate.server->role == engine_role::prefill) {
-            milliseconds.push_back(candidate.prefill_milliseconds_per_token);
-        }
-    }
-    if (milliseconds.empty()) {
-        return 0;
-    }
-    const auto slow = milliseconds.begin() + static_cast<std::ptrdiff_t>((milliseconds.size() - 1) * 2 / 3);
-    std::ranges::nth_element(milliseconds, slow);
-    return *slow / min_fast_speed_ratio;
-}
 
 } // namespace
 
@@ -132,19 +113,7 @@
 std::vector<engine_state> role_controller::engines_of(const std::string& service) const
 {
     std::vector<engine_state> engines;
-    const auto candidates = this->pool.candidates(service, 0, {});
-    // Where most engines are fast, the others may only have turned slow for a while.
-    const auto decoders = std::ranges::count_if(
-        candidates, [](const auto& candidate) { return candidate.server->role == engine_role::decode; });
-    const auto fast_decoders = std::ranges::count_if(candidates, [](const auto& candidate) {
-        return candidate.server->role == engine_role::decode && candidate.speed == decode_speed::suitable;
-    });
-    const bool are_few_fast = 2 * fast_decoders <= decoders;
-    const double fast_prefill_milliseconds = fast_prefill_token_milliseconds(candidates);
-    for (const auto& candidate : candidates) {
-        const bool is_fast = candidate.server->role == engine_role::prefill
-                                 ? candidate.prefill_milliseconds_per_token <= fast_prefill_milliseconds
-                                 : candidate.speed == decode_speed::suitable;
+    for (const auto& candidate : this->pool.candidates(service, 0, {})) {
         const auto change = this->pending_changes.find(candidate.server->id);
         const bool is_changing = change != this->pending_changes.end();
         engines.push_back({candidate.server->id,
@@ -153,8 +122,7 @@
                            candidate.local_running + candidate.peer_running,
                            candidate.long_outputs,
                            this->orders->is_settled(candidate.server->id),
-                           is_changing,
-                           are_few_fast && is_fast});
+                           is_changing});
     }
     return engines;
 }
--- a/src/roles/internal/role_plan.cpp
+++ b/src/roles/internal/role_plan.cpp
@@ -1,7 +1,6 @@
 #include "roles/role_plan.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace tanager {
 
@@ -16,8 +15,6 @@
 constexpr double max_prefill_gap_ratio = 0.8;
 // Share of the engines that may change at the same time while that costs no capacity.
 constexpr double max_changing_ratio = 0.25;
-// Share of a fast engine's slots that long outputs take before slower engines get some.
-constexpr double max_long_output_slot_ratio = 0.6;
 
 struct engine_counts {
     std::size_t prefill_engines = 0;
@@ -45,15 +42,9 @@
         if (engine.role != role || engine.is_changing || !engine.is_settled) {
             continue;
         }
-        // Fast engines are more useful for long outputs than others: they decode rather than prefill.
-        const auto rank = [role](const engine_state& ranked) {
-            const bool is_fast_prefill_engine = role == engine_role::prefill && ranked.is_fast;
-            const bool is_fast_decode_engine = role == engine_role::decode && ranked.is_fast;
-            return std::tuple{is_fast_decode_engine ? 2 : (is_fast_prefill_engine ? 0 : 1),
-                              ranked.long_outputs,
-                              ranked.running};
-        };
-        const bool is_less_loaded = least_loaded == nullptr || rank(engine) < rank(*least_loaded);
+        const bool is_less_loaded =
+            least_loaded == nullptr || std::pair{engine.long_outputs, engine.running} <
+                                           std::pair{least_loaded->long_outputs, least_loaded->running};
         least_loaded = is_less_loaded ? &engine : least_loaded;
     }
     return least_loaded;
@@ -74,18 +65,6 @@
                demand.gap_objective_milliseconds * max_prefill_gap_ratio;
 }
 
-// Returns whether the fast decode engines are too few for the long outputs.
-bool lacks_fast_decode_engines(const std::vector<engine_state>& engines, const role_demand& demand)
-{
-    double capacity = 0;
-    for (const auto& engine : engines) {
-        if (engine.role == engine_role::decode && engine.is_fast) {
-            capacity += max_long_output_slot_ratio * engine.slots;
-        }
-    }
-    return capacity < demand.long_outputs;
-}
-
 } // namespace
 
 double served_prompts(std::size_t prefill_engines,
@@ -123,12 +102,7 @@
     const bool is_gain_sufficient =
         served_with(best_prefill_engines) > served_with(counts.prefill_engines) * (1 + policy.min_gain_ratio);
     if (!is_gain_sufficient) {
-        const auto* const fast_engine = least_loaded_engine(engines, engine_role::prefill);
-        const bool may_exchange =
-            fast_engine != nullptr && fast_engine->is_fast && counts.changing_engines == 0 &&
-            !has_unsettled_engine && lacks_fast_decode_engines(engines, demand) &&
-            demand.prompts_per_second < served_with(counts.prefill_engines - 1) * max_demand_ratio;
-        return may_exchange ? std::optional{role_change{fast_engine->id, engine_role::decode}} : std::nullopt;
+        return std::nullopt;
     }
     const bool is_prefill_engine_missing = best_prefill_engines > counts.prefill_engines;
     const auto old_role = is_prefill_engine_missing ? engine_role::decode : engine_role::prefill;
--- a/src/roles/role_plan.h
+++ b/src/roles/role_plan.h
@@ -16,9 +16,6 @@
 // demand. One engine is changed at a time: the one with the fewest long outputs, then the fewest running
 // requests.
 //
-// Long outputs run on fast engines where engines are unequal. If the fast decode engines cannot hold their
-// peak, a fast prefill engine becomes a decode engine; a decode engine replaces it once that gains enough.
-//
 // Where a decode engine cannot prefill a prompt within the gap objective of its streams, it only decodes. Too
 // few prefill engines then leave decode engines idle in an overload that lasts until roles change: decode
 // engines that are not needed to decode are changed under load, too, and several at a time.
--- a/src/roles/tests/roles_tests.cpp
+++ b/src/roles/tests/roles_tests.cpp
@@ -6,7 +6,6 @@
 #include "store/mocks/fault_injecting_store.h"
 #include "testing/section.h"
 
-#include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 #include <optional>
 #include <set>
@@ -26,7 +25,7 @@
     std::vector<engine_state> engines;
     for (std::size_t index = 0; index < prefill_engines + decode_engines; ++index) {
         const auto role = index < prefill_engines ? engine_role::prefill : engine_role::decode;
-        engines.push_back({"e" + std::to_string(index), role, slots, 0, 0, true, false, false});
+        engines.push_back({"e" + std::to_string(index), role, slots, 0, 0, true, false});
     }
     return engines;
 }
@@ -92,7 +91,6 @@
     CPPUNIT_TEST_SUITE(roles_tests);
     CPPUNIT_TEST(balances_prefill_and_decode_engines);
     CPPUNIT_TEST(keeps_a_balanced_split);
-    CPPUNIT_TEST(exchanges_fast_prefill_engines_for_long_outputs);
     CPPUNIT_TEST(adds_prefill_engines_under_load_where_decode_engines_only_decode);
     CPPUNIT_TEST(measures_demand);
     CPPUNIT_TEST(counts_arrivals_of_the_last_second);
@@ -137,46 +135,6 @@
         });
     }
 
-    // Long outputs need the fast engines, of which most prefill. Guards against exchanges without end.
-    void exchanges_fast_prefill_engines_for_long_outputs()
-    {
-        section("13 of 41 engines prefill, and seven of the ten fast ones are among them", [] {
-            auto engines = make_engines(13, 28, 32);
-            for (std::size_t index = 0; index < 10; ++index) {
-                engines[index + 6].is_fast = true;
-            }
-            engines[6].running = 3;
-            const role_demand calm{9, 400, 300, 40};
-            const role_demand busy{9, 400, 300, 130};
-            section("nothing changes while the fast decode engines can hold the long outputs",
-                    [&] { CPPUNIT_ASSERT(!plan_role_change(engines, calm, policy)); });
-            section("nothing changes while the demand is high, or an engine changes", [&] {
-                auto peak = busy;
-                peak.prompts_per_second = 1'400;
-                CPPUNIT_ASSERT(!plan_role_change(engines, peak, policy));
-                auto changing = engines;
-                changing[0].is_changing = true;
-                CPPUNIT_ASSERT(!plan_role_change(changing, busy, policy));
-            });
-            section("else fast prefill engines become decode engines, until these can hold them", [&] {
-                CPPUNIT_ASSERT_EQUAL(std::string{"e7"}, plan_role_change(engines, busy, policy)->engine_id);
-                int changes = 0;
-                for (auto change = plan_role_change(engines, busy, policy); change;
-                     change = plan_role_change(engines, busy, policy)) {
-                    const auto changed = std::ranges::find(engines, change->engine_id, &engine_state::id);
-                    changed->role = change->role;
-                    CPPUNIT_ASSERT(++changes < 10);
-                }
-                const auto fast_decoders = std::ranges::count_if(engines, [](const auto& engine) {
-                    return engine.is_fast && engine.role == engine_role::decode;
-                });
-                CPPUNIT_ASSERT(fast_decoders >= 7);
-            });
-            section("nothing changes when no engine is much faster",
-                    [&] { CPPUNIT_ASSERT(!plan_role_change(make_engines(13, 28, 32), busy, policy)); });
-        });
-    }
-
     // The fleet of Midlands: 2 of 9 engines prefill, and a third one would leave too few decode slots.
     void keeps_a_balanced_split()
     {
--- a/src/roles/types/role_types.h
+++ b/src/roles/types/role_types.h
@@ -18,7 +18,6 @@
     std::uint32_t long_outputs = 0;
     bool is_settled = true;   // the outcome of its last order is known
     bool is_changing = false; // it has accepted an order for `role` and takes no requests yet
-    bool is_fast = false;     // measured to be much faster than others of its role
 
     friend bool operator==(const engine_state&, const engine_state&) = default;
 };
