--- a/src/gateway/gateway_setup.cpp
+++ b/src/gateway/gateway_setup.cpp
@@ -308,7 +308,10 @@
             {this->settings.host, this->settings.data_centre, this->settings.peer_address, max_bind_wait},
             this->link,
             [this] { return this->report_load(); },
-            [this](const load_report& report) { this->pool.record_peer_prefixes(report.new_prefixes); });
+            [this](const load_report& report) {
+                this->pool.record_peer_prefixes(report.new_prefixes);
+                this->pool.record_peer_event_times(report.event_times);
+            });
         if (!exchange) {
             return tl::make_unexpected(exchange.error());
         }
@@ -430,7 +433,7 @@
         }
     }
 
-    load_report report_load() const
+    load_report report_load()
     {
         load_report report;
         for (const auto& [id, local] : this->pool.local_loads()) {
@@ -445,6 +448,7 @@
         report.link_wait_milliseconds = static_cast<std::uint32_t>(std::min<std::int64_t>(
             std::chrono::ceil<std::chrono::milliseconds>(this->scheduler.link_wait()).count(),
             std::numeric_limits<std::uint32_t>::max()));
+        report.event_times = this->pool.take_event_times(this->peers->known_loads().live_peer_count());
         return report;
     }
 
@@ -513,6 +517,7 @@
         }
         this->update_retry_share(time_between_runs);
         this->report_full_link();
+        this->pool.rate_speeds();
         this->quarantine.check();
         this->quarantines.check();
         this->callers.check();
@@ -608,6 +613,10 @@
         this->metrics.set_gauge("tanager_retry_gateways_counted", static_cast<double>(share.gateway_count));
         this->metrics.set_gauge("tanager_retry_gateways_age_seconds",
                                 std::chrono::duration<double>(counted_age).count());
+        this->metrics.set_gauge("tanager_engines_too_slow",
+                                static_cast<double>(this->pool.count_speed(decode_speed::too_slow)));
+        this->metrics.set_gauge("tanager_engines_of_unknown_speed",
+                                static_cast<double>(this->pool.count_speed(decode_speed::unknown)));
         this->metrics.set_gauge("tanager_servers_taking_work",
                                 static_cast<double>(this->pool.servers().serving().size()));
     }
--- a/src/logging/types/log_event.h
+++ b/src/logging/types/log_event.h
@@ -99,6 +99,7 @@
     usage_given_up = 3061,
     time_corrected = 3062,
     link_full = 3070,
+    engine_speed_rated = 3065,
 
     // 4000: agent
     attempt_refused = 4001,
--- a/src/peers/tests/peers_tests.cpp
+++ b/src/peers/tests/peers_tests.cpp
@@ -25,7 +25,8 @@
             {{running, running, running + 1, std::chrono::milliseconds{running}}},
             running == 1,
             running * 3,
-            running * 5};
+            running * 5,
+            {{name_hash("engine"), running, 30ms * running, running, 250ms}}};
 }
 
 class peers_tests : public CppUnit::TestFixture {
@@ -137,6 +138,14 @@
 
     void decodes_arbitrary_datagrams_safely()
     {
+        // Guards against a bound on the elements of a list that is above the size of the shortest element.
+        section("a report lists many servers and nothing else: none is left out", [] {
+            load_report report;
+            report.loads.assign(100, {name_hash("engine"), 1, 0, 0});
+            const auto decoded = decode_report(encode_report({"peer", report}));
+            CPPUNIT_ASSERT(decoded.has_value());
+            CPPUNIT_ASSERT(decoded->report == report);
+        });
         section("a decoded report equals the encoded one", [] {
             const named_report sent{"first", make_report(5, 1, 2)};
             CPPUNIT_ASSERT(decode_report(encode_report(sent)) == sent);
