--- a/src/duties/tests/duties_tests.cpp
+++ b/src/duties/tests/duties_tests.cpp
@@ -620,7 +620,7 @@
                 fleet.store.fault_rates = {10, 10, 5};
                 std::uint64_t requests = 0;
                 for (int second = 0; second < 60; ++second) {
-                    const auto victim = names[random.next() % names.size()];
+                    const auto& victim = names[random.next() % names.size()];
                     auto& member = fleet.gateways.at(victim);
                     const bool acts = second % 4 == 0;
                     if (acts && random.next() % 2 == 0) {
