--- a/src/gateway/internal/request_forwarder.cpp
+++ b/src/gateway/internal/request_forwarder.cpp
@@ -161,6 +161,7 @@
     slot.start_deadline = std::max(latest_start, now);
     slot.first_event_deadline =
         this->routed.received + std::chrono::duration_cast<duration>(first_event_deadline_ratio * objective);
+    slot.latency_objective = this->routed.chosen_route->latency_objective;
     slot.gap_objective = this->routed.chosen_route->gap_objective;
     slot.request_bytes = this->routed.exchange->request().body.size() + estimated_head_bytes;
     slot.may_have_executed = this->may_have_executed();
@@ -266,6 +267,9 @@
         this->state == request_state::responding ? request_state::responding : request_state::queued;
     this->slot_requested_at = this->context.time.now();
     this->requested_slot = this->make_slot_request(this->slot_requested_at);
+    if (this->requested_slot.prompt.has_long_output() && this->requested_slot.gap_objective.count() > 0) {
+        this->context.servers.record_long_output(this->routed.service, this->requested_slot.gap_objective);
+    }
     this->ticket = this->context.scheduler.request_slot(this->requested_slot, this->shared_from_this());
 }
 
@@ -758,9 +762,10 @@
         }
         return;
     }
+    const auto events_before = this->events.event_count();
     const auto complete_events = this->events.feed(data);
     if (!complete_events.empty()) {
-        this->forward_events(complete_events);
+        this->forward_events(complete_events, this->events.event_count() - events_before);
     }
     if (this->events.pending_bytes() > max_event_bytes && this->call != nullptr) {
         this->abandon_response(
@@ -768,7 +773,7 @@
     }
 }
 
-void request_forwarder::forward_events(const std::string& complete_events)
+void request_forwarder::forward_events(const std::string& complete_events, std::uint64_t count)
 {
     const auto now = this->context.time.now();
     const std::chrono::duration<double> gap_objective = this->routed.chosen_route->gap_objective;
@@ -778,6 +783,7 @@
             this->context.servers.record_event_gap(
                 *this->server, (now - this->last_event_at) / gap_objective, this->used_timeout_ratio());
         }
+        this->context.servers.record_event_time(*this->server, count, now - this->last_event_at);
     }
     this->last_event_at = now;
     if (this->state != request_state::responding) {
@@ -1159,11 +1165,20 @@
     this->finish("unknown", status);
 }
 
+std::chrono::milliseconds request_forwarder::suggest_retry_after(const error& cause)
+{
+    if (cause.code == result_code::servers_ended_under_request) {
+        return std::chrono::ceil<std::chrono::milliseconds>(this->quarantine_left);
+    }
+    if (this->denial_reason == placement_error::link_busy) {
+        return this->context.scheduler.suggest_retry_elsewhere(this->requested_slot);
+    }
+    return this->context.scheduler.suggest_retry_after(this->routed.service);
+}
+
 void request_forwarder::reject(const error& cause)
 {
-    const auto retry_after = cause.code == result_code::servers_ended_under_request
-                                 ? std::chrono::ceil<std::chrono::milliseconds>(this->quarantine_left)
-                                 : this->context.scheduler.suggest_retry_after(this->routed.service);
+    const auto retry_after = this->suggest_retry_after(cause);
     this->log.write_rejection(cause,
                               {this->routed.organisation,
                                this->routed.configuration_version,
--- a/src/gateway/internal/request_forwarder.h
+++ b/src/gateway/internal/request_forwarder.h
@@ -131,7 +131,7 @@
 
     bool has_active_call() const;
     void cancel_active_call();
-    void forward_events(const std::string& events);
+    void forward_events(const std::string& events, std::uint64_t count);
     void end_attempt(server_outcome outcome);
     void cancel_attempt(server_outcome outcome);
     void abandon_response(const error& cause);
@@ -150,6 +150,7 @@
     void on_hedge_failed(execution_state executed);
     void cancel_hedge();
     void send_buffered_response(const std::string& body);
+    std::chrono::milliseconds suggest_retry_after(const error& cause);
     void reject(const error& cause);
     void fail_with_unknown_outcome(const error& cause);
     void finish(std::string_view outcome, int status);
--- a/src/gateway/internal/server_pool.cpp
+++ b/src/gateway/internal/server_pool.cpp
@@ -12,6 +12,11 @@
 constexpr std::chrono::milliseconds prefix_report_time{300};
 // Bounds the size of a report.
 constexpr std::size_t max_recent_prefixes = 40;
+// Reports carry event times this often, and less often with more peers than `max_peers_at_full_rate`, so that
+// what a gateway sends and receives does not grow with their number. Speeds are learned over seconds.
+constexpr std::chrono::milliseconds event_time_interval{500};
+constexpr std::size_t max_peers_at_full_rate = 20;
+constexpr std::size_t max_reported_event_times = 8;
 
 std::uint32_t prefix_hash(std::uint64_t prefix_key)
 {
@@ -33,6 +38,21 @@
     return "unlisted";
 }
 
+std::string_view name_of_speed(decode_speed speed)
+{
+    switch (speed) {
+    case decode_speed::suitable:
+        return "suitable";
+    case decode_speed::slower:
+        return "slower";
+    case decode_speed::unknown:
+        return "unknown";
+    case decode_speed::too_slow:
+        return "too_slow";
+    }
+    return "unlisted";
+}
+
 } // namespace
 
 server_pool::server_pool(const clock& time,
@@ -45,6 +65,8 @@
       outliers(time),
       misdirections(time),
       prefill_interference(time),
+      speeds(time),
+      event_times_taken_at(time.now()),
       peers(peers)
 {
 }
@@ -74,6 +96,7 @@
         candidate.long_outputs = local.long_outputs + peer.long_outputs;
         candidate.isolate_long_outputs = isolate_long_outputs;
         candidate.is_slow = this->prefill_interference.is_slow(server->id);
+        candidate.speed = this->speed_of(server->id);
         candidate.base_latency_milliseconds = this->prefill_latency.base_latency_milliseconds(*server);
         candidate.prefill_milliseconds_per_token =
             this->prefill_latency.prefill_milliseconds_per_token(*server);
@@ -90,6 +113,48 @@
     return found;
 }
 
+void server_pool::rate_speeds()
+{
+    std::map<std::string, std::vector<std::pair<std::shared_ptr<const backend_server>, std::uint32_t>>>
+        engines_by_service;
+    for (auto& server : this->server_directory.serving()) {
+        if (server->role == engine_role::decode) {
+            const auto running = this->total_load(server->id).running_requests;
+            engines_by_service[server->service].emplace_back(std::move(server), running);
+        }
+    }
+    std::map<std::string, decode_speed> ratings;
+    for (const auto& [service, engines] : engines_by_service) {
+        const auto rated = this->speeds.rate(engines);
+        for (std::size_t index = 0; index < rated.size(); ++index) {
+            const auto& [server, running] = engines[index];
+            ratings.emplace(server->id, rated[index]);
+            if (this->speed_of(server->id) != rated[index]) {
+                write_event(log_event::engine_speed_rated,
+                            {{"service", service},
+                             {"server", server->id},
+                             {"speed", std::string{name_of_speed(rated[index])}},
+                             {"event_ms", std::to_string(this->speeds.event_milliseconds(*server, running))},
+                             {"running", std::to_string(running)},
+                             {"noise", std::to_string(this->speeds.noise_factor(service))}});
+            }
+        }
+    }
+    this->speed_ratings = std::move(ratings);
+}
+
+decode_speed server_pool::speed_of(const std::string& server_id) const
+{
+    const auto found = this->speed_ratings.find(server_id);
+    return found == this->speed_ratings.end() ? decode_speed::suitable : found->second;
+}
+
+std::size_t server_pool::count_speed(decode_speed speed) const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count(this->speed_ratings, speed, [](const auto& entry) { return entry.second; }));
+}
+
 // Excludes the servers of a service whose addresses answered with 421, as long as others can take requests.
 void server_pool::exclude_suspended(std::vector<placement_candidate>& candidates) const
 {
@@ -116,6 +181,11 @@
     return this->peers.prompts_per_second(service);
 }
 
+gateways_with_room server_pool::link_room_of_peers(duration max_wait) const
+{
+    return this->peers.link_room(max_wait);
+}
+
 duration server_pool::peer_report_age() const
 {
     return this->peers.report_age();
@@ -190,9 +260,16 @@
 
 void server_pool::record_peer_prefixes(const std::vector<sent_prefix>& prefixes)
 {
-    if (prefixes.empty()) {
-        return;
+    for (const auto& sent : prefixes) {
+        const auto server = this->find_by_hash(sent.server);
+        if (server != nullptr) {
+            this->cached_prefixes.insert(*server, sent.prefix);
+        }
     }
+}
+
+std::shared_ptr<const backend_server> server_pool::find_by_hash(std::uint32_t hash)
+{
     if (this->servers_by_hash.empty() || this->hashed_generation != this->server_directory.generation()) {
         this->hashed_generation = this->server_directory.generation();
         this->servers_by_hash.clear();
@@ -200,12 +277,8 @@
             this->servers_by_hash.emplace(name_hash(server->id), std::move(server));
         }
     }
-    for (const auto& sent : prefixes) {
-        const auto server = this->servers_by_hash.find(sent.server);
-        if (server != this->servers_by_hash.end()) {
-            this->cached_prefixes.insert(*server->second, sent.prefix);
-        }
-    }
+    const auto found = this->servers_by_hash.find(hash);
+    return found == this->servers_by_hash.end() ? nullptr : found->second;
 }
 
 void server_pool::end_prefill(const std::string& server_id, std::uint32_t tokens)
@@ -254,6 +327,48 @@
     }
 }
 
+// Prefill on the engine lengthens its events, which says nothing about its speed.
+void server_pool::record_event_time(const backend_server& server, std::uint64_t events, duration elapsed)
+{
+    const auto load = this->total_load(server.id);
+    if (load.pending_prefill_tokens == 0) {
+        this->speeds.record(server, {static_cast<std::uint32_t>(events), elapsed, load.running_requests});
+    }
+}
+
+void server_pool::record_long_output(const std::string& service, std::chrono::milliseconds gap_objective)
+{
+    this->speeds.record_gap_objective(service, gap_objective);
+}
+
+std::vector<server_event_times> server_pool::take_event_times(std::size_t peer_count)
+{
+    const auto now = this->time.now();
+    const auto interval = event_time_interval * std::max<std::size_t>(1, peer_count / max_peers_at_full_rate);
+    if (now - this->event_times_taken_at < interval) {
+        return {};
+    }
+    // The events lie in the middle of the interval on average.
+    const auto age = std::chrono::round<std::chrono::milliseconds>((now - this->event_times_taken_at) / 2);
+    this->event_times_taken_at = now;
+    std::vector<server_event_times> reported;
+    for (const auto& [id, times] : this->speeds.take_unreported(max_reported_event_times)) {
+        const auto total = std::chrono::round<std::chrono::milliseconds>(times.total);
+        reported.push_back({name_hash(id), times.events, total, times.running, age});
+    }
+    return reported;
+}
+
+void server_pool::record_peer_event_times(const std::vector<server_event_times>& reported)
+{
+    for (const auto& times : reported) {
+        const auto server = this->find_by_hash(times.server);
+        if (server != nullptr) {
+            this->speeds.record_reported(*server, {times.events, times.total, times.running}, times.age);
+        }
+    }
+}
+
 bool server_pool::has_sent_event_since(const std::string& server_id, time_point moment) const
 {
     return this->prefill_interference.has_event_since(server_id, moment);
@@ -326,6 +441,7 @@
     this->prefill_latency.keep_only(listed);
     this->cached_prefixes.keep_only(listed);
     this->prefill_interference.keep_only(listed);
+    this->speeds.keep_only(listed);
 }
 
 const std::map<std::string, load_counts>& server_pool::local_loads() const
--- a/src/placement/internal/server_selection.cpp
+++ b/src/placement/internal/server_selection.cpp
@@ -303,10 +303,10 @@
 }
 
 // Returns the isolated engine with the most long outputs that can take one more, or else the least loaded
-// other engine.
-std::size_t choose_for_long_output(const std::vector<placement_candidate>& candidates,
-                                   const engine_split& engines,
-                                   random_source& random)
+// other engine, of engines of equal speed.
+std::size_t choose_of_equal_speed(const std::vector<placement_candidate>& candidates,
+                                  const engine_split& engines,
+                                  random_source& random)
 {
     if (engines.isolated.empty()) {
         return least_used(candidates, engines.others, random);
@@ -327,6 +327,39 @@
     });
 }
 
+// Chooses among the engines with free slots whose speed suits a long output best: an engine that is too slow
+// makes it late, however little that engine is used.
+std::size_t choose_for_long_output(const std::vector<placement_candidate>& candidates,
+                                   const engine_split& engines,
+                                   random_source& random)
+{
+    const auto of_speed = [&](decode_speed speed) {
+        auto found = engines;
+        const auto has_other_speed = [&](std::size_t index) {
+            return candidates[index].speed != speed;
+        };
+        std::erase_if(found.isolated, has_other_speed);
+        std::erase_if(found.others, has_other_speed);
+        return found;
+    };
+    const auto takes_one = [&](std::size_t index) {
+        return takes_long_output(candidates[index]);
+    };
+    for (const auto speed : {decode_speed::suitable, decode_speed::slower}) {
+        const auto found = of_speed(speed);
+        if (std::ranges::any_of(found.isolated, takes_one) || std::ranges::any_of(found.others, takes_one)) {
+            return choose_of_equal_speed(candidates, found, random);
+        }
+    }
+    for (const auto speed : {decode_speed::suitable, decode_speed::slower, decode_speed::unknown}) {
+        const auto found = of_speed(speed);
+        if (!found.isolated.empty() || !found.others.empty()) {
+            return choose_of_equal_speed(candidates, found, random);
+        }
+    }
+    return choose_of_equal_speed(candidates, engines, random);
+}
+
 // Returns the least used engine in this data centre unless it is much fuller than others. The decode engine
 // of a prompt that was prefilled on another engine needs no prefix affinity, and traffic between data centres
 // costs.
--- a/tests/support/gateway_group.h
+++ b/tests/support/gateway_group.h
@@ -9,6 +9,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <functional>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -21,13 +22,16 @@
 // A store and gateways that share one data centre.
 class gateway_group {
 public:
-    // `site_arguments` are those of the stand-in for the store and the backend servers.
+    // `site_arguments` are those of the stand-in for the store and the backend servers; `more_settings` is
+    // appended to the settings of each gateway, and so is `duty_settings` with the address of its calls.
     explicit gateway_group(int gateway_count,
                            const std::vector<std::string>& site_arguments = {"--timeout-ms", "5000"},
-                           const std::string& duty_settings = {})
+                           std::string more_settings = {},
+                           std::string duty_settings = {})
         : standin_site("standin-site", site_arguments),
           store_address(standin_site.address("http")),
-          duty_settings(duty_settings)
+          more_settings(std::move(more_settings)),
+          duty_settings(std::move(duty_settings))
     {
         for (int count = 0; count < gateway_count; ++count) {
             this->start("g" + std::to_string(count));
@@ -115,11 +119,14 @@
         }
     }
 
-    void apply_configuration(int version)
+    void apply_configuration(int version, const std::function<void(nlohmann::json&)>& edit = {})
     {
         auto object =
             nlohmann::json::parse(this->caller.get(this->store_address, "/objects/config/main").body);
         object["spec"]["version"] = version;
+        if (edit) {
+            edit(object["spec"]);
+        }
         const auto response =
             this->caller.fetch(this->store_address, {"PUT", "/objects/config/main", {}, object.dump()});
         CPPUNIT_ASSERT_EQUAL(200, response.status);
@@ -157,7 +164,8 @@
                             << "\ndata_centre = here\nregion = r\nstop_grace_seconds = 8\n"
                                "[http]\nlisten = 127.0.0.1:0\n[pages]\nlisten = 127.0.0.1:0\n"
                                "[peers]\nlisten = 127.0.0.1:0\n[store]\naddress = "
-                            << this->store_address << "\n";
+                            << this->store_address << "\n"
+                            << this->more_settings;
         if (!this->duty_settings.empty()) {
             std::ofstream(path, std::ios::app)
                 << this->duty_settings << "address = " << this->standin_site.address("duties") << "\n";
@@ -166,6 +174,7 @@
         return path;
     }
 
+    std::string more_settings;
     // The sections that follow, up to the keys of [duties] without its address; empty without duties.
     std::string duty_settings;
     std::vector<std::string> settings_paths;
