Requests of organisations wait for a slow link; others are served as before

Load reports every 100 ms made the peers' views of load too old, and short objectives left prompts no time to wait for the link.

--- a/src/gateway/internal/request_scheduler.cpp
+++ b/src/gateway/internal/request_scheduler.cpp
@@ -81,13 +81,14 @@
         return choose_decode_engine(candidates, this->random);
     }
     const auto on_link = this->make_link_demand(request);
-    if (!request.may_have_executed && !this->sending.may_send_now(on_link)) {
+    const bool is_paced = !request.organisation.empty();
+    if (is_paced && !request.may_have_executed && !this->sending.may_send_now(on_link)) {
         return tl::make_unexpected(placement_error::link_busy);
     }
     if (!this->is_within_share(request, candidates)) {
         return tl::make_unexpected(placement_error::share_exceeded);
     }
-    if (!request.allows_separate_prefill || !this->sending.may_send_twice(on_link)) {
+    if (!request.allows_separate_prefill || (is_paced && !this->sending.may_send_twice(on_link))) {
         std::erase_if(candidates,
                       [](const auto& candidate) { return candidate.server->role == engine_role::prefill; });
     }
--- a/src/gateway/request_scheduler.h
+++ b/src/gateway/request_scheduler.h
@@ -65,6 +65,8 @@
     virtual void on_slot_denied(placement_error reason) = 0;
 };
 
+// Requests of organisations wait for a slow link of this host, and share it. Deployments without
+// organisations pass their requests to the link at once.
 class request_scheduler {
 public:
     request_scheduler(const clock& time,
--- a/src/peers/internal/report_interval.cpp
+++ b/src/peers/internal/report_interval.cpp
@@ -11,8 +11,8 @@
 constexpr std::size_t max_peers_at_full_rate = 6;
 // The share of the link's time that reports may take, as a divisor.
 constexpr int link_time_per_report_time = 12;
-// Peers take a gateway for silent when they miss its reports for a second.
-constexpr std::chrono::milliseconds max_slow_link_interval{100};
+// A slot is occupied for tens of milliseconds; the older the peers' views, the fewer slots they dare to take.
+constexpr std::chrono::milliseconds max_slow_link_interval{50};
 
 } // namespace
 
