The stand-in's return from a copy: no structured binding in a nested lambda (lint)

Cause: clang refuses the reference to a binding of the enclosing lambda, which gcc takes. Change: the entry's parts are plain references.

Measured: lint passes on the file; integration_store_restore_tests 2 of 2.

--- a/standins/site/fake_object_store.cpp
+++ b/standins/site/fake_object_store.cpp
@@ -222,7 +222,9 @@
         watch.exchange->abort();
     }
     const auto rewrite = [this, now, lost = std::move(lost_values)] {
-        for (const auto& [name, value] : lost) {
+        for (const auto& entry : lost) {
+            const auto& name = entry.first;
+            const auto& value = entry.second;
             const bool was_written = std::ranges::any_of(
                 this->writes, [&](const auto& write) { return write.name == name && write.at > now; });
             if (was_written || !is_written_again(name)) {
