A test waits for the output that it reads; the template's revocation time is among the values that a gateway starts with

Cause: integration_process_survival_tests failed once in six runs beside load, in its section on the check of the settings: it looked for a line right after the process had ended, when the thread that reads the output need not have read it yet. Which of its two assertions failed was not kept.

Change: it waits for the line until the output is closed, and fails if that has no such line; this is as strict.

--- a/tests/tests/process_survival_tests.cpp
+++ b/tests/tests/process_survival_tests.cpp
@@ -108,6 +108,7 @@
             {"bounds.retryBudgetRatio", {"0.2", "0", "1", "2e-1", "2", "", "true"}},
             {"bounds.retrySlack", {"54", "54.5", "0", "", "false"}},
             {"bounds.budgetWindowS", {"10", "2.5", "0", "", "true"}},
+            {"bounds.revokeMs", {"5000", "2500.5", "0", "", "false"}},
             {"limits.maxFds", {"1024", "1048576", "1073741816", "", "4100.0"}},
             {"limits.memoryMb", {"160", "260.5", "1048576", ""}},
             {"limits.linkMbps", {"10", "1000.0", "8800000.0", "1e7", ""}},
@@ -138,7 +139,7 @@
             const rendered_settings settings(store_address, {{"bounds.graceS", "soon"}});
             child_process check("tanager-gateway", {"--check-config", "--config", settings.path});
             CPPUNIT_ASSERT_EQUAL(3, check.wait());
-            CPPUNIT_ASSERT(check.has_line("stop_grace_seconds: 'soon' is not a number"));
+            check.wait_for_line("stop_grace_seconds: 'soon' is not a number");
         });
     }
 
