--- a/src/fleet/internal/server_speed_model.cpp
+++ b/src/fleet/internal/server_speed_model.cpp
@@ -271,12 +271,6 @@
             rated[index] = decode_speed::slower;
         }
     }
-    // An engine that was not measured is probably like most others.
-    const auto suitable = std::ranges::count(rated, decode_speed::suitable);
-    const auto unknown = std::ranges::count(rated, decode_speed::unknown);
-    if (2 * suitable > std::ssize(rated) - unknown) {
-        std::ranges::replace(rated, decode_speed::unknown, decode_speed::suitable);
-    }
     return rated;
 }
 
--- a/src/fleet/tests/server_speed_tests.cpp
+++ b/src/fleet/tests/server_speed_tests.cpp
@@ -164,15 +164,6 @@
                     CPPUNIT_ASSERT(rated[0] == decode_speed::suitable);
                     CPPUNIT_ASSERT(rated[1] == decode_speed::too_slow);
                 });
-                section("one that was not measured is taken for suitable if most others are", [&] {
-                    const auto as_fast = std::make_shared<backend_server>(make_engine("as fast"));
-                    stream(speeds, time, *fast, 30ms, 1'700ms);
-                    stream(speeds, time, *as_fast, 30ms, 1'700ms);
-                    stream(speeds, time, *slow, 65ms, 1'700ms);
-                    const auto rated = speeds.rate({{fast, 1}, {as_fast, 1}, {slow, 1}, {fresh, 0}});
-                    CPPUNIT_ASSERT(rated[2] == decode_speed::too_slow);
-                    CPPUNIT_ASSERT(rated[3] == decode_speed::suitable);
-                });
                 section("an engine that is in time but much slower than the fastest is rated so", [&] {
                     const auto between = std::make_shared<backend_server>(make_engine("between"));
                     stream(speeds, time, *fast, 30ms, 1'700ms);
