--- a/src/gateway/internal/hedge_attempt.cpp
+++ b/src/gateway/internal/hedge_attempt.cpp
@@ -6,6 +6,7 @@
 
 constexpr int status_first_success = 200;
 constexpr int status_last_success = 299;
+constexpr int status_first_failure = 500;
 // Below this, an attempt cancelled without a response is not a sign that its server has ended.
 constexpr std::chrono::milliseconds min_silence{250};
 // Size of the request line and headers of a forwarded request.
@@ -32,7 +33,9 @@
 {
 }
 
-void hedge_attempt::start(const attempt_options& attempt, const http_call_options& options)
+void hedge_attempt::start(const attempt_options& attempt,
+                          const http_call_options& options,
+                          std::chrono::milliseconds connect_timeout)
 {
     this->sent_at = this->context.time.now();
     this->waiting_since = this->sent_at;
@@ -40,6 +43,22 @@
     auto encoded = this->context.codec.encode_attempt(this->request.exchange->request(), attempt);
     this->context.link.record_sent(encoded.body.size() + estimated_head_bytes);
     this->call = this->context.client.start(this->grant.server->address, encoded, options, this->handler);
+    this->connect_timer = this->context.loop.run_after(connect_timeout, [weak = this->weak_from_this()] {
+        if (const auto alive = weak.lock()) {
+            alive->on_connect_timeout();
+        }
+    });
+}
+
+void hedge_attempt::on_connect_timeout()
+{
+    if (this->call == nullptr || this->call->is_sent()) {
+        return;
+    }
+    this->handler->detach();
+    this->call->cancel();
+    this->on_attempt_failure(
+        {{result_code::connect_failed, "no connection in time"}, call_progress::not_sent});
 }
 
 void hedge_attempt::cancel()
@@ -90,9 +109,13 @@
         return;
     }
     if (this->execution == execution_state::unknown || !is_success(status) || !this->response.has_digest) {
+        // A server that answers with 4xx is sound: the fault is the caller's.
+        const bool is_error_of_caller = this->execution == execution_state::executed && !is_success(status) &&
+                                        status < status_first_failure;
         this->handler->detach();
         this->call->cancel();
-        this->give_up(server_outcome::failed, this->execution);
+        this->give_up(is_error_of_caller ? server_outcome::inconclusive : server_outcome::failed,
+                      this->execution);
         return;
     }
     this->context.servers.record_accepted(this->grant.server->id);
@@ -157,6 +180,7 @@
 
 void hedge_attempt::end(server_outcome outcome)
 {
+    this->connect_timer.reset();
     this->call.reset();
     this->context.servers.record_outcome(this->grant.server->id, outcome);
     this->context.scheduler.release_slot(this->requested_slot, this->grant.server->id);
--- a/src/gateway/internal/hedge_attempt.h
+++ b/src/gateway/internal/hedge_attempt.h
@@ -36,7 +36,10 @@
                   slot_grant grant,
                   callbacks listener);
 
-    void start(const attempt_options& attempt, const http_call_options& options);
+    // The attempt fails as not executed if it has no connection after `connect_timeout`.
+    void start(const attempt_options& attempt,
+               const http_call_options& options,
+               std::chrono::milliseconds connect_timeout);
 
     // Ends the attempt because its response is no longer needed.
     void cancel();
@@ -51,6 +54,7 @@
     void on_attempt_failure(const http_failure& failure) override;
 
 private:
+    void on_connect_timeout();
     void give_up(server_outcome outcome, execution_state executed);
     void end(server_outcome outcome);
     void record_completion();
@@ -63,6 +67,7 @@
     callbacks listener;
     std::shared_ptr<detachable_response_handler> handler;
     std::shared_ptr<http_call> call;
+    std::unique_ptr<loop_timer> connect_timer;
     time_point sent_at;
     time_point waiting_since; // for the next bytes
     duration latency{0};
--- a/src/gateway/internal/request_forwarder.cpp
+++ b/src/gateway/internal/request_forwarder.cpp
@@ -1073,7 +1073,7 @@
     this->context.metrics.increment_counter("tanager_hedges_total");
     this->log.write_hedge_sent(granted.server->id, this->context.time.now() - this->attempt_sent_at);
     const auto attempt = this->make_attempt_options(*granted.server);
-    this->hedge->start(attempt, this->make_call_options(attempt, max_connection_idle));
+    this->hedge->start(attempt, this->make_call_options(attempt, max_connection_idle), connect_timeout);
 }
 
 void request_forwarder::on_hedge_answered(const response_info& head,
--- a/src/gateway/tests/hedge_tests.cpp
+++ b/src/gateway/tests/hedge_tests.cpp
@@ -1,6 +1,7 @@
 #include "gateway/mocks/forwarding_fixture.h"
 #include "testing/section.h"
 
+#include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 
 namespace tanager {
@@ -58,6 +59,8 @@
     CPPUNIT_TEST_SUITE(hedge_tests);
     CPPUNIT_TEST(forwards_the_first_good_answer);
     CPPUNIT_TEST(survives_the_failure_of_either_attempt);
+    CPPUNIT_TEST(does_not_wait_for_a_second_server_out_of_reach);
+    CPPUNIT_TEST(suspects_no_server_for_an_error_of_the_caller);
     CPPUNIT_TEST(is_true_about_execution);
     CPPUNIT_TEST(leaves_other_requests_alone);
     CPPUNIT_TEST_SUITE_END();
@@ -142,6 +145,56 @@
         });
     }
 
+    void does_not_wait_for_a_second_server_out_of_reach()
+    {
+        hedging_fixture fixture;
+        fixture.add_server("c", engine_role::none);
+        const auto exchange = fixture.send_hedged();
+        fixture.call(1).sent = false;
+        section("the first attempt fails while the second has no connection", [&] {
+            fixture.call(0).fail(call_progress::maybe_sent);
+            CPPUNIT_ASSERT(!exchange->is_finished);
+        });
+        section("the second attempt is given up, and does not count", [&] {
+            const auto end = std::chrono::steady_clock::now() + 1s;
+            while (!fixture.call(1).is_cancelled && std::chrono::steady_clock::now() < end) {
+                const auto timer = fixture.loop->run_after(5ms, [] {});
+                fixture.loop->run_once();
+            }
+            CPPUNIT_ASSERT(fixture.call(1).is_cancelled);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{3}, fixture.client.calls.size());
+            CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, fixture.used_slots());
+        });
+        section("another server answers", [&] {
+            fixture.call(2).respond(200, signed_response, "third");
+            CPPUNIT_ASSERT_EQUAL(std::string{"third"}, exchange->sent_response.body);
+        });
+    }
+
+    void suspects_no_server_for_an_error_of_the_caller()
+    {
+        const auto count_suspected_after = [](int status) {
+            constexpr std::size_t request_count = 14; // more than enough failures for one of the two servers
+            hedging_fixture fixture;
+            for (std::size_t sent = 1; sent <= request_count; ++sent) {
+                const auto exchange = fixture.send();
+                fixture.wait_for_hedge();
+                if (fixture.client.calls.size() < 2 * sent) {
+                    break; // a suspected server gets no second attempt
+                }
+                fixture.call(2 * sent - 1).respond(status, signed_response, "no such order");
+                exchange->caller_left_callback();
+            }
+            return std::ranges::count_if(fixture.pool.candidates("desk", 0, {}), [](const auto& candidate) {
+                return candidate.is_excluded || candidate.is_probing;
+            });
+        };
+        section("second servers answer with status 404",
+                [&] { CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{0}, std::ptrdiff_t{count_suspected_after(404)}); });
+        section("second servers answer with status 500",
+                [&] { CPPUNIT_ASSERT(count_suspected_after(500) > 0); });
+    }
+
     void is_true_about_execution()
     {
         section("the first server refuses while the second may run it, and that is lost: not 'not run'", [] {
