Hedging: a second attempt goes only to an unused slot of a server not suspected to be down

Cause: the check for "another server has a free slot" also took the place in the queue of a plain server whose slots were all in use, and, as a last resort meant for requests that have no other, servers suspected to be down. The proof "no other server has a free slot" removed the other server, so it did not show this.

Change: second attempts ask for a spare slot: untried, not excluded, not under probe, used by nobody. If such a server is there, placement may still prefer one under probe that is idle. The old proof stays under the name of what it shows, and two are added.

Measured: hedge_tests red before (a second call to the full server; with that mended, one to the suspected server), 6 of 6 green after; attempt_tests 2, small_host_tests 3, gateway_tests 25 green. Other test targets were not run.

--- a/src/gateway/internal/request_forwarder.cpp
+++ b/src/gateway/internal/request_forwarder.cpp
@@ -1037,7 +1037,7 @@
     slot.tried_server_ids.push_back(this->server->id);
     const auto situation = this->make_hedge_situation();
     auto verdict = hedge_verdict::servers_busy;
-    if (this->context.scheduler.has_free_slot(slot)) {
+    if (this->context.scheduler.has_spare_slot(slot)) {
         verdict = this->context.hedges.decide(this->routed.chosen_route->name, situation);
     }
     if (verdict == hedge_verdict::hedge && this->try_spend_retry("hedge")) {
--- a/src/gateway/internal/request_scheduler.cpp
+++ b/src/gateway/internal/request_scheduler.cpp
@@ -234,7 +234,7 @@
 
 std::optional<slot_grant> request_scheduler::try_take_slot(const slot_request& request)
 {
-    if (this->is_work_waiting(request.service)) {
+    if (this->is_work_waiting(request.service) || !this->has_spare_slot(request)) {
         return std::nullopt;
     }
     std::vector<placement_candidate> candidates;
@@ -254,6 +254,16 @@
     return this->choose(request, candidates).has_value();
 }
 
+bool request_scheduler::has_spare_slot(const slot_request& request) const
+{
+    const auto candidates =
+        this->pool.candidates(request.service, request.prompt.prefix_key, request.tried_server_ids);
+    return std::ranges::any_of(candidates, [](const auto& candidate) {
+        return !candidate.was_tried && !candidate.is_excluded && !candidate.is_probing &&
+               candidate.local_running + candidate.peer_running < candidate.server->slots;
+    });
+}
+
 void request_scheduler::cancel(std::uint64_t ticket)
 {
     const auto found = this->queued_requests.find(ticket);
--- a/src/gateway/request_scheduler.h
+++ b/src/gateway/request_scheduler.h
@@ -79,8 +79,8 @@
     // start has passed. Returns a ticket for `cancel`.
     std::uint64_t request_slot(const slot_request& request, const std::shared_ptr<slot_listener>& listener);
 
-    // Takes a slot for a request that is not worth waiting for, if one is free and nothing waits for it. It
-    // counts like a granted one.
+    // Takes a slot for a request that is not worth waiting for, if a spare one is there and nothing waits for
+    // it. It counts like a granted one.
     std::optional<slot_grant> try_take_slot(const slot_request& request);
 
     // Returns whether a request of the service waits for a slot.
@@ -92,6 +92,11 @@
     // Returns whether a request would be granted a slot now, regardless of the queues.
     bool has_free_slot(const slot_request& request);
 
+    // Returns whether a server that was not tried and is not suspected to be down has a slot that nobody
+    // uses. Unlike a free slot, it is neither a place in the queue of a plain server nor on a server of last
+    // resort.
+    bool has_spare_slot(const slot_request& request) const;
+
     // Release a slot, or the pending prefill tokens of a prompt, and grant slots to queued requests.
     void release_slot(const slot_request& request, const std::string& server_id);
     void release_prefill(const std::string& service, const std::string& server_id, std::uint32_t tokens);
--- a/src/gateway/tests/hedge_tests.cpp
+++ b/src/gateway/tests/hedge_tests.cpp
@@ -246,10 +246,24 @@
             CPPUNIT_ASSERT_EQUAL(std::size_t{1},
                                  count_calls([](auto& fixture) { fixture.hedges.set_policy({}); }));
         });
-        section("no other server has a free slot", [&] {
+        section("there is no other server", [&] {
             CPPUNIT_ASSERT_EQUAL(std::size_t{1},
                                  count_calls([](auto& fixture) { fixture.remove_server("b"); }));
         });
+        section("the other server has no free slot, though most of the service's are free", [&] {
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, count_calls([](auto& fixture) {
+                                     fixture.add_server("a", engine_role::none, 20);
+                                     fixture.pool.begin_request("b", false);
+                                     fixture.pool.begin_request("b", false);
+                                 }));
+        });
+        section("the other server is suspected to be down", [&] {
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, count_calls([](auto& fixture) {
+                                     fixture.add_server("a", engine_role::none, 20);
+                                     fixture.pool.record_outcome("b", server_outcome::unresponsive);
+                                     fixture.pool.record_outcome("b", server_outcome::unresponsive);
+                                 }));
+        });
         section("the retry budget is needed for failures", [&] {
             CPPUNIT_ASSERT_EQUAL(std::size_t{1}, count_calls([](auto& fixture) {
                                      while (fixture.retries.try_spend("desk")) {
