--- a/src/gateway/internal/request_forwarder.cpp
+++ b/src/gateway/internal/request_forwarder.cpp
@@ -1037,7 +1037,7 @@
     slot.tried_server_ids.push_back(this->server->id);
     const auto situation = this->make_hedge_situation();
     auto verdict = hedge_verdict::servers_busy;
-    if (this->context.scheduler.has_free_slot(slot)) {
+    if (this->context.scheduler.has_spare_slot(slot)) {
         verdict = this->context.hedges.decide(this->routed.chosen_route->name, situation);
     }
     if (verdict == hedge_verdict::hedge && this->try_spend_retry("hedge")) {
@@ -1073,7 +1073,7 @@
     this->context.metrics.increment_counter("tanager_hedges_total");
     this->log.write_hedge_sent(granted.server->id, this->context.time.now() - this->attempt_sent_at);
     const auto attempt = this->make_attempt_options(*granted.server);
-    this->hedge->start(attempt, this->make_call_options(attempt, max_connection_idle));
+    this->hedge->start(attempt, this->make_call_options(attempt, max_connection_idle), connect_timeout);
 }
 
 void request_forwarder::on_hedge_answered(const response_info& head,
