Keys: a store that has come back from a copy proves nothing for 3 s

Cause: the first list of a new era, and answers and confirmations in it, extended current_as_of at once. The copy may lack the configuration that took a key away until the operator writes it again, so gateways that had not seen that configuration went on vouching for the key. Besides, a list clears changes that peers passed on and that the watcher was not given, but the time at which those had been confirmed stayed, and counted with the list or the next delivery, in the same era too.

Change: feed_tracker notes when it first learns of a later era than that of its first list, from the store or a peer, and counts only questions asked rewrite_grace (3 s: entries are back within about two seconds) or more after that. A list resets what was confirmed to what was given.

--- a/src/relay/feed_tracker.h
+++ b/src/relay/feed_tracker.h
@@ -60,7 +60,9 @@
     duration confirmation_age() const;
 
     // Returns the latest time at which the store, asked by any gateway, certainly had nothing newer than what
-    // the watcher has been given; nothing before the first response.
+    // the watcher has been given; nothing before the first response. In an era that began while the feed was
+    // followed, only questions count that were asked a grace time after this gateway learnt of it: until then
+    // the store may lack what it had before.
     std::optional<time_point> current_as_of() const;
 
     // Returns whether changes are known to be missing, and did not follow within a grace time.
@@ -82,6 +84,7 @@
     };
 
     bool apply(const object_listing& changes);
+    void note_era(std::uint64_t era);
     void extend_currency(std::optional<time_point> asked_at);
     void note_required(std::uint64_t revision, time_point missing_since);
 
@@ -94,6 +97,8 @@
     time_point confirmed_at;
     std::optional<time_point> known_current_at; // the time of asking that confirmed what is known
     std::optional<time_point> given_current_at; // and what the watcher has been given
+    std::uint64_t newest_era = 0;               // that the store or a peer has stated
+    std::optional<time_point> era_began_at;     // as learnt here; unset in the era of the first list
     std::optional<store_response> last_response;
 };
 
--- a/src/relay/internal/feed_tracker.cpp
+++ b/src/relay/internal/feed_tracker.cpp
@@ -13,6 +13,10 @@
 // on.
 constexpr std::chrono::milliseconds missing_changes_grace{300};
 
+// A copy may lack the configuration that took a key away. Operators and servers write again what it lacks,
+// and entries are back within about two seconds of the store's return; one second is kept for slow writes.
+constexpr std::chrono::seconds rewrite_grace{3};
+
 // Stands for an unknown time of asking.
 constexpr std::chrono::hours max_asked_age{24};
 
@@ -31,6 +35,13 @@
 void feed_tracker::record_snapshot(std::uint64_t revision, std::optional<time_point> asked_at)
 {
     const auto now = this->time.now();
+    if (this->last_response) {
+        this->note_era(era_of(revision));
+    } else {
+        this->newest_era = era_of(revision);
+    }
+    // What peers have passed on, and was not given to the watcher, may be missing in the list.
+    this->known_current_at = this->given_current_at;
     this->known = revision;
     this->last_change = revision;
     this->new_objects.clear();
@@ -124,14 +135,28 @@
     if (!asked_at || this->required > this->known) {
         return;
     }
+    if (this->era_began_at && *asked_at - *this->era_began_at < rewrite_grace) {
+        return;
+    }
     this->known_current_at = std::max(this->known_current_at.value_or(*asked_at), *asked_at);
     if (this->new_objects.empty()) {
         this->given_current_at = this->known_current_at;
     }
 }
 
+void feed_tracker::note_era(std::uint64_t era)
+{
+    if (era > this->newest_era) {
+        this->newest_era = era;
+        this->era_began_at = this->time.now();
+    }
+}
+
 void feed_tracker::note_required(std::uint64_t revision, time_point missing_since)
 {
+    if (this->last_response) {
+        this->note_era(era_of(revision));
+    }
     this->required = std::max(this->required, revision);
     if (this->required <= this->known) {
         this->missing_since.reset();
--- a/src/relay/tests/feed_currency_tests.cpp
+++ b/src/relay/tests/feed_currency_tests.cpp
@@ -2,8 +2,10 @@
 // and of the host itself.
 #include "base/mocks/manual_clock.h"
 #include "base/mocks/seeded_random.h"
+#include "relay/feed_tracker.h"
 #include "relay/watch_relay.h"
 #include "store/mocks/watch_only_store.h"
+#include "store/types/fencing_token.h"
 #include "testing/section.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -112,6 +114,8 @@
     CPPUNIT_TEST(takes_confirmations_of_peers_by_their_source);
     CPPUNIT_TEST(counts_only_what_the_watcher_was_given);
     CPPUNIT_TEST(survives_standstills);
+    CPPUNIT_TEST(waits_for_writes_that_a_copy_lacks);
+    CPPUNIT_TEST(counts_no_changes_that_a_list_took_back);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -243,6 +247,79 @@
             });
         });
     }
+
+    void waits_for_writes_that_a_copy_lacks()
+    {
+        manual_clock time;
+        section("the store comes back in era 1, from a copy without the latest writes", [&] {
+            feed_tracker tracker{time};
+            tracker.record_snapshot(10, time.now());
+            const auto proven_at = time.now();
+            time.advance(1s);
+            tracker.record_confirmation({0, fencing_token(1, 9), fencing_token(1, 9), 0ms, 0ms});
+            time.advance(500ms);
+            tracker.record_snapshot(fencing_token(1, 9), time.now());
+            section("its list proves nothing", [&] { CPPUNIT_ASSERT(tracker.current_as_of() == proven_at); });
+            time.advance(2'490ms); // 2.99 s after the era was first heard of
+            section("nor do answers and confirmations to early questions, whenever they arrive", [&] {
+                const auto asked_at = time.now();
+                tracker.record_store_changes({fencing_token(1, 9), fencing_token(1, 9), false, {}}, asked_at);
+                tracker.record_confirmation({0, fencing_token(1, 9), fencing_token(1, 9), 0ms, 0ms});
+                time.advance(1s);
+                tracker.record_store_changes({fencing_token(1, 9), fencing_token(1, 9), false, {}}, asked_at);
+                tracker.record_confirmation({0, fencing_token(1, 9), fencing_token(1, 9), 0ms, 1s});
+                tracker.take_new_changes(fencing_token(1, 9));
+                CPPUNIT_ASSERT(tracker.current_as_of() == proven_at);
+            });
+            section("a peer's later question does", [&] {
+                tracker.record_confirmation({0, fencing_token(1, 9), fencing_token(1, 9), 0ms, 990ms});
+                CPPUNIT_ASSERT(tracker.current_as_of() == time.now() - 990ms);
+            });
+            section("so does this gateway's", [&] {
+                tracker.record_store_changes({fencing_token(1, 9), fencing_token(1, 9), false, {}},
+                                             time.now());
+                CPPUNIT_ASSERT(tracker.current_as_of() == time.now());
+            });
+            section("the next era waits as long", [&] {
+                const auto proven_in_era_1 = time.now();
+                time.advance(10s);
+                tracker.record_snapshot(fencing_token(2, 8), time.now());
+                CPPUNIT_ASSERT(tracker.current_as_of() == proven_in_era_1);
+                time.advance(3s);
+                tracker.record_snapshot(fencing_token(2, 8), time.now());
+                CPPUNIT_ASSERT(tracker.current_as_of() == time.now());
+            });
+        });
+        section("a process that starts in era 2 cannot know how new it is, and does not wait", [&] {
+            feed_tracker tracker{time};
+            tracker.record_confirmation({0, fencing_token(2, 8), fencing_token(2, 8), 0ms, 0ms});
+            tracker.record_snapshot(fencing_token(2, 8), time.now());
+            CPPUNIT_ASSERT(tracker.current_as_of() == time.now());
+        });
+    }
+
+    void counts_no_changes_that_a_list_took_back()
+    {
+        for (const auto listed : {std::uint64_t{10}, fencing_token(1, 9)}) {
+            manual_clock time;
+            feed_tracker tracker{time};
+            tracker.record_snapshot(10, time.now());
+            const auto proven_at = time.now();
+            time.advance(100ms);
+            const auto asked_at = time.now();
+            section("a change is passed on and confirmed, but not given to the watcher", [&] {
+                time.advance(100ms);
+                tracker.record_peer_changes({10, 12, false, {{"rules/a", 12, false, "1"}}});
+                tracker.record_confirmation({0, 12, 12, 0ms, 0ms});
+                CPPUNIT_ASSERT(tracker.current_as_of() == proven_at);
+            });
+            section("a list without it arrives", [&] {
+                tracker.record_snapshot(listed, asked_at);
+                tracker.take_new_changes(listed);
+                CPPUNIT_ASSERT(*tracker.current_as_of() <= asked_at);
+            });
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(feed_currency_tests);
