Counts of a gateway that stops reach the others until its end; times in messages are bounded

Cause: a gateway takes requests for 2.5 s and more after it was told to stop. It is removed from the list of gateways at once, so the others stop reporting and announcing to it, and after 2 s it knew no receivers: counts of requests that began later were dropped, also by the last flush. Besides, a time in a usage message could be up to 2^50 ms, which overflows nanoseconds in 63 bits. Change: while it leaves, a gateway that hears less than half of the others goes on with those that it knew when it was told to stop. Times are bounded by 2^42 ms (year 2109).

--- a/src/duties/internal/usage_messages.cpp
+++ b/src/duties/internal/usage_messages.cpp
@@ -9,7 +9,8 @@
 constexpr std::uint64_t codec_version = 1;
 // The shortest encoding of an entry: two numbers and the length of a name.
 constexpr std::size_t min_entry_bytes = 3;
-constexpr std::uint64_t max_time_milliseconds = std::uint64_t{1} << 50U;
+// In the year 2109. Clocks count nanoseconds in 63 bits, and differences of two times are taken.
+constexpr std::uint64_t max_time_milliseconds = std::uint64_t{1} << 42U;
 
 void write_sender(byte_writer& writer, const usage_sender& sender)
 {
--- a/src/duties/internal/usage_reporter.cpp
+++ b/src/duties/internal/usage_reporter.cpp
@@ -133,8 +133,7 @@
 
     void check()
     {
-        auto peers = this->channel.live_gateways();
-        std::ranges::sort(peers);
+        const auto peers = this->sorted_peers();
         this->owner->check(peers);
         this->update_receivers(peers);
         const auto now = this->time.now();
@@ -153,6 +152,18 @@
         this->work();
     }
 
+    // The others stop reporting to a gateway that leaves, which takes requests for some time still. It goes
+    // on with those that it knew when most seem to have gone.
+    std::vector<std::string> sorted_peers() const
+    {
+        auto peers = this->channel.live_gateways();
+        if (this->is_leaving && 2 * peers.size() < this->peers_at_leave.size()) {
+            return this->peers_at_leave;
+        }
+        std::ranges::sort(peers);
+        return peers;
+    }
+
     // Two other gateways hold the counts, or one if this one is among those who may report them: the holder,
     // or the last one while there is none and it lives, and the first gateways by name, who would follow it.
     void update_receivers(const std::vector<std::string>& sorted_peers)
@@ -447,10 +458,9 @@
             this->announce(true);
         }
         this->owner->resign();
+        this->peers_at_leave = this->sorted_peers();
         this->is_leaving = true;
-        auto peers = this->channel.live_gateways();
-        std::ranges::sort(peers);
-        this->update_receivers(peers);
+        this->update_receivers(this->peers_at_leave);
         this->send_counts();
         this->hand_over_ledger();
     }
@@ -477,6 +487,7 @@
     time_point retry_at;
     bool is_call_in_flight = false;
     bool is_leaving = false;
+    std::vector<std::string> peers_at_leave;
     int refusals = 0; // of the first unsent window
 };
 
--- a/src/duties/tests/duties_tests.cpp
+++ b/src/duties/tests/duties_tests.cpp
@@ -88,6 +88,7 @@
     usage_reporter reporter;
     std::size_t answered_calls = 0;
     bool is_frozen = false;
+    bool is_unlisted = false; // it has left: the others no longer send it anything
 };
 
 // Gateways that share a store and a platform. Messages arrive at once unless their receiver is frozen.
@@ -211,7 +212,8 @@
 {
     const bool is_lost = this->fleet.loses_messages && this->random.next() % 3 == 0;
     const auto found = this->fleet.gateways.find(receiver);
-    if (!is_lost && found != this->fleet.gateways.end() && !found->second->is_frozen) {
+    if (!is_lost && found != this->fleet.gateways.end() && !found->second->is_frozen &&
+        !found->second->is_unlisted) {
         CPPUNIT_ASSERT(found->second->reporter.receive(message));
     }
 }
@@ -220,7 +222,7 @@
 {
     std::vector<std::string> names;
     for (const auto& [other, member] : this->fleet.gateways) {
-        if (other != this->name) {
+        if (other != this->name && !this->is_unlisted && !member->is_unlisted) {
             names.push_back(other);
         }
     }
@@ -235,6 +237,7 @@
     CPPUNIT_TEST(messages_are_read_back);
     CPPUNIT_TEST(usage_is_reported_once);
     CPPUNIT_TEST(holders_end);
+    CPPUNIT_TEST(a_gateway_that_has_left_takes_requests);
     CPPUNIT_TEST(gateways_stop_while_the_store_is_away);
     CPPUNIT_TEST(the_platform_is_away);
     CPPUNIT_TEST(the_store_comes_back_from_a_copy);
@@ -431,6 +434,17 @@
             }
             CPPUNIT_ASSERT(!decode_usage_message(bytes + "x"));
         }
+        section("a time beyond what clocks can hold is bounded", [&sender] {
+            auto distant = sender;
+            distant.time = wall_time_point::max();
+            const auto bytes = encode_usage_message(usage_acknowledgement{distant, 3});
+            const auto decoded = decode_usage_message(bytes);
+            CPPUNIT_ASSERT(decoded);
+            const auto time = std::get<usage_acknowledgement>(*decoded).sender.time;
+            CPPUNIT_ASSERT(time > sender.time);
+            // Differences of two times are taken.
+            CPPUNIT_ASSERT(time < wall_time_point{wall_time_point::max().time_since_epoch() / 2});
+        });
         const usage_state state{7, {{7, {{"bank", 2}, {"shop", 900}}}}};
         CPPUNIT_ASSERT(decode_usage_state(encode_usage_state(state)) == state);
         CPPUNIT_ASSERT(decode_usage_state("") == usage_state{});
@@ -523,6 +537,28 @@
         });
     }
 
+    void a_gateway_that_has_left_takes_requests()
+    {
+        for (const auto* leaving : {"a", "b", "c"}) {
+            section(std::string{leaving} + " leaves", [leaving] {
+                gateway_fleet fleet(8);
+                for (const auto* name : {"a", "b", "c", "d"}) {
+                    fleet.start(name);
+                }
+                fleet.run(11s);
+                auto& member = *fleet.gateways.at(leaving);
+                member.reporter.leave();
+                member.is_unlisted = true;
+                fleet.run(2'500ms);
+                member.reporter.record_began("bank");
+                member.reporter.flush();
+                fleet.kill(leaving);
+                fleet.run(12s);
+                CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, fleet.sum("bank"));
+            });
+        }
+    }
+
     void gateways_stop_while_the_store_is_away()
     {
         gateway_fleet fleet(7);
