--- a/src/gateway/gateway_setup.cpp
+++ b/src/gateway/gateway_setup.cpp
@@ -517,6 +517,9 @@
         }
         this->update_retry_share(time_between_runs);
         this->report_full_link();
+        // Stale reports cost the other gateways' callers; where organisations share what is short, the small
+        // host's own callers go before them.
+        this->peers->set_spares_link(this->routes.organisations() != nullptr);
         this->pool.rate_speeds();
         this->quarantine.check();
         this->quarantines.check();
--- a/src/net/tests/invalid_response_tests.cpp
+++ b/src/net/tests/invalid_response_tests.cpp
@@ -1,5 +1,6 @@
 #include "net/http_client.h"
 #include "net/mocks/scripted_server.h"
+#include "testing/concatenate.h"
 #include "testing/section.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -10,6 +11,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+using testing::concatenate;
 using testing::section;
 
 using fetch_outcome = tl::expected<http_response, http_failure>;
@@ -89,15 +91,15 @@
                                               "HTTP/2.0 200 OK",
                                               "HTTP/11 200 OK",
                                               "200 OK"}) {
-            section("the status line is '" + status_line + "'", [&] {
+            section(concatenate({"the status line is '", status_line, "'"}), [&] {
                 section("as the first line", [&] {
-                    assert_malformed(
-                        fetch_response(status_line + "\r\n" + empty_body, connection_end::stays_open));
+                    assert_malformed(fetch_response(concatenate({status_line, "\r\n", empty_body}),
+                                                    connection_end::stays_open));
                 });
                 section("after an interim response", [&] {
-                    assert_malformed(
-                        fetch_response("HTTP/1.1 100 Continue\r\n\r\n" + status_line + "\r\n" + empty_body,
-                                       connection_end::stays_open));
+                    assert_malformed(fetch_response(
+                        concatenate({"HTTP/1.1 100 Continue\r\n\r\n", status_line, "\r\n", empty_body}),
+                        connection_end::stays_open));
                 });
                 section("in the second response of a connection", [&] {
                     const auto loop = std::move(*event_loop::create());
@@ -105,7 +107,7 @@
                         *loop, "HTTP/1.1 200 OK\r\n" + empty_body, connection_end::stays_open);
                     const auto client = http_client::create(*loop);
                     assert_status(200, fetch_from(*loop, *client, server, "first"));
-                    server.set_response(status_line + "\r\n" + empty_body);
+                    server.set_response(concatenate({status_line, "\r\n", empty_body}));
                     assert_malformed(fetch_from(*loop, *client, server, "second"));
                 });
             });
@@ -117,13 +119,18 @@
         for (const int status : {200, 299, 404, 421, 503, 599}) {
             for (const std::string version : {"HTTP/1.1 ", "HTTP/1.0 "}) {
                 for (const std::string reason : {" A reason", " ", ""}) {
-                    const auto head = version + std::to_string(status) + reason + "\r\n";
-                    section("the status line is '" + version + std::to_string(status) + reason + "'", [&] {
-                        assert_status(status, fetch_response(head + empty_body, connection_end::stays_open));
-                        assert_status(status,
-                                      fetch_response("HTTP/1.1 100 Continue\r\n\r\n" + head + empty_body,
-                                                     connection_end::stays_open));
-                    });
+                    const auto head = concatenate({version, std::to_string(status), reason, "\r\n"});
+                    section(
+                        concatenate({"the status line is '", version, std::to_string(status), reason, "'"}),
+                        [&] {
+                            assert_status(status,
+                                          fetch_response(head + empty_body, connection_end::stays_open));
+                            assert_status(
+                                status,
+                                fetch_response(
+                                    concatenate({"HTTP/1.1 100 Continue\r\n\r\n", head, empty_body}),
+                                    connection_end::stays_open));
+                        });
                 }
             }
         }
@@ -135,13 +142,13 @@
         const std::string event = "id: 1\ndata: x\n\n";
         for (const std::string header :
              {"", "Connection: close\r\n", "Content-Type: text/event-stream\r\n"}) {
-            const auto head = "HTTP/1.1 200 OK\r\n" + header + "\r\n";
+            const auto head = concatenate({"HTTP/1.1 200 OK\r\n", header, "\r\n"});
             for (const auto& body : {std::string{}, std::string{"x"}, event, std::string(many_bytes, 'x')}) {
-                section("200 with '" + header + "' and " + std::to_string(body.size()) + " bytes", [&] {
-                    CPPUNIT_ASSERT(!fetch_response(head + body, connection_end::resets, upload));
-                });
+                section(
+                    concatenate({"200 with '", header, "' and ", std::to_string(body.size()), " bytes"}),
+                    [&] { CPPUNIT_ASSERT(!fetch_response(head + body, connection_end::resets, upload)); });
             }
-            section("200 with '" + header + "' in chunks, without the last one", [&] {
+            section(concatenate({"200 with '", header, "' in chunks, without the last one"}), [&] {
                 const auto chunks =
                     "HTTP/1.1 200 OK\r\n" + header + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n";
                 CPPUNIT_ASSERT(!fetch_response(chunks, connection_end::resets, upload));
--- a/src/peers/internal/peer_exchange.cpp
+++ b/src/peers/internal/peer_exchange.cpp
@@ -117,6 +117,11 @@
         return 2 * std::max(this->interval(), this->received_loads.longest_report_interval()) + transit_time;
     }
 
+    void set_spares_link(bool new_spares_link) override
+    {
+        this->spares_link = new_spares_link;
+    }
+
     void mark_load_changed() override
     {
         this->is_load_changed = true;
@@ -198,8 +203,9 @@
 
     duration interval() const
     {
-        return min_time_between_reports(this->peers.size(),
-                                        this->link.estimate_send_delay(this->last_report_bytes).own);
+        const auto transmission_time =
+            this->spares_link ? this->link.estimate_send_delay(this->last_report_bytes).own : duration{0};
+        return min_time_between_reports(this->peers.size(), transmission_time);
     }
 
     std::string own_name() const
@@ -446,6 +452,7 @@
     bool is_list_known = false;
     bool is_load_changed = false;
     bool is_leaving = false;
+    bool spares_link = false;
     bool is_watcher = true;
     time_point elected_at;
     time_point reported_at;
--- a/src/peers/peer_exchange.h
+++ b/src/peers/peer_exchange.h
@@ -70,6 +70,9 @@
     // Marks the load as changed; a report follows within the report interval.
     virtual void mark_load_changed() = 0;
 
+    // Sets whether reports are sent less often from a host with a slow link, to leave that to requests.
+    virtual void set_spares_link(bool spares_link) = 0;
+
     // Reports to the peers that this gateway is changing the roles of these engines, and of no others.
     virtual void announce_role_changes(const std::vector<std::string>& server_ids) = 0;
 
