--- a/src/fleet/types/server_speed.h
+++ b/src/fleet/types/server_speed.h
@@ -11,7 +11,7 @@
 enum class decode_speed {
     suitable, // its events keep the gap objective, noise included, and no engine is much faster
     slower,   // its events keep the gap objective, noise included, but others are much faster
-    unknown,  // not measured lately, while other engines are known to differ
+    unknown,  // without recent events, while other engines are known to differ
     too_slow  // its events exceed the gap objective, noise included
 };
 
