--- a/src/gateway/tests/hedge_tests.cpp
+++ b/src/gateway/tests/hedge_tests.cpp
@@ -100,6 +100,21 @@
             fixture.call(1).respond(200, signed_response, "second");
             CPPUNIT_ASSERT_EQUAL(std::string{"second"}, exchange->sent_response.body);
         });
+        section("the deadline passes: both calls are cancelled", [] {
+            hedging_fixture fixture;
+            const auto exchange = fixture.send(200ms);
+            fixture.wait_for_hedge();
+            CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.client.calls.size());
+            const auto end = std::chrono::steady_clock::now() + 2s;
+            while (!exchange->is_finished && std::chrono::steady_clock::now() < end) {
+                const auto timer = fixture.loop->run_after(5ms, [] {});
+                fixture.loop->run_once();
+            }
+            CPPUNIT_ASSERT_EQUAL(504, exchange->sent_response.status);
+            CPPUNIT_ASSERT(fixture.call(0).is_cancelled);
+            CPPUNIT_ASSERT(fixture.call(1).is_cancelled);
+            CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, fixture.used_slots());
+        });
         section("the caller leaves: both calls are cancelled at once", [] {
             hedging_fixture fixture;
             const auto exchange = fixture.send_hedged();
