Hedging: no second attempt once the caller's key has been taken away

Cause: the check before a second attempt was that of retries, which lets a request go on that may have run.

Change: the second attempt asks whether the caller is admitted now. Retries keep their rule.

--- a/src/gateway/internal/request_forwarder.cpp
+++ b/src/gateway/internal/request_forwarder.cpp
@@ -185,19 +185,27 @@
     return this->context.quarantine.find_quarantine(this->routed.request.traits);
 }
 
-// Identifies the caller again before an attempt, since the configuration may have changed, and returns why it
-// is no longer admitted. A request that may have run goes on: its caller was admitted when it came.
-std::optional<error> request_forwarder::find_refusal()
+// Identifies the caller again, since the configuration may have changed, and returns why it is no longer
+// admitted.
+std::optional<error> request_forwarder::identify_again()
 {
     auto caller = this->context.callers.identify(
         this->routed.exchange->request(), *this->routed.chosen_route, this->routed.identified);
-    if (caller) {
-        this->routed.caller = std::move(*caller);
-        this->routed.organisation = this->routed.caller ? this->routed.caller->organisation : std::string{};
-        return std::nullopt;
+    if (!caller) {
+        return caller.error();
     }
+    this->routed.caller = std::move(*caller);
+    this->routed.organisation = this->routed.caller ? this->routed.caller->organisation : std::string{};
+    return std::nullopt;
+}
+
+// Returns why a request must not be sent to a server. One that may have run goes on: its caller was admitted
+// when it came.
+std::optional<error> request_forwarder::find_refusal()
+{
+    const auto refusal = this->identify_again();
     const bool goes_on = this->may_have_executed() && this->routed.caller;
-    return goes_on ? std::nullopt : std::optional{caller.error()};
+    return goes_on ? std::nullopt : refusal;
 }
 
 // Ends a request without an active attempt whose caller is no longer admitted.
@@ -1030,7 +1038,7 @@
 {
     const bool is_waiting =
         this->state == request_state::sent && this->call != nullptr && this->response.status == 0;
-    if (!is_waiting || this->hedge != nullptr || this->find_quarantine() || this->find_refusal()) {
+    if (!is_waiting || this->hedge != nullptr || this->find_quarantine() || this->identify_again()) {
         return;
     }
     auto slot = this->make_slot_request(this->context.time.now());
--- a/src/gateway/internal/request_forwarder.h
+++ b/src/gateway/internal/request_forwarder.h
@@ -157,6 +157,7 @@
     void record_organisation(std::string_view outcome, int status);
     bool may_have_executed() const;
     std::optional<quarantine_verdict> find_quarantine() const;
+    std::optional<error> identify_again();
     std::optional<error> find_refusal();
     void end_refused(const error& cause);
     void end_quarantined(const quarantine_verdict& verdict);
--- a/src/gateway/tests/hedge_tests.cpp
+++ b/src/gateway/tests/hedge_tests.cpp
@@ -49,6 +49,14 @@
         return exchange;
     }
 
+    void configure(std::uint64_t version, std::vector<organisation> organisations)
+    {
+        route_table table;
+        table.version = version;
+        table.organisations = organisation_list{std::move(organisations), {}};
+        CPPUNIT_ASSERT(this->routes.apply(std::move(table)));
+    }
+
     std::uint32_t used_slots()
     {
         return this->scheduler.slot_usage_of("desk").local_running;
@@ -279,6 +287,22 @@
                                      fixture.pool.record_outcome("b", server_outcome::unresponsive);
                                  }));
         });
+        section("the key of the caller", [] {
+            for (const bool is_taken_away : {false, true}) {
+                section(is_taken_away ? "has been taken away meanwhile" : "is still known", [&] {
+                    hedging_fixture fixture;
+                    const organisation bank{"bank", {}, {digest_of_key("k1")}};
+                    fixture.configure(1, {bank});
+                    fixture.key = "k1";
+                    fixture.send();
+                    if (is_taken_away) {
+                        fixture.configure(2, {});
+                    }
+                    fixture.wait_for_hedge();
+                    CPPUNIT_ASSERT_EQUAL(std::size_t{is_taken_away ? 1U : 2U}, fixture.client.calls.size());
+                });
+            }
+        });
         section("the retry budget is needed for failures", [&] {
             CPPUNIT_ASSERT_EQUAL(std::size_t{1}, count_calls([](auto& fixture) {
                                      while (fixture.retries.try_spend("desk")) {
