Test with processes: keys after the store's return from a copy

Two gateways, revocation_ms 2000: after the return, keys get 503, no request with the key that was taken away is served, and the other key is admitted again no sooner than 3 s after the return.

--- a/tests/tests/caller_key_tests.cpp
+++ b/tests/tests/caller_key_tests.cpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cppunit/extensions/HelperMacros.h>
+#include <thread>
 
 namespace tanager::testing {
 
@@ -98,6 +99,7 @@
 class caller_key_tests : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(caller_key_tests);
     CPPUNIT_TEST(servers_learn_organisations_and_no_keys);
+    CPPUNIT_TEST(fails_closed_after_a_return_from_a_copy);
     CPPUNIT_TEST(fails_closed_while_the_store_is_away);
     CPPUNIT_TEST_SUITE_END();
 
@@ -143,6 +145,37 @@
         });
     }
 
+    void fails_closed_after_a_return_from_a_copy()
+    {
+        constexpr auto rewrite_grace = 3s;
+        key_fixture fixture("fail_closed = true\nrevocation_ms = 2000\n");
+        section("a key is taken away, and the store comes back from a copy that has it", [&] {
+            const auto copied_at = std::chrono::steady_clock::now();
+            std::this_thread::sleep_for(100ms);
+            fixture.configure(3, {"k2"});
+            const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+                std::chrono::steady_clock::now() - copied_at);
+            const auto restored_at = std::chrono::steady_clock::now();
+            fixture.set_fault(fixture.group.store_address, "restore_ms=" + std::to_string(age.count()));
+            section("keys become uncertain, and are admitted again after the operator's time to write", [&] {
+                for (const auto* const host : {"g0", "g1"}) {
+                    while (fixture.fetch(host, "/order/1", "Token k2").status != status_unavailable) {
+                        CPPUNIT_ASSERT(fixture.fetch(host, "/order/1").status != status_ok);
+                    }
+                }
+                for (const auto* const host : {"g0", "g1"}) {
+                    while (fixture.fetch(host, "/order/1", "Token k2").status != status_ok) {
+                        CPPUNIT_ASSERT(fixture.fetch(host, "/order/1").status != status_ok);
+                    }
+                    CPPUNIT_ASSERT(std::chrono::steady_clock::now() - restored_at > rewrite_grace);
+                }
+            });
+            section("the key stays away", [&] {
+                CPPUNIT_ASSERT_EQUAL(status_unauthorized, fixture.fetch("g0", "/order/1").status);
+            });
+        });
+    }
+
     void fails_closed_while_the_store_is_away()
     {
         constexpr auto revocation = 2'000ms;
