Pauses for slow callers and resumptions don't count as an engine's event time

Cause: the time before an event was recorded as the engine's, also when the stream had just been resumed elsewhere (the stall of the earlier engine and the prefill counted for the new one), or when reading was paused as the caller took nothing. Peers take such times over, so slow callers could make engines count as too slow everywhere. Change: the first event of a resumed attempt and the one after a pause are not recorded.

--- a/src/gateway/internal/request_forwarder.cpp
+++ b/src/gateway/internal/request_forwarder.cpp
@@ -783,8 +783,15 @@
             this->context.servers.record_event_gap(
                 *this->server, (now - this->last_event_at) / gap_objective, this->used_timeout_ratio());
         }
-        this->context.servers.record_event_time(*this->server, count, now - this->last_event_at);
+        // The first event after a resumption, or after a pause for the caller, tells nothing about the
+        // server.
+        const bool is_first_of_attempt =
+            this->events.event_count() == this->events_of_earlier_attempts + count;
+        if (!is_first_of_attempt && !this->was_paused) {
+            this->context.servers.record_event_time(*this->server, count, now - this->last_event_at);
+        }
     }
+    this->was_paused = false;
     this->last_event_at = now;
     if (this->state != request_state::responding) {
         this->record_began();
@@ -803,6 +810,7 @@
     this->routed.exchange->write(complete_events);
     this->start_idle_timeout();
     if (this->routed.exchange->unsent_bytes() > max_unsent_bytes && this->call != nullptr) {
+        this->was_paused = true;
         this->call->pause();
     }
 }
--- a/src/gateway/internal/request_forwarder.h
+++ b/src/gateway/internal/request_forwarder.h
@@ -214,6 +214,7 @@
     duration queue_time{0};
     duration time_to_first_event{0};
     time_point last_event_at;
+    bool was_paused = false;  // since the last event, as the caller took nothing
     time_point waiting_since; // for the next bytes of the current attempt
     time_point attempt_sent_at;
     duration max_event_gap{0};
