The lease of a duty is a second at least

Cause: roles order_lease_ms may be 0 or a few milliseconds. Then every check looked like a standstill, no gateway ever took the duty, no usage was reported, and nothing said so. Change: the reporter takes a lease of a second at least. A longer one than set is as safe. Measured: duties_tests, the new test failed before (0 of 1 requests reported); 12 of 12 pass.

--- a/src/duties/internal/usage_reporter.cpp
+++ b/src/duties/internal/usage_reporter.cpp
@@ -24,6 +24,8 @@
 constexpr int max_settling_divisor = 2;
 // Windows that are kept while the store or the platform is away; a minute with windows of five seconds.
 constexpr window_number max_open_windows = 12;
+// A shorter lease leaves no time to confirm the holder and to call; a longer one than set is as safe.
+constexpr std::chrono::milliseconds min_lease{1'000};
 // A call takes up to twice its timeout, and has to end before the lease does.
 constexpr int call_timeout_lease_divisor = 3;
 constexpr std::chrono::milliseconds retry_delay{1'000};
@@ -40,6 +42,12 @@
     return std::to_string(number);
 }
 
+usage_settings with_usable_lease(usage_settings settings)
+{
+    settings.duty.lease = std::max(settings.duty.lease, min_lease);
+    return settings;
+}
+
 } // namespace
 
 struct usage_reporter::reporter_state : std::enable_shared_from_this<usage_reporter::reporter_state> {
@@ -57,7 +65,7 @@
           codec(codec),
           channel(channel),
           metrics(metrics),
-          settings(settings),
+          settings(with_usable_lease(settings)),
           instance(std::max<std::uint64_t>(1, random.next())),
           truth(time,
                 std::chrono::duration_cast<duration>(settings.windows.length * settings.windows.tolerance))
--- a/src/duties/tests/duties_tests.cpp
+++ b/src/duties/tests/duties_tests.cpp
@@ -182,6 +182,7 @@
     std::map<std::string, std::unique_ptr<gateway>> gateways;
     std::vector<platform_call> calls;
     int platform_status = status_ok;
+    std::chrono::milliseconds lease_setting = lease; // of gateways that are started
     bool loses_messages = false;
 };
 
@@ -197,7 +198,7 @@
                *this,
                this->metrics,
                this->random,
-               {{name, lease}, {"10.0.0.1", 80}, {}, 50})
+               {{name, fleet.lease_setting}, {"10.0.0.1", 80}, {}, 50})
 {
 }
 
@@ -236,6 +237,7 @@
     CPPUNIT_TEST(counts_are_handed_over);
     CPPUNIT_TEST(messages_are_read_back);
     CPPUNIT_TEST(usage_is_reported_once);
+    CPPUNIT_TEST(a_lease_is_too_short_to_act_in);
     CPPUNIT_TEST(holders_end);
     CPPUNIT_TEST(a_gateway_that_has_left_takes_requests);
     CPPUNIT_TEST(gateways_stop_while_the_store_is_away);
@@ -481,6 +483,20 @@
         });
     }
 
+    void a_lease_is_too_short_to_act_in()
+    {
+        gateway_fleet fleet(9);
+        fleet.lease_setting = 0ms;
+        for (const auto* name : {"a", "b"}) {
+            fleet.start(name);
+        }
+        fleet.run(11s);
+        fleet.gateways.at("b")->reporter.record_began("bank");
+        fleet.run(8s);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, fleet.sum("bank"));
+        CPPUNIT_ASSERT(fleet.gateways.at("a")->client.calls.front()->options.timeout > 0ms);
+    }
+
     void holders_end()
     {
         section("the holder is killed after it has fixed a window, before it has sent it", [] {
