Counts of a gateway that started with a time ahead are not lost

Cause: before a new process with a clock ahead knows the time, it counts in windows to come. Others refuse these counts but acknowledge them, so they are never sent again; and when such a window came, what was counted then was added to the old count. Change: when the time is corrected, counts of windows beyond the next one go to the current window. Others have not taken them, so that nothing counts twice. Measured: duties_tests, the new section failed without the move (0 of 1 requests reported); 12 of 12 pass with it.

--- a/src/duties/internal/usage_outbox.cpp
+++ b/src/duties/internal/usage_outbox.cpp
@@ -1,5 +1,7 @@
 #include "duties/usage_outbox.h"
 
+#include <iterator>
+
 namespace tanager {
 
 namespace {
@@ -21,6 +23,20 @@
     }
 }
 
+void usage_outbox::move_later_than(window_number last, window_number target)
+{
+    while (!this->windows.empty() && this->windows.rbegin()->first > last) {
+        const auto later = this->windows.extract(std::prev(this->windows.end()));
+        for (const auto& [organisation, count] : later.mapped()) {
+            this->windows[target][organisation] += count;
+        }
+        for (auto& state : this->receivers) {
+            std::erase_if(state.acknowledged,
+                          [&later](const auto& row) { return row.first.first == later.key(); });
+        }
+    }
+}
+
 void usage_outbox::drop_through(window_number window)
 {
     this->windows.erase(this->windows.begin(), this->windows.upper_bound(window));
--- a/src/duties/internal/usage_reporter.cpp
+++ b/src/duties/internal/usage_reporter.cpp
@@ -267,12 +267,15 @@
     {
         const auto before = this->truth.now();
         if (this->truth.agree()) {
-            this->log_time_change(before, this->truth.voters());
+            this->on_time_changed(before, this->truth.voters());
         }
     }
 
-    void log_time_change(wall_time_point before, std::uint64_t voters) const
+    // Receivers with the right time have not taken counts of windows beyond the next one.
+    void on_time_changed(wall_time_point before, std::uint64_t voters)
     {
+        const auto current = this->current_window();
+        this->outbox.move_later_than(current + 1, current);
         const auto change = std::chrono::duration_cast<std::chrono::milliseconds>(this->truth.now() - before);
         write_event(log_event::time_corrected,
                     {{"by_ms", std::to_string(change.count())}, {"gateways", text_of(voters)}});
@@ -454,7 +457,7 @@
         }
         const auto before = this->truth.now();
         if (this->truth.record_agreed(message.sender.time, message.voters)) {
-            this->log_time_change(before, message.voters);
+            this->on_time_changed(before, message.voters);
         }
         this->drop_through(message.fixed_through);
     }
--- a/src/duties/tests/duties_tests.cpp
+++ b/src/duties/tests/duties_tests.cpp
@@ -481,6 +481,15 @@
             CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, fleet.sum("mill"));
             CPPUNIT_ASSERT_EQUAL(std::size_t{5}, fleet.check_calls().size());
         });
+        section("what it counts before it knows the time is not kept for windows to come", [&] {
+            for (const auto* name : {"b", "c"}) { // the holder hears the time of those that count
+                fleet.gateways.at(name)->reporter.record_began("bank");
+            }
+            auto& late = fleet.start("e", 20s);
+            late.reporter.record_began("yard");
+            fleet.run(12s);
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, fleet.sum("yard"));
+        });
     }
 
     void a_lease_is_too_short_to_act_in()
--- a/src/duties/usage_outbox.h
+++ b/src/duties/usage_outbox.h
@@ -30,6 +30,9 @@
 
     void record(window_number window, const std::string& organisation);
 
+    // Counts what was recorded for windows after `last` in window `target` instead: the time was wrong.
+    void move_later_than(window_number last, window_number target);
+
     // Removes the windows up to and including this one, which are fixed.
     void drop_through(window_number window);
 
