--- a/src/duties/internal/usage_reporter.cpp
+++ b/src/duties/internal/usage_reporter.cpp
@@ -24,6 +24,8 @@
 constexpr int max_settling_divisor = 2;
 // Windows that are kept while the store or the platform is away; a minute with windows of five seconds.
 constexpr window_number max_open_windows = 12;
+// A shorter lease leaves no time to confirm the holder and to call; a longer one than set is as safe.
+constexpr std::chrono::milliseconds min_lease{1'000};
 // A call takes up to twice its timeout, and has to end before the lease does.
 constexpr int call_timeout_lease_divisor = 3;
 constexpr std::chrono::milliseconds retry_delay{1'000};
@@ -40,6 +42,12 @@
     return std::to_string(number);
 }
 
+usage_settings with_usable_lease(usage_settings settings)
+{
+    settings.duty.lease = std::max(settings.duty.lease, min_lease);
+    return settings;
+}
+
 } // namespace
 
 struct usage_reporter::reporter_state : std::enable_shared_from_this<usage_reporter::reporter_state> {
@@ -57,7 +65,7 @@
           codec(codec),
           channel(channel),
           metrics(metrics),
-          settings(settings),
+          settings(with_usable_lease(settings)),
           instance(std::max<std::uint64_t>(1, random.next())),
           truth(time,
                 std::chrono::duration_cast<duration>(settings.windows.length * settings.windows.tolerance))
@@ -259,12 +267,15 @@
     {
         const auto before = this->truth.now();
         if (this->truth.agree()) {
-            this->log_time_change(before, this->truth.voters());
+            this->on_time_changed(before, this->truth.voters());
         }
     }
 
-    void log_time_change(wall_time_point before, std::uint64_t voters) const
+    // Receivers with the right time have not taken counts of windows beyond the next one.
+    void on_time_changed(wall_time_point before, std::uint64_t voters)
     {
+        const auto current = this->current_window();
+        this->outbox.move_later_than(current + 1, current);
         const auto change = std::chrono::duration_cast<std::chrono::milliseconds>(this->truth.now() - before);
         write_event(log_event::time_corrected,
                     {{"by_ms", std::to_string(change.count())}, {"gateways", text_of(voters)}});
@@ -446,7 +457,7 @@
         }
         const auto before = this->truth.now();
         if (this->truth.record_agreed(message.sender.time, message.voters)) {
-            this->log_time_change(before, message.voters);
+            this->on_time_changed(before, message.voters);
         }
         this->drop_through(message.fixed_through);
     }
