The stand-in of the store writes again what two returns from a copy in a row have lost

A second return within the delay of the rewrite replaced the list of what the first one had lost, so the operators' write was lost for good, and their next change was made from a configuration without it. The gateways took the newest version, as they should. Change: the stand-in keeps the list until it is written. No check changed.

--- a/standins/site/fake_object_store.cpp
+++ b/standins/site/fake_object_store.cpp
@@ -204,10 +204,9 @@
 {
     const auto now = steady_clock::now();
     this->table = {};
-    std::map<std::string, std::optional<std::string>> lost_values; // by name, as last written
     for (auto& write : std::exchange(this->writes, {})) {
         if (write.at > now - age) {
-            lost_values[write.name] = write.value;
+            this->lost_values[write.name] = write.value;
             continue;
         }
         const auto current = this->table.get(write.name);
@@ -221,8 +220,8 @@
     for (const auto& watch : std::exchange(this->watches, {})) {
         watch.exchange->abort();
     }
-    const auto rewrite = [this, now, lost = std::move(lost_values)] {
-        for (const auto& entry : lost) {
+    const auto rewrite = [this, now] {
+        for (const auto& entry : std::exchange(this->lost_values, {})) {
             const auto& name = entry.first;
             const auto& value = entry.second;
             const bool was_written = std::ranges::any_of(
--- a/standins/site/fake_object_store.h
+++ b/standins/site/fake_object_store.h
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <cstdint>
 #include <list>
+#include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -68,6 +69,8 @@
     std::uint64_t era;
     std::vector<recorded_write> writes;
     steady_clock::time_point away_until;
+    // What was lost and is not written again yet, by name, as last written. It outlasts a further return.
+    std::map<std::string, std::optional<std::string>> lost_values;
     std::unique_ptr<loop_timer> rewrite_timer;
     fault_registry faults;
     versioned_object_table table;
