Stand-in of the store: lists in pages, names of any bytes, and 400 for malformed targets

Cause: the stand-in sent each list on one page and decoded no query, so no test could see what a name does to the call for the next page.

--- a/standins/site/fake_object_store.cpp
+++ b/standins/site/fake_object_store.cpp
@@ -1,6 +1,10 @@
 #include "standins/site/fake_object_store.h"
 
+#include "base/text.h"
+#include "testing/concatenate.h"
+
 #include <algorithm>
+#include <array>
 #include <map>
 #include <utility>
 
@@ -11,6 +15,7 @@
 using nlohmann::json;
 
 constexpr int status_ok = 200;
+constexpr int status_bad_request = 400;
 constexpr int status_not_found = 404;
 constexpr int status_conflict = 409;
 constexpr int status_gone = 410;
@@ -21,11 +26,38 @@
 constexpr std::chrono::milliseconds restore_time{200};
 constexpr std::chrono::milliseconds rewrite_delay{700};
 
-json to_json(const versioned_object& object)
+constexpr std::array<std::string_view, 5> parameters{"after", "watch", "waitMs", "revision", "allowStale"};
+
+bool is_well_formed(const request_target& target)
+{
+    return target.is_valid && std::ranges::all_of(target.query, [](const auto& parameter) {
+               return std::ranges::find(parameters, parameter.first) != parameters.end();
+           });
+}
+
+std::string name_in_kind(const std::string& name)
+{
+    return name.substr(name.find('/') + 1);
+}
+
+// Writes an encoded surrogate, three bytes from `at`, as an escape; any other byte as it is.
+std::string escape_surrogates(const std::string& text)
 {
-    const auto slash = object.name.find('/');
-    return {{"metadata", {{"name", object.name.substr(slash + 1)}, {"revision", object.version}}},
-            {"spec", object.deleted ? json::object() : json::parse(object.value, nullptr, false)}};
+    constexpr unsigned payload = 0x3F;
+    std::string escaped;
+    for (std::size_t at = 0; at < text.size(); ++at) {
+        const auto byte = [&](std::size_t offset) {
+            return at + offset < text.size() ? static_cast<unsigned char>(text[at + offset]) : 0U;
+        };
+        if (byte(0) == 0xED && byte(1) >= 0xA0 && byte(2) >= 0x80) { // NOLINT(*-magic-numbers)
+            const auto unit = 0xD000U + ((byte(1) & payload) << 6U) + (byte(2) & payload); // NOLINT
+            escaped += "\\u" + to_hex(unit).substr(12);                                    // NOLINT
+            at += 2;
+        } else {
+            escaped += text[at];
+        }
+    }
+    return escaped;
 }
 
 // Which objects the operators and backend servers write; the gateways write the others.
@@ -38,18 +70,18 @@
 
 fake_object_store::fake_object_store(event_loop& loop, std::uint64_t era) : loop(loop), era(era) {}
 
-void fake_object_store::send_json(http_exchange& exchange, int status, const json& body) const
+void fake_object_store::send_json(http_exchange& exchange, int status, const std::string& body) const
 {
     http_headers headers{{"Content-Type", "application/json"}};
     if (this->era > 0) {
         headers.push_back({era_header, std::to_string(this->era)});
     }
-    exchange.send_response({status, headers, body.dump()});
+    exchange.send_response({status, headers, body});
 }
 
 void fake_object_store::send_status(http_exchange& exchange, int status) const
 {
-    this->send_json(exchange, status, json::object());
+    this->send_json(exchange, status, "{}");
 }
 
 bool fake_object_store::serve(const std::shared_ptr<http_exchange>& exchange)
@@ -68,6 +100,8 @@
         this->withheld_exchanges.push_back(exchange);
     } else if (this->faults.value("outage") > 0 || steady_clock::now() < this->away_until) {
         this->send_status(*exchange, status_unavailable);
+    } else if (!is_well_formed(target)) {
+        this->send_status(*exchange, status_bad_request);
     } else if (exchange->request().method != "GET") {
         this->serve_write(*exchange, target);
     } else {
@@ -83,31 +117,95 @@
     if (name.find('/') != std::string::npos) {
         const auto object = this->table.get(name);
         this->send_json(
-            *exchange, object ? status_ok : status_not_found, object ? to_json(*object) : json::object());
+            *exchange, object ? status_ok : status_not_found, object ? this->object_text(*object) : "{}");
         return;
     }
     if (target.query.contains("watch")) {
         this->serve_watch(exchange, target);
         return;
     }
-    json items = json::array();
-    for (const auto& object : this->table.list(name + "/")) {
-        items.push_back(to_json(object));
+    this->serve_list(*exchange, target, name + "/");
+}
+
+void fake_object_store::serve_list(http_exchange& exchange,
+                                   const request_target& target,
+                                   const std::string& prefix)
+{
+    const auto page_size = this->faults.value("page_size");
+    const auto after = target.query.find("after");
+    std::string items;
+    std::size_t count = 0;
+    bool has_more = false;
+    for (const auto& object : this->table.list(prefix)) {
+        if (after != target.query.end() && name_in_kind(object.name) <= after->second) {
+            continue;
+        }
+        has_more = page_size > 0 && count == page_size;
+        if (has_more) {
+            break;
+        }
+        items += (count++ == 0 ? "" : ",") + this->object_text(object);
     }
-    this->send_json(*exchange,
+    this->send_json(exchange,
                     status_ok,
-                    {{"items", items}, {"hasMore", false}, {"storeRevision", this->table.revision()}});
+                    testing::concatenate({R"({"items":[)",
+                                          items,
+                                          R"(],"hasMore":)",
+                                          has_more ? "true" : "false",
+                                          R"(,"storeRevision":)",
+                                          std::to_string(this->table.revision()),
+                                          "}"}));
+}
+
+std::string fake_object_store::name_text(const std::string& name) const
+{
+    const bool is_number =
+        !name.empty() && name.find_first_not_of("0123456789") == std::string::npos && name.front() != '0';
+    if (is_number && this->faults.value("numeric_names") > 0) {
+        return name;
+    }
+    std::string text;
+    for (const char byte : name) {
+        const bool is_ascii = static_cast<unsigned char>(byte) < 0x80; // NOLINT(*-magic-numbers)
+        const auto quoted =
+            is_ascii ? json(std::string{byte}).dump() : testing::concatenate({" ", {&byte, 1}, " "});
+        text += quoted.substr(1, quoted.size() - 2);
+    }
+    return '"' + escape_surrogates(text) + '"';
+}
+
+std::string fake_object_store::object_text(const versioned_object& object) const
+{
+    const auto spec = object.deleted ? json::object() : json::parse(object.value, nullptr, false);
+    return testing::concatenate({R"({"metadata":{"name":)",
+                                 this->name_text(name_in_kind(object.name)),
+                                 R"(,"revision":)",
+                                 std::to_string(object.version),
+                                 R"(},"spec":)",
+                                 spec.dump(),
+                                 "}"});
 }
 
-json fake_object_store::events_since(const std::string& prefix, std::uint64_t since_revision) const
+std::string fake_object_store::events_since(const std::string& prefix, std::uint64_t since_revision) const
 {
-    json events = json::array();
+    std::string events;
     for (const auto& object : this->table.changed_since(prefix, since_revision)) {
-        events.push_back({{"deleted", object.deleted}, {"object", to_json(object)}});
+        events += testing::concatenate({events.empty() ? "" : ",",
+                                        R"({"deleted":)",
+                                        object.deleted ? "true" : "false",
+                                        R"(,"object":)",
+                                        this->object_text(object),
+                                        "}"});
     }
     return events;
 }
 
+std::string fake_object_store::watch_response(const std::string& events) const
+{
+    return testing::concatenate(
+        {R"({"events":[)", events, R"(],"storeRevision":)", std::to_string(this->table.revision()), "}"});
+}
+
 void fake_object_store::serve_watch(const std::shared_ptr<http_exchange>& exchange,
                                     const request_target& target)
 {
@@ -122,8 +220,7 @@
         this->loop.run_after(std::chrono::milliseconds{target.query_number("waitMs")}, [this, watch] {
             const auto expired = watch->exchange;
             this->watches.erase(watch);
-            this->send_json(
-                *expired, status_ok, {{"events", json::array()}, {"storeRevision", this->table.revision()}});
+            this->send_json(*expired, status_ok, this->watch_response(""));
         });
     this->complete_watches();
 }
@@ -140,8 +237,7 @@
             watch->exchange->send_response(
                 {status_ok, {{"Content-Type", "application/json"}}, "{\"events\": [<"});
         } else {
-            this->send_json(
-                *watch->exchange, status_ok, {{"events", events}, {"storeRevision", this->table.revision()}});
+            this->send_json(*watch->exchange, status_ok, this->watch_response(events));
         }
         watch = this->watches.erase(watch);
     }
@@ -159,7 +255,7 @@
     const auto current_version = current ? current->version : 0;
     const auto expected_version = is_creation        ? 0
                                   : body.is_object() ? body["metadata"].value("revision", current_version)
-                                                     : target.query_number("revision");
+                                                     : target.query_number("revision", current_version);
     const auto new_version = exchange.request().method == "DELETE"
                                  ? this->apply(name, std::nullopt, expected_version)
                                  : this->apply(name, body["spec"].dump(), expected_version);
@@ -168,9 +264,13 @@
         exchange.abort();
         return;
     }
-    const json response_body{
-        {"metadata", {{"name", name}, {"revision", new_version.value_or(current_version)}}}};
-    this->send_json(exchange, new_version ? status_ok : status_conflict, response_body);
+    this->send_json(exchange,
+                    new_version ? status_ok : status_conflict,
+                    testing::concatenate({R"({"metadata":{"name":)",
+                                          this->name_text(name),
+                                          R"(,"revision":)",
+                                          std::to_string(new_version.value_or(current_version)),
+                                          "}}"}));
 }
 
 void fake_object_store::write(const std::string& name, const json& spec)
--- a/standins/site/fake_object_store.h
+++ b/standins/site/fake_object_store.h
@@ -24,7 +24,12 @@
 // history is lost), `lost_answer` (count: a write takes effect, but its connection is closed without a
 // response), `unreadable` (level: events are sent as invalid JSON), `restore_ms` (once: the store is away for
 // a moment and comes back from a copy of that age, in a new era; it gives the revisions since out again, and
-// the operators and backend servers write their objects again soon after).
+// the operators and backend servers write their objects again soon after), `page_size` (level: names on a
+// page of a list, in the order of their bytes; all on one page if 0), `numeric_names` (level: names of digits
+// are sent as JSON numbers).
+//
+// Names may hold any bytes. They are sent as they are, encoded surrogates as escapes. A target that holds a
+// character which must be percent-encoded, or an unknown parameter, gets a 400.
 //
 // Answers state the era of the store once it is above 0.
 class fake_object_store {
@@ -57,9 +62,13 @@
     void serve_objects(const std::shared_ptr<http_exchange>& exchange, const request_target& target);
     void serve_watch(const std::shared_ptr<http_exchange>& exchange, const request_target& target);
     void serve_write(http_exchange& exchange, const request_target& target);
-    nlohmann::json events_since(const std::string& prefix, std::uint64_t since_revision) const;
+    void serve_list(http_exchange& exchange, const request_target& target, const std::string& prefix);
+    std::string name_text(const std::string& name) const;
+    std::string object_text(const versioned_object& object) const;
+    std::string events_since(const std::string& prefix, std::uint64_t since_revision) const;
+    std::string watch_response(const std::string& events) const;
     void complete_watches();
-    void send_json(http_exchange& exchange, int status, const nlohmann::json& body) const;
+    void send_json(http_exchange& exchange, int status, const std::string& body) const;
     void send_status(http_exchange& exchange, int status) const;
     std::optional<std::uint64_t>
     apply(const std::string& name, const std::optional<std::string>& value, std::uint64_t expected);
--- a/standins/site/main.cpp
+++ b/standins/site/main.cpp
@@ -45,9 +45,14 @@
     return configuration;
 }
 
+// The store's names may be some thousand bytes long.
+constexpr std::size_t max_header_bytes = std::size_t{64} * 1024;
+
 std::unique_ptr<tanager::http_server> listen(tanager::event_loop& loop, tanager::http_server::handler serve)
 {
-    auto server = tanager::http_server::create(loop, "127.0.0.1:0", {}, std::move(serve));
+    tanager::http_server_limits limits;
+    limits.max_header_bytes = max_header_bytes;
+    auto server = tanager::http_server::create(loop, "127.0.0.1:0", limits, std::move(serve));
     if (!server) {
         throw std::runtime_error(server.error().detail);
     }
