A list of the store that does not go on ends with what has been read

Callers saw: 503 for every request while the entry with the empty name, a number for a name or half a surrogate pair stood alone on a page of the list of servers. With the empty name the first page was asked for again and again, without end. Cause: nothing checked that a page leads to another one; the empty name was taken for "from the start"; a page without a readable name failed the whole list, and so did each repetition. Where no name leads on, or the store rejects the call for a page (400, 414, 431), the listing is marked incomplete: its objects are used, nothing counts as removed, and the watcher lists again later. Failures of transport, 429 and 5xx still fail the list as before.

--- a/src/base/types/result_code.h
+++ b/src/base/types/result_code.h
@@ -73,6 +73,7 @@
     history_lost = 605,
     configuration_invalid = 606,
     configuration_outdated = 607,
+    store_call_rejected = 608,
 
     // 700: non-idempotent work with an idempotency key
     claim_in_progress = 701,
--- a/src/gateway/internal/quarantine_archive.cpp
+++ b/src/gateway/internal/quarantine_archive.cpp
@@ -190,7 +190,7 @@
 
 watch_action quarantine_archive::on_listing(const object_listing& listing)
 {
-    if (listing.is_snapshot) {
+    if (listing.is_snapshot && !listing.is_incomplete) {
         this->entries.clear();
     }
     std::vector<crash_suspicion> suspicions;
--- a/src/gateway/internal/server_observer.cpp
+++ b/src/gateway/internal/server_observer.cpp
@@ -72,16 +72,23 @@
 {
     std::vector<backend_server> usable_servers;
     for (const auto& object : listing.objects) {
-        if (const auto server = this->decode(object)) {
+        const auto server = this->decode(object);
+        if (server) {
             usable_servers.push_back(*server);
         }
+        if (listing.is_incomplete) {
+            this->servers.apply({object.name.substr(this->codec.server_prefix().size()), server});
+        }
+    }
+    if (!listing.is_incomplete) {
+        this->servers.replace_all(usable_servers);
     }
-    this->servers.replace_all(usable_servers);
     write_event(log_event::server_listed,
                 {{"server", "all"},
                  {"revision", std::to_string(listing.revision)},
                  {"usable", std::to_string(usable_servers.size())},
-                 {"entries", std::to_string(listing.objects.size())}});
+                 {"entries", std::to_string(listing.objects.size())},
+                 {"complete", listing.is_incomplete ? "no" : "yes"}});
 }
 
 void server_observer::apply(const stored_object& object)
--- a/src/gateway/tests/quarantine_archive_tests.cpp
+++ b/src/gateway/tests/quarantine_archive_tests.cpp
@@ -172,6 +172,15 @@
                     CPPUNIT_ASSERT_EQUAL(1, store.call_count);
                 });
             });
+            section("a list that is incomplete, and lacks it, takes nothing away", [&] {
+                object_listing incomplete{0, store.revision + 1, true, {}};
+                incomplete.is_incomplete = true;
+                first.archive.on_listing(incomplete);
+                time.advance(10s);
+                first.archive.check();
+                CPPUNIT_ASSERT(first.is_quarantined());
+                CPPUNIT_ASSERT_EQUAL(1, store.call_count);
+            });
             section("reading it again does not renew it", [&] {
                 time.advance(9min);
                 first.archive.on_listing(store.snapshot());
--- a/src/peers/internal/peer_exchange.cpp
+++ b/src/peers/internal/peer_exchange.cpp
@@ -389,14 +389,14 @@
 
     watch_action on_listing(const object_listing& listing) override
     {
-        if (listing.is_snapshot) {
+        if (listing.is_snapshot && !listing.is_incomplete) {
             this->peers.clear();
         }
         for (const auto& object : listing.objects) {
             this->apply(object);
         }
         this->revision = std::max(this->revision, listing.revision);
-        this->is_list_known = true;
+        this->is_list_known = this->is_list_known || (listing.is_snapshot && !listing.is_incomplete);
         if (listing.is_snapshot) {
             this->renew_registration(listing.revision);
         }
--- a/src/store/internal/object_watcher.cpp
+++ b/src/store/internal/object_watcher.cpp
@@ -46,6 +46,7 @@
         this->running = false;
         ++this->generation;
         this->next_call_timer.reset();
+        this->relist_timer.reset();
     }
 
 private:
@@ -87,7 +88,10 @@
         }
         this->retry_delay = min_retry_delay;
         this->has_listed = this->has_listed || listing->is_snapshot;
-        if (this->handler.on_listing(*listing) == watch_action::relist) {
+        if (listing->is_snapshot) {
+            this->plan_relist(listing->is_incomplete);
+        }
+        if (this->handler.on_listing(*listing) == watch_action::relist || this->is_relist_due) {
             this->list();
             return;
         }
@@ -99,6 +103,16 @@
             this->loop.run_after(this->options.coalescing_delay, [this] { this->watch(); });
     }
 
+    void plan_relist(bool is_needed)
+    {
+        this->is_relist_due = false;
+        this->relist_timer.reset();
+        if (is_needed) {
+            this->relist_timer = this->loop.run_after(this->options.incomplete_list_lifetime,
+                                                      [this] { this->is_relist_due = true; });
+        }
+    }
+
     void on_failure(const error& cause)
     {
         if (cause.code == result_code::history_lost) {
@@ -143,6 +157,8 @@
     std::uint64_t generation = 0;
     std::chrono::milliseconds retry_delay = min_retry_delay;
     std::unique_ptr<loop_timer> next_call_timer;
+    bool is_relist_due = false;
+    std::unique_ptr<loop_timer> relist_timer;
 };
 
 } // namespace
--- a/src/store/internal/observed_object_store.cpp
+++ b/src/store/internal/observed_object_store.cpp
@@ -72,6 +72,11 @@
                     this->metrics.set_gauge("tanager_store_era",
                                             static_cast<double>(era_of(outcome->revision)));
                 }
+                if (outcome && outcome->is_snapshot) {
+                    this->metrics.set_gauge("tanager_store_list_incomplete",
+                                            outcome->is_incomplete ? 1 : 0,
+                                            R"(prefix=")" + prefix + '"');
+                }
             }
             callback(outcome);
         };
--- a/src/store/object_store.h
+++ b/src/store/object_store.h
@@ -10,7 +10,8 @@
 namespace tanager {
 
 // All calls are asynchronous; callbacks run on the event loop. Errors are store_unavailable,
-// version_conflict, object_unknown or, from `watch`, history_lost: the changes after `since` were dropped or
+// store_call_rejected (the store does not accept the form of the call), version_conflict, object_unknown or,
+// from `watch`, history_lost: the changes after `since` were dropped or
 // cannot be parsed, or `since` is of an earlier era. After store_unavailable a write may nevertheless have
 // taken effect.
 //
@@ -29,7 +30,8 @@
     using object_callback = std::function<void(const result<stored_object>&)>;
     using version_callback = std::function<void(const result<std::uint64_t>&)>;
 
-    // Lists the objects under a prefix.
+    // Lists the objects under a prefix. The listing is incomplete if an object cannot be read and the list
+    // does not go on after it.
     virtual void list(const std::string& prefix, listing_callback callback) = 0;
 
     // Long-polls for changes under a prefix after revision `since`. The listing is empty if nothing changes
--- a/src/store/object_watcher.h
+++ b/src/store/object_watcher.h
@@ -43,10 +43,13 @@
     std::chrono::milliseconds coalescing_delay{0};
     // Time that the store holds a watch without changes. A dead connection is detected only after it.
     std::chrono::milliseconds max_wait{20'000};
+    // An incomplete list is repeated at the first response after this time, since its cause may be gone.
+    std::chrono::milliseconds incomplete_list_lifetime{5'000};
 };
 
 // Lists once, then keeps one watch open. While the store is unavailable, retries from the last applied
-// revision with jittered exponential backoff. Lists again if the store reports history_lost.
+// revision with jittered exponential backoff. Lists again if the store reports history_lost, and
+// some time after a list that was incomplete.
 class object_watcher {
 public:
     // `loop`, `store`, `random` and `handler` must outlive the watcher.
--- a/src/store/observed_object_store.h
+++ b/src/store/observed_object_store.h
@@ -10,7 +10,8 @@
 
 namespace tanager {
 
-// Passes all calls on. Shows the era of the last listing in `tanager_store_era`. Counts them in
+// Passes all calls on. Shows the era of the last listing in `tanager_store_era`, and in
+// `tanager_store_list_incomplete` by prefix whether the last list was incomplete. Counts calls in
 // `tanager_store_calls_total` by call, prefix and outcome, and writes one log line for each when it has a
 // result.
 class observed_object_store final : public object_store {
--- a/src/store/tests/observed_object_store_tests.cpp
+++ b/src/store/tests/observed_object_store_tests.cpp
@@ -16,7 +16,9 @@
 public:
     void list(const std::string& /*prefix*/, listing_callback callback) override
     {
-        callback(object_listing{0, 1, true, {}});
+        object_listing listing{0, 1, true, {}};
+        listing.is_incomplete = this->lists_incompletely;
+        callback(listing);
     }
 
     void watch(const std::string& /*prefix*/,
@@ -26,11 +28,14 @@
     {
         callback(fail(result_code::store_unavailable, "down"));
     }
+
+    bool lists_incompletely = false;
 };
 
 class observed_object_store_tests : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(observed_object_store_tests);
     CPPUNIT_TEST(counts_calls_by_kind_prefix_and_outcome);
+    CPPUNIT_TEST(shows_incomplete_lists);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -63,6 +68,23 @@
             });
         });
     }
+
+    void shows_incomplete_lists()
+    {
+        section("a list is incomplete, and the next one is not", [] {
+            const manual_clock time;
+            metrics_registry metrics;
+            answering_store answering;
+            observed_object_store store(time, metrics, answering);
+            for (const bool is_incomplete : {true, false}) {
+                answering.lists_incompletely = is_incomplete;
+                store.list("servers/", [](const auto& /*listing*/) {});
+                const std::string shown = is_incomplete ? "1" : "0";
+                CPPUNIT_ASSERT(metrics.render().find(R"(tanager_store_list_incomplete{prefix="servers/"} )" +
+                                                     shown) != std::string::npos);
+            }
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(observed_object_store_tests);
--- a/src/store/tests/store_tests.cpp
+++ b/src/store/tests/store_tests.cpp
@@ -21,7 +21,11 @@
 public:
     void list(const std::string& /*prefix*/, listing_callback callback) override
     {
-        callback(object_listing{0, this->revision, true, {}});
+        ++this->list_count;
+        object_listing listing{0, this->revision, true, {}};
+        listing.is_incomplete = this->incomplete_lists > 0;
+        this->incomplete_lists -= listing.is_incomplete ? 1 : 0;
+        callback(listing);
     }
 
     void watch(const std::string& /*prefix*/,
@@ -48,6 +52,8 @@
     }
 
     int watch_count = 0;
+    int list_count = 0;
+    int incomplete_lists = 0; // how many of the next lists are incomplete
 
 private:
     void deliver_changes()
@@ -92,6 +98,7 @@
 class store_tests : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(store_tests);
     CPPUNIT_TEST(coalesces_changes_that_follow_at_once);
+    CPPUNIT_TEST(repeats_incomplete_lists);
     CPPUNIT_TEST(orders_revisions_over_eras);
     CPPUNIT_TEST_SUITE_END();
 
@@ -108,6 +115,40 @@
         });
     }
 
+    void repeats_incomplete_lists()
+    {
+        const auto loop = std::move(*event_loop::create());
+        fake_watch_store store;
+        store.incomplete_lists = 1;
+        seeded_random random(seed);
+        recording_watch_handler handler;
+        watch_options options;
+        options.incomplete_list_lifetime = 20ms;
+        const auto watcher = object_watcher::create(*loop, store, random, "kind/", handler, options);
+        watcher->start();
+        section("a list was incomplete: it is watched for changes, and not listed again at once", [&] {
+            store.change();
+            CPPUNIT_ASSERT_EQUAL(1, store.list_count);
+            CPPUNIT_ASSERT(store.has_pending_watch());
+        });
+        section("at the first change after its lifetime it is listed again", [&] {
+            while (store.list_count == 1) {
+                loop->run_once();
+                store.change();
+            }
+            CPPUNIT_ASSERT_EQUAL(2, store.list_count);
+        });
+        section("a complete list is not repeated", [&] {
+            bool is_over = false;
+            const auto timer = loop->run_after(2 * options.incomplete_list_lifetime, [&] { is_over = true; });
+            while (!is_over) {
+                loop->run_once();
+            }
+            store.change();
+            CPPUNIT_ASSERT_EQUAL(2, store.list_count);
+        });
+    }
+
     void orders_revisions_over_eras()
     {
         section("a revision that is given out again in the next era has a higher token", [] {
--- a/src/store/types/stored_object.h
+++ b/src/store/types/stored_object.h
@@ -19,12 +19,14 @@
 };
 
 // Objects under a prefix at `revision`: all of them if `is_snapshot`, else those changed after revision
-// `since`.
+// `since`. If `is_incomplete`, the store holds more objects than could be listed, so that an object which is
+// missing in the snapshot may still exist.
 struct object_listing {
     std::uint64_t since = 0;
     std::uint64_t revision = 0;
     bool is_snapshot = false;
     std::vector<stored_object> objects;
+    bool is_incomplete = false;
 
     friend bool operator==(const object_listing&, const object_listing&) = default;
 };
--- a/tests/tests/foreign_store_entry_tests.cpp
+++ b/tests/tests/foreign_store_entry_tests.cpp
@@ -26,7 +26,8 @@
 // Names by what they hold.
 std::vector<named_bytes> odd_names()
 {
-    return {{"an ampersand", "e1&b"},
+    return {{"nothing", ""},
+            {"an ampersand", "e1&b"},
             {"an ampersand at the end", "e1&"},
             {"a plus sign", "e1+b"},
             {"a number sign", "e1#b"},
@@ -40,6 +41,8 @@
             {"a request", request_in_a_name()},
             {"an encoded letter", "e%7A"},
             {"a byte that is no UTF-8", "e1\xFF"},
+            {"half a surrogate pair", "e1\xED\xA0\x80"},
+            {"digits, sent as a number", "17"},
             {"a slash and a question mark", "e1/b?c"},
             {"quotes and a backslash", R"(e1"b\)"},
             {"8,000 ampersands", std::string(8'000, '&')}};
@@ -50,7 +53,7 @@
 public:
     paged_site() : group(0, {"--timeout-ms", "5000", "--servers", "4", "--prefix", "e"})
     {
-        this->group.caller.post(this->group.store_address, "/faults?page_size=1");
+        this->group.caller.post(this->group.store_address, "/faults?page_size=1&numeric_names=1");
     }
 
     int write(const std::string& kind, const std::string& name, const nlohmann::json& spec)
