--- a/src/base/internal/result_code.cpp
+++ b/src/base/internal/result_code.cpp
@@ -83,6 +83,7 @@
     code_row{result_code::configuration_invalid, "configuration_invalid", status_unprocessable},
     code_row{result_code::configuration_outdated, "configuration_outdated", status_unavailable},
     code_row{result_code::store_call_rejected, "store_call_rejected", status_unavailable},
+    code_row{result_code::store_answer_malformed, "store_answer_malformed", status_unavailable},
     code_row{result_code::claim_in_progress, "claim_in_progress", status_conflict},
     code_row{result_code::claim_key_reused, "claim_key_reused", status_unprocessable},
     code_row{result_code::claim_outcome_unknown, "claim_outcome_unknown", status_conflict},
--- a/src/base/types/result_code.h
+++ b/src/base/types/result_code.h
@@ -74,6 +74,7 @@
     configuration_invalid = 606,
     configuration_outdated = 607,
     store_call_rejected = 608,
+    store_answer_malformed = 609,
 
     // 700: non-idempotent work with an idempotency key
     claim_in_progress = 701,
