A gateway that is not ready says which state it lacks

On-call saw: `no configuration is known yet configuration=1` for each rejected request and on /ready, while the configuration was known and the list of servers could not be read. Cause: one text stood for both, and for the quarantines. Evidence: names_what_it_does_not_know fails with the gateway of the commit before: no line with `no list of servers is known yet`. Change: requests are rejected with the text that /ready shows; it names the configuration, the list of servers or the quarantines. The stand-in can send lists of servers that are no JSON.

--- a/src/gateway/gateway_setup.cpp
+++ b/src/gateway/gateway_setup.cpp
@@ -259,7 +259,7 @@
         this->handler = std::make_unique<request_handler>(this->make_context(),
                                                           this->routes,
                                                           settings.max_open_requests,
-                                                          [this] { return this->is_ready(); });
+                                                          [this] { return this->unknown_state(); });
         this->last_housekeeping_at = this->time.now();
         this->queue_timer =
             loop.run_every(queue_processing_interval, [this] { this->scheduler.process_queues(); });
@@ -480,11 +480,6 @@
                    : std::nullopt;
     }
 
-    bool is_ready() const
-    {
-        return this->unknown_state().empty();
-    }
-
     std::string unready_reason() const
     {
         if (this->on_drained) {
@@ -496,9 +491,12 @@
     // Returns what this gateway must learn from the store before it takes requests.
     std::string unknown_state() const
     {
-        if (!this->routes.has_configuration() || !this->server_handler.is_known()) {
+        if (!this->routes.has_configuration()) {
             return "no configuration is known yet";
         }
+        if (!this->server_handler.is_known()) {
+            return "no list of servers is known yet";
+        }
         return this->quarantines.is_known() ? std::string{} : "no quarantines are known yet";
     }
 
--- a/src/gateway/internal/request_handler.cpp
+++ b/src/gateway/internal/request_handler.cpp
@@ -27,8 +27,11 @@
 request_handler::request_handler(const forwarding_context& context,
                                  const route_directory& routes,
                                  std::size_t max_open_requests,
-                                 std::function<bool()> is_ready)
-    : context(context), routes(routes), max_open_requests(max_open_requests), is_ready(std::move(is_ready))
+                                 std::function<std::string()> unknown_state)
+    : context(context),
+      routes(routes),
+      max_open_requests(max_open_requests),
+      unknown_state(std::move(unknown_state))
 {
 }
 
@@ -62,8 +65,8 @@
 std::optional<request_handler::rejection> request_handler::check(const caller_request& request,
                                                                  const route* route) const
 {
-    if (!this->is_ready()) {
-        return rejection{{result_code::not_ready, "no configuration is known yet"}, unready_retry_after};
+    if (auto unknown = this->unknown_state(); !unknown.empty()) {
+        return rejection{{result_code::not_ready, std::move(unknown)}, unready_retry_after};
     }
     if (route == nullptr) {
         return rejection{
--- a/src/gateway/internal/request_handler.h
+++ b/src/gateway/internal/request_handler.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 
 namespace tanager {
 
@@ -13,11 +14,11 @@
 // requests are handed to a request_forwarder; the others are rejected immediately.
 class request_handler {
 public:
-    // `is_ready` returns whether the configuration and the server list have been loaded.
+    // `unknown_state` returns what this process must learn before it takes requests; empty if it is ready.
     request_handler(const forwarding_context& context,
                     const route_directory& routes,
                     std::size_t max_open_requests,
-                    std::function<bool()> is_ready);
+                    std::function<std::string()> unknown_state);
 
     void handle(const std::shared_ptr<http_exchange>& exchange);
 
@@ -47,7 +48,7 @@
     forwarding_context context;
     const route_directory& routes;
     std::size_t max_open_requests;
-    std::function<bool()> is_ready;
+    std::function<std::string()> unknown_state;
     std::optional<time_point> shutdown_deadline;
     std::size_t open_request_count = 0;
 };
--- a/standins/site/fake_object_store.cpp
+++ b/standins/site/fake_object_store.cpp
@@ -131,6 +131,10 @@
                                    const request_target& target,
                                    const std::string& prefix)
 {
+    if (prefix == "servers/" && this->faults.value("unreadable_servers") > 0) {
+        this->send_json(exchange, status_ok, "{\"items\": [<");
+        return;
+    }
     const auto page_size = this->faults.value("page_size");
     const auto after = target.query.find("after");
     std::string items;
--- a/standins/site/fake_object_store.h
+++ b/standins/site/fake_object_store.h
@@ -26,7 +26,7 @@
 // a moment and comes back from a copy of that age, in a new era; it gives the revisions since out again, and
 // the operators and backend servers write their objects again soon after), `page_size` (level: names on a
 // page of a list, in the order of their bytes; all on one page if 0), `numeric_names` (level: names of digits
-// are sent as JSON numbers).
+// are sent as JSON numbers), `unreadable_servers` (level: lists of servers are sent as invalid JSON).
 //
 // Names may hold any bytes. They are sent as they are, encoded surrogates as escapes. A target that holds a
 // character which must be percent-encoded, or an unknown parameter, gets a 400.
--- a/tests/tests/foreign_store_entry_tests.cpp
+++ b/tests/tests/foreign_store_entry_tests.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr int status_ok = 200;
+constexpr int status_unavailable = 503;
 constexpr int server_count = 4;
 constexpr int byte_count = 256;
 
@@ -106,6 +107,7 @@
     CPPUNIT_TEST_SUITE(foreign_store_entry_tests);
     CPPUNIT_TEST(serves_beside_a_server_entry_of_any_name);
     CPPUNIT_TEST(serves_beside_an_entry_of_any_name_in_other_kinds);
+    CPPUNIT_TEST(names_what_it_does_not_know);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -146,6 +148,26 @@
             });
         }
     }
+
+    void names_what_it_does_not_know()
+    {
+        paged_site site;
+        site.group.caller.post(site.group.store_address, "/faults?unreadable_servers=1");
+        site.group.start("g0");
+        section("the list of servers cannot be read: the configuration is known, and the log names the list",
+                [&] {
+                    site.group.wait_for_configuration(1);
+                    auto& gateway = *site.group.members.at("g0").process;
+                    gateway.wait_for_line("malformed page of servers/");
+                    CPPUNIT_ASSERT_EQUAL(status_unavailable, site.group.fetch_status("g0"));
+                    gateway.wait_for_line("cause=\"no list of servers is known yet\"");
+                });
+        section("it can be read again", [&] {
+            site.group.caller.post(site.group.store_address, "/faults?unreadable_servers=0");
+            site.group.wait_until_serving(server_count);
+            CPPUNIT_ASSERT_EQUAL(status_ok, site.group.fetch_status("g0"));
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(foreign_store_entry_tests);
