An entry names a server only under a name that is a server's id

Callers saw: requests sent to an entry of another writer under a name with a blank, whose address answered. Two entries with one address count as two servers, with slots and a record of outliers each. Cause: the value of an entry was checked, its name was not, although it becomes a header of each request to the server.

--- a/src/gateway/tests/server_entry_tests.cpp
+++ b/src/gateway/tests/server_entry_tests.cpp
@@ -60,6 +60,7 @@
 class server_entry_tests : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(server_entry_tests);
     CPPUNIT_TEST(keeps_servers_that_an_incomplete_list_lacks);
+    CPPUNIT_TEST(uses_no_entry_under_a_name_that_is_no_id);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -90,6 +91,36 @@
             CPPUNIT_ASSERT(servers.takes_work("c"));
         });
     }
+
+    // Guards against a sound entry of another writer under a name that cannot stand in a header or a log.
+    void uses_no_entry_under_a_name_that_is_no_id()
+    {
+        manual_clock time;
+        const plain_codec codec;
+        server_list servers(time, 2s);
+        server_observer observer(codec, servers);
+        const std::vector<std::string> names{"", "e0 ", "e0 b", "e0&b", "e0\r\nX: y", "e0\xFF", "e0/b"};
+        section("sound entries stand under odd names in a list", [&] {
+            auto listing = list_servers(5, names);
+            listing.objects.push_back({"servers/e0", 5, false, "sound"});
+            observer.on_listing(listing);
+            CPPUNIT_ASSERT(servers.ids() == std::set<std::string>{"e0"});
+        });
+        const auto change = [&](std::uint64_t revision, bool is_deleted) {
+            object_listing changes{revision - 1, revision, false, {}};
+            for (const auto& name : names) {
+                changes.objects.push_back({"servers/" + name, revision, is_deleted, "sound"});
+            }
+            observer.on_listing(changes);
+        };
+        section("they are written again, and removed", [&] {
+            for (const bool is_deleted : {false, true}) {
+                change(is_deleted ? 7 : 6, is_deleted);
+                CPPUNIT_ASSERT(servers.ids() == std::set<std::string>{"e0"});
+                CPPUNIT_ASSERT(servers.takes_work("e0"));
+            }
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(server_entry_tests);
--- a/tests/tests/foreign_store_entry_tests.cpp
+++ b/tests/tests/foreign_store_entry_tests.cpp
@@ -107,6 +107,7 @@
     CPPUNIT_TEST_SUITE(foreign_store_entry_tests);
     CPPUNIT_TEST(serves_beside_a_server_entry_of_any_name);
     CPPUNIT_TEST(serves_beside_an_entry_of_any_name_in_other_kinds);
+    CPPUNIT_TEST(sends_nothing_to_a_server_of_no_usable_name);
     CPPUNIT_TEST(names_what_it_does_not_know);
     CPPUNIT_TEST_SUITE_END();
 
@@ -149,6 +150,29 @@
         }
     }
 
+    void sends_nothing_to_a_server_of_no_usable_name()
+    {
+        paged_site site;
+        const auto spec = site.read("servers/e0")["spec"];
+        const std::vector<std::string> names{"e1 b", "e1&b", "e1/b", "e1\xFF", "e1\r\nX-Other: 1"};
+        section("sound entries under such names stand in the list, with the address of a server", [&] {
+            for (const auto& name : names) {
+                CPPUNIT_ASSERT_EQUAL(status_ok, site.write("servers", name, spec));
+            }
+            site.assert_served_by({"g0"});
+        });
+        section("they arrive while the gateway serves", [&] {
+            for (const auto& name : names) {
+                site.write("servers", name + "2", spec);
+            }
+            auto& gateway = *site.group.members.at("g0").process;
+            gateway.wait_for_line(R"(server_entry_invalid server="servers/e1 b2")");
+            CPPUNIT_ASSERT_EQUAL(static_cast<double>(server_count),
+                                 site.group.metric("g0", "tanager_servers_taking_work"));
+            CPPUNIT_ASSERT(gateway.matching_lines("server=\"e1 b").empty());
+        });
+    }
+
     void names_what_it_does_not_know()
     {
         paged_site site;
