Names are percent-encoded in the calls of the product's own object API

Operators would see: an edit of `work/a?b` that writes `work/a`, and a prefix with & that changes the parameters of the call. No such name was seen in use. Cause: as in the platform's store client, names and prefixes were joined to the target as they were. Evidence: http_object_store_tests on the code before: `/v1/objects/catalogue/work/a b?c&d#e%41+`.

--- a/src/store/internal/http_object_store.cpp
+++ b/src/store/internal/http_object_store.cpp
@@ -1,5 +1,7 @@
 #include "store/http_object_store.h"
 
+#include "net/uri.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -12,6 +14,11 @@
 constexpr int status_conflict = 409;
 constexpr std::chrono::milliseconds watch_grace{2'000}; // added to watch_wait for the call's timeout
 
+std::string path_of(const std::string& name)
+{
+    return "/v1/objects/" + encode_uri_segments(name);
+}
+
 result<stored_object> read_object(const nlohmann::json& json)
 {
     try {
@@ -112,7 +119,7 @@
 
 void http_object_store::list(const std::string& prefix, listing_callback callback)
 {
-    const http_request request{"GET", "/v1/objects?prefix=" + prefix, {}, {}};
+    const http_request request{"GET", "/v1/objects?prefix=" + encode_uri_segments(prefix), {}, {}};
     this->call(request, this->limits.call_timeout, [callback = std::move(callback)](const auto& body) {
         if (!body) {
             callback(tl::make_unexpected(body.error()));
@@ -129,7 +136,7 @@
 {
     const auto wait = std::min(max_wait, this->limits.watch_wait);
     const http_request request{"GET",
-                               "/v1/watch?prefix=" + prefix + "&since=" + std::to_string(since) +
+                               "/v1/watch?prefix=" + encode_uri_segments(prefix) + "&since=" + std::to_string(since) +
                                    "&wait_ms=" + std::to_string(wait.count()),
                                {},
                                {}};
@@ -144,7 +151,7 @@
 
 void http_object_store::get(const std::string& name, object_callback callback)
 {
-    const http_request request{"GET", "/v1/objects/" + name, {}, {}};
+    const http_request request{"GET", path_of(name), {}, {}};
     this->call(request, this->limits.call_timeout, [callback = std::move(callback)](const auto& body) {
         if (!body) {
             callback(tl::make_unexpected(body.error()));
@@ -162,7 +169,7 @@
                             version_callback callback)
 {
     const http_request request{
-        "PUT", "/v1/objects/" + name + "?expected=" + std::to_string(expected), {}, value};
+        "PUT", path_of(name) + "?expected=" + std::to_string(expected), {}, value};
     this->call(request, this->limits.call_timeout, [callback = std::move(callback)](const auto& body) {
         callback(read_version(body));
     });
@@ -171,7 +178,7 @@
 void http_object_store::remove(const std::string& name, std::uint64_t expected, version_callback callback)
 {
     const http_request request{
-        "DELETE", "/v1/objects/" + name + "?expected=" + std::to_string(expected), {}, {}};
+        "DELETE", path_of(name) + "?expected=" + std::to_string(expected), {}, {}};
     this->call(request, this->limits.call_timeout, [callback = std::move(callback)](const auto& body) {
         callback(read_version(body));
     });
