No request with control characters reaches a connection

Cause: the HTTP client wrote a target as it was, and left out, without a word, a header whose value had a line end. Change: is_sendable, over method, target, names and values of headers. The client fails such a call with request_malformed, as not sent, without a connection.

--- a/src/entry/internal/identify_filter.cpp
+++ b/src/entry/internal/identify_filter.cpp
@@ -87,6 +87,9 @@
     identified_request draft;
     draft.received = request;
     const auto& http = request.exchange->request();
+    if (!is_sendable(http)) {
+        return fail(result_code::request_malformed, "control characters in the target or a header");
+    }
     const std::string path = path_without_query(http.path);
     const bool is_chat = path == "/v1/chat/completions";
     const bool is_completion = is_chat || path == "/v1/completions";
--- a/src/gateway/internal/server_observer.cpp
+++ b/src/gateway/internal/server_observer.cpp
@@ -61,9 +61,8 @@
 std::optional<backend_server> server_observer::decode(const stored_object& object) const
 {
     const auto id = object.name.substr(this->codec.server_prefix().size());
-    const auto server = is_server_id(id)
-                            ? this->codec.decode_server(object)
-                            : fail(result_code::object_unknown, "the name is no id of a server");
+    const auto server = is_server_id(id) ? this->codec.decode_server(object)
+                                         : fail(result_code::object_unknown, "the name is no id of a server");
     if (!server) {
         write_event(log_event::server_entry_invalid,
                     {{"server", object.name}, {"detail", server.error().detail}});
--- a/src/net/internal/http_client.cpp
+++ b/src/net/internal/http_client.cpp
@@ -488,6 +488,43 @@
     std::shared_ptr<evhttp_call> self_reference;
 };
 
+// A call that fails without a connection.
+class rejected_call final : public http_call, public std::enable_shared_from_this<rejected_call> {
+public:
+    explicit rejected_call(std::shared_ptr<http_response_handler> handler) : handler(std::move(handler)) {}
+
+    void start(event_loop& loop, const socket_address& peer)
+    {
+        const error cause{result_code::request_malformed, "not sent to " + to_text(peer)};
+        loop.post([self = this->shared_from_this(), cause] {
+            if (const auto receiver = std::exchange(self->handler, nullptr)) {
+                run_guarded("response", [&] { receiver->on_failure({cause, call_progress::not_sent}); });
+            }
+        });
+    }
+
+    bool is_sent() const override
+    {
+        return false;
+    }
+
+    call_connection connection_used() const override
+    {
+        return {};
+    }
+
+    void cancel() override
+    {
+        this->handler.reset();
+    }
+
+    void pause() override {}
+    void resume() override {}
+
+private:
+    std::shared_ptr<http_response_handler> handler;
+};
+
 class evhttp_client final : public http_client {
 public:
     explicit evhttp_client(event_loop& loop) : loop(loop), pool(loop) {}
@@ -497,6 +534,11 @@
                                      const http_call_options& options,
                                      std::shared_ptr<http_response_handler> handler) override
     {
+        if (!is_sendable(request)) {
+            auto rejected = std::make_shared<rejected_call>(std::move(handler));
+            rejected->start(this->loop, peer);
+            return rejected;
+        }
         auto call = std::make_shared<evhttp_call>(this->loop, this->pool, peer, std::move(handler));
         call->start(request, options);
         return call;
--- a/src/net/internal/http_types.cpp
+++ b/src/net/internal/http_types.cpp
@@ -25,6 +25,14 @@
     return std::isdigit(static_cast<unsigned char>(character)) != 0;
 }
 
+bool is_control(char character)
+{
+    constexpr unsigned char last_control = 0x1F;
+    constexpr unsigned char delete_character = 0x7F;
+    const auto byte = static_cast<unsigned char>(character);
+    return byte <= last_control || byte == delete_character;
+}
+
 // Returns whether a text begins with a status and ends there, or goes on after a space.
 bool begins_with_status(std::string_view text)
 {
@@ -112,6 +120,19 @@
     });
 }
 
+bool is_sendable(const http_request& request)
+{
+    const bool is_target_valid = !request.path.empty() && std::ranges::none_of(request.path, [](char byte) {
+        return byte == ' ' || is_control(byte);
+    });
+    return is_target_valid && is_header_name(request.method) &&
+           std::ranges::all_of(request.headers, [](const auto& header) {
+               return is_header_name(header.name) && std::ranges::none_of(header.value, [](char byte) {
+                          return byte != '\t' && is_control(byte);
+                      });
+           });
+}
+
 bool is_framing_ambiguous(std::string_view method, const http_headers& headers)
 {
     const auto lengths = count_headers(headers, "Content-Length");
--- a/src/net/types/http_types.h
+++ b/src/net/types/http_types.h
@@ -60,6 +60,11 @@
 // Returns whether `name` is a token as HTTP demands of header names.
 bool is_header_name(std::string_view name);
 
+// Returns whether a request can be sent as it is: its method and the names of its headers are tokens, its
+// target has no spaces or control characters, and the values of its headers have no control characters but
+// tabs.
+bool is_sendable(const http_request& request);
+
 // Returns whether two HTTP implementations could disagree on where a message's body ends: two lengths, a
 // length and an encoding, a length that is no plain number, an encoding other than chunked, a header whose
 // name is no token, or the body of a HEAD request. What follows such a message on its connection must not be
--- a/src/store/internal/http_object_store.cpp
+++ b/src/store/internal/http_object_store.cpp
@@ -136,8 +136,8 @@
 {
     const auto wait = std::min(max_wait, this->limits.watch_wait);
     const http_request request{"GET",
-                               "/v1/watch?prefix=" + encode_uri_segments(prefix) + "&since=" + std::to_string(since) +
-                                   "&wait_ms=" + std::to_string(wait.count()),
+                               "/v1/watch?prefix=" + encode_uri_segments(prefix) + "&since=" +
+                                   std::to_string(since) + "&wait_ms=" + std::to_string(wait.count()),
                                {},
                                {}};
     this->call(request, wait + watch_grace, [since, callback = std::move(callback)](const auto& body) {
@@ -168,8 +168,7 @@
                             std::uint64_t expected,
                             version_callback callback)
 {
-    const http_request request{
-        "PUT", path_of(name) + "?expected=" + std::to_string(expected), {}, value};
+    const http_request request{"PUT", path_of(name) + "?expected=" + std::to_string(expected), {}, value};
     this->call(request, this->limits.call_timeout, [callback = std::move(callback)](const auto& body) {
         callback(read_version(body));
     });
@@ -177,8 +176,7 @@
 
 void http_object_store::remove(const std::string& name, std::uint64_t expected, version_callback callback)
 {
-    const http_request request{
-        "DELETE", path_of(name) + "?expected=" + std::to_string(expected), {}, {}};
+    const http_request request{"DELETE", path_of(name) + "?expected=" + std::to_string(expected), {}, {}};
     this->call(request, this->limits.call_timeout, [callback = std::move(callback)](const auto& body) {
         callback(read_version(body));
     });
