Log lines are printable ASCII, and one long value does not hide the others

On-call saw: of an entry with 8 KB of name one line that ends inside the name, without the detail behind it; a zero byte, an escape character or a byte that is no UTF-8 went to standard output as it was, and a line end became a blank, so that two names looked alike. Cause: only the whole line was bounded, and only values with a blank, a quote, a tab or a line end were treated, by a list of characters. Change: format_line, now apart from the output, writes every byte but printable ASCII as \xNN and cuts a value off at 1,000 bytes. Why this works: the rule is over all 256 bytes (swept in the test), and three values of full length still fit into a line.

--- a/src/logging/internal/event_log.cpp
+++ b/src/logging/internal/event_log.cpp
@@ -1,5 +1,7 @@
 #include "logging/event_log.h"
 
+#include "logging/internal/event_line.h"
+
 #include <array>
 #include <chrono>
 #include <log4cxx/basicconfigurator.h>
@@ -18,9 +20,6 @@
 // Further lines of the event in this second are dropped and counted. An entry finishes about 250 requests in
 // its busiest second.
 constexpr unsigned max_lines_per_event_per_second = 300;
-// A pipe that polls as writable accepts this much without blocking (PIPE_BUF is 4,096 bytes).
-constexpr std::size_t max_line_bytes = 3'800;
-
 log4cxx::LoggerPtr& current_logger()
 {
     static log4cxx::LoggerPtr logger = log4cxx::Logger::getLogger("tanager");
@@ -42,45 +41,6 @@
     return log4cxx::Level::getError();
 }
 
-bool needs_quotes(std::string_view value)
-{
-    return value.empty() || value.find_first_of(" \"=\n\r\t") != std::string_view::npos;
-}
-
-void append_value(std::string& line, std::string_view value)
-{
-    if (!needs_quotes(value)) {
-        line += value;
-        return;
-    }
-    line += '"';
-    for (const char character : value) {
-        if (character == '"' || character == '\\') {
-            line += '\\';
-        }
-        const bool is_control = static_cast<unsigned char>(character) < ' ';
-        line += is_control ? ' ' : character;
-    }
-    line += '"';
-}
-
-std::string format_line(log_event event, std::initializer_list<log_field> fields)
-{
-    std::string line = std::to_string(static_cast<int>(event));
-    line += ' ';
-    line += name_of(event);
-    for (const auto& field : fields) {
-        line += ' ';
-        line += field.key;
-        line += '=';
-        append_value(line, field.value);
-    }
-    if (line.size() > max_line_bytes) {
-        line.resize(max_line_bytes);
-    }
-    return line;
-}
-
 bool is_output_writable()
 {
     pollfd output{STDOUT_FILENO, POLLOUT, 0};
