--- a/src/net/internal/http_types.cpp
+++ b/src/net/internal/http_types.cpp
@@ -120,12 +120,16 @@
     });
 }
 
+bool is_header_word(std::string_view text)
+{
+    return !text.empty() &&
+           std::ranges::none_of(text, [](char byte) { return byte == ' ' || is_control(byte); });
+}
+
 bool is_sendable(const http_request& request)
 {
-    const bool is_target_valid = !request.path.empty() && std::ranges::none_of(request.path, [](char byte) {
-        return byte == ' ' || is_control(byte);
-    });
-    return is_target_valid && is_header_name(request.method) &&
+    // A target consists of the same characters.
+    return is_header_word(request.path) && is_header_name(request.method) &&
            std::ranges::all_of(request.headers, [](const auto& header) {
                return is_header_name(header.name) && std::ranges::none_of(header.value, [](char byte) {
                           return byte != '\t' && is_control(byte);
--- a/src/net/types/http_types.h
+++ b/src/net/types/http_types.h
@@ -60,6 +60,10 @@
 // Returns whether `name` is a token as HTTP demands of header names.
 bool is_header_name(std::string_view name);
 
+// Returns whether a text can be sent as the whole value of a header: it is not empty, and has no blanks and
+// no control characters.
+bool is_header_word(std::string_view text);
+
 // Returns whether a request can be sent as it is: its method and the names of its headers are tokens, its
 // target has no spaces or control characters, and the values of its headers have no control characters but
 // tabs.
