One entry that cannot be read does not spoil the catalogue or the host list

Operators would see: no catalogue, or no change of it, in any process, while one object under the prefix has a name, version or value of another type; and no further host list after an entry that is no object. No such entry was seen. Cause: the first such object failed the whole listing, and a host list with one ended in an exception inside the callback, so that the poller waited for its result for good. Evidence: reads_the_rest_of_a_list_with_unreadable_entries fails on the code before with the first entry. An answer of another type as a whole is store_answer_malformed; tanagerctl reports it with the exit code of an unavailable store, as before. Why this works: each entry is read by itself, as in the platform's store client.

--- a/src/apps/tanagerctl/catalogue_commands.cpp
+++ b/src/apps/tanagerctl/catalogue_commands.cpp
@@ -21,6 +21,7 @@
     case result_code::version_conflict:
         return exit_code::conflict;
     case result_code::store_unavailable:
+    case result_code::store_answer_malformed:
         return exit_code::unavailable;
     case result_code::invalid_argument:
     case result_code::catalogue_invalid:
--- a/src/store/internal/http_object_store.cpp
+++ b/src/store/internal/http_object_store.cpp
@@ -1,5 +1,6 @@
 #include "store/http_object_store.h"
 
+#include "logging/event_log.h"
 #include "net/uri.h"
 
 #include <algorithm>
@@ -19,6 +20,12 @@
     return "/v1/objects/" + encode_uri_segments(name);
 }
 
+bool is_true(const nlohmann::json& object, const char* name)
+{
+    const auto found = object.find(name);
+    return found != object.end() && found->is_boolean() && found->get<bool>();
+}
+
 result<stored_object> read_object(const nlohmann::json& json)
 {
     try {
@@ -27,23 +34,32 @@
                              json.value("deleted", false),
                              json.value("value", std::string{})};
     } catch (const nlohmann::json::exception& failure) {
-        return fail(result_code::store_unavailable, std::string{"malformed object: "} + failure.what());
+        return fail(result_code::store_answer_malformed, std::string{"malformed object: "} + failure.what());
     }
 }
 
-result<object_listing> read_listing(const std::string& body, std::uint64_t since)
+// Passes over objects that cannot be read, so that the others hold.
+result<object_listing> read_listing(const std::string& prefix, const std::string& body, std::uint64_t since)
 {
     const auto json = nlohmann::json::parse(body, nullptr, false);
-    if (!json.is_object() || !json.contains("revision") || !json.contains("objects")) {
-        return fail(result_code::store_unavailable, "malformed listing");
+    const auto revision = json.is_object() ? json.find("revision") : json.end();
+    const auto items = json.is_object() ? json.find("objects") : json.end();
+    if (revision == json.end() || !revision->is_number_unsigned() || items == json.end() ||
+        !items->is_array()) {
+        return fail(result_code::store_answer_malformed, "malformed listing of " + prefix);
     }
-    object_listing listing{since, json.value("revision", std::uint64_t{0}), json.value("whole", false), {}};
-    for (const auto& item : json["objects"]) {
-        const auto object = read_object(item);
-        if (!object) {
-            return tl::make_unexpected(object.error());
+    object_listing listing{since, revision->get<std::uint64_t>(), is_true(json, "whole"), {}};
+    for (const auto& item : *items) {
+        auto object = read_object(item);
+        if (object && object->name.starts_with(prefix)) {
+            listing.objects.push_back(std::move(*object));
+            continue;
         }
-        listing.objects.push_back(*object);
+        const auto name = item.is_object() ? item.find("name") : item.end();
+        write_event(log_event::store_object_unreadable,
+                    {{"prefix", prefix},
+                     {"revision", std::to_string(listing.revision)},
+                     {"name", name == item.end() ? "-" : name->dump()}});
     }
     return listing;
 }
@@ -60,18 +76,29 @@
     return json.value("version", std::uint64_t{0});
 }
 
+std::string read_text(const nlohmann::json& object, const char* name)
+{
+    const auto found = object.find(name);
+    return found != object.end() && found->is_string() ? found->get<std::string>() : std::string{};
+}
+
 result<std::vector<listed_host>> read_hosts(const std::string& body)
 {
     const auto json = nlohmann::json::parse(body, nullptr, false);
     if (!json.is_object() || !json.contains("hosts") || !json["hosts"].is_array()) {
-        return fail(result_code::store_unavailable, "malformed host list");
+        return fail(result_code::store_answer_malformed, "malformed host list");
     }
     std::vector<listed_host> hosts;
     for (const auto& item : json["hosts"]) {
-        const bool is_leaving = item.value("state", std::string{}) == "leaving";
-        hosts.push_back({item.value("host", std::string{}),
-                         item.value("data_centre", std::string{}),
-                         item.value("group", std::string{}),
+        const auto host = item.is_object() ? read_text(item, "host") : std::string{};
+        if (host.empty()) {
+            write_event(log_event::store_object_unreadable, {{"prefix", "hosts"}, {"name", "-"}});
+            continue;
+        }
+        const bool is_leaving = read_text(item, "state") == "leaving";
+        hosts.push_back({host,
+                         read_text(item, "data_centre"),
+                         read_text(item, "group"),
                          is_leaving ? host_state::leaving : host_state::live});
     }
     return hosts;
@@ -120,13 +147,14 @@
 void http_object_store::list(const std::string& prefix, listing_callback callback)
 {
     const http_request request{"GET", "/v1/objects?prefix=" + encode_uri_segments(prefix), {}, {}};
-    this->call(request, this->limits.call_timeout, [callback = std::move(callback)](const auto& body) {
-        if (!body) {
-            callback(tl::make_unexpected(body.error()));
-            return;
-        }
-        callback(read_listing(*body, 0));
-    });
+    this->call(
+        request, this->limits.call_timeout, [prefix, callback = std::move(callback)](const auto& body) {
+            if (!body) {
+                callback(tl::make_unexpected(body.error()));
+                return;
+            }
+            callback(read_listing(prefix, *body, 0));
+        });
 }
 
 void http_object_store::watch(const std::string& prefix,
@@ -140,13 +168,14 @@
                                    std::to_string(since) + "&wait_ms=" + std::to_string(wait.count()),
                                {},
                                {}};
-    this->call(request, wait + watch_grace, [since, callback = std::move(callback)](const auto& body) {
-        if (!body) {
-            callback(tl::make_unexpected(body.error()));
-            return;
-        }
-        callback(read_listing(*body, since));
-    });
+    this->call(
+        request, wait + watch_grace, [prefix, since, callback = std::move(callback)](const auto& body) {
+            if (!body) {
+                callback(tl::make_unexpected(body.error()));
+                return;
+            }
+            callback(read_listing(prefix, *body, since));
+        });
 }
 
 void http_object_store::get(const std::string& name, object_callback callback)
@@ -159,7 +188,7 @@
         }
         const auto json = nlohmann::json::parse(*body, nullptr, false);
         callback(json.is_object() ? read_object(json)
-                                  : fail(result_code::store_unavailable, "malformed object"));
+                                  : fail(result_code::store_answer_malformed, "malformed object"));
     });
 }
 
--- a/src/store/tests/http_object_store_tests.cpp
+++ b/src/store/tests/http_object_store_tests.cpp
@@ -16,6 +16,7 @@
 class http_object_store_tests : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(http_object_store_tests);
     CPPUNIT_TEST(sends_names_of_any_bytes_as_they_are);
+    CPPUNIT_TEST(reads_the_rest_of_a_list_with_unreadable_entries);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -49,6 +50,57 @@
                                  path_of_last_call());
         });
     }
+
+    // Guards against a catalogue or host list that is not read at all because of one entry.
+    void reads_the_rest_of_a_list_with_unreadable_entries()
+    {
+        fake_client client;
+        const auto store = http_object_store::create(client, {"10.0.0.1", 80}, {});
+        const std::string readable = R"({"name":"catalogue/a","version":3,"value":"{}"})";
+        const stored_object expected{"catalogue/a", 3, false, "{}"};
+        for (const std::string odd : {R"({"name":5,"version":3})",
+                                      R"({"name":"catalogue/b","version":"3"})",
+                                      R"({"name":"catalogue/b","version":3,"value":{}})",
+                                      R"({"name":"catalogue/b","version":3,"deleted":"no"})",
+                                      R"({"version":3})",
+                                      R"({"name":"c","version":3})",
+                                      "7",
+                                      "[]",
+                                      "null"}) {
+            section("the catalogue has the entry " + odd, [&] {
+                result<object_listing> listing = fail(result_code::not_ready, "pending");
+                const auto body = R"({"revision":9,"whole":true,"objects":[)" + odd + "," + readable + "]}";
+                store->list("catalogue/", [&](const auto& received) { listing = received; });
+                client.calls.back()->respond(200, {}, body);
+                CPPUNIT_ASSERT(listing->is_snapshot);
+                CPPUNIT_ASSERT(listing->objects == std::vector<stored_object>{expected});
+                store->watch("catalogue/", 5, 100ms, [&](const auto& received) { listing = received; });
+                client.calls.back()->respond(200, {}, body);
+                CPPUNIT_ASSERT(listing->objects == std::vector<stored_object>{expected});
+            });
+        }
+        for (const std::string odd :
+             {R"({"host":5})", R"({"state":"leaving"})", R"({"host":""})", "7", "null"}) {
+            section("the host list has the entry " + odd, [&] {
+                result<std::vector<listed_host>> hosts = fail(result_code::not_ready, "pending");
+                store->list_hosts([&](const auto& received) { hosts = received; });
+                client.calls.back()->respond(
+                    200, {}, R"({"hosts":[)" + odd + R"(,{"host":"h","group":["x"],"state":"leaving"}]})");
+                const std::vector<listed_host> others{{"h", "", "", host_state::leaving}};
+                CPPUNIT_ASSERT(hosts.has_value());
+                CPPUNIT_ASSERT(*hosts == others);
+            });
+        }
+        section("a list is of another type: it cannot be read", [&] {
+            for (const std::string body :
+                 {R"({"revision":"9","objects":[]})", R"({"revision":9,"objects":{}})"}) {
+                result<object_listing> listing = fail(result_code::not_ready, "pending");
+                store->list("catalogue/", [&](const auto& received) { listing = received; });
+                client.calls.back()->respond(200, {}, body);
+                CPPUNIT_ASSERT(listing.error().code == result_code::store_answer_malformed);
+            }
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(http_object_store_tests);
