--- a/src/net/tests/sendable_request_tests.cpp
+++ b/src/net/tests/sendable_request_tests.cpp
@@ -41,7 +41,7 @@
     }
 
     // Returns the result of a call.
-    tl::expected<http_response, http_failure> send(const http_request& request)
+    tl::expected<http_response, http_failure> send(const http_request& request) const
     {
         std::optional<tl::expected<http_response, http_failure>> outcome;
         http_call_options options;
--- a/src/store/tests/http_object_store_tests.cpp
+++ b/src/store/tests/http_object_store_tests.cpp
@@ -2,6 +2,7 @@
 // which it is part of.
 #include "net/mocks/fake_client.h"
 #include "store/http_object_store.h"
+#include "testing/concatenate.h"
 #include "testing/section.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -11,6 +12,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+using testing::concatenate;
 using testing::section;
 
 class http_object_store_tests : public CppUnit::TestFixture {
@@ -85,7 +87,10 @@
                 result<std::vector<listed_host>> hosts = fail(result_code::not_ready, "pending");
                 store->list_hosts([&](const auto& received) { hosts = received; });
                 client.calls.back()->respond(
-                    200, {}, R"({"hosts":[)" + odd + R"(,{"host":"h","group":["x"],"state":"leaving"}]})");
+                    200,
+                    {},
+                    concatenate(
+                        {R"({"hosts":[)", odd, R"(,{"host":"h","group":["x"],"state":"leaving"}]})"}));
                 const std::vector<listed_host> others{{"h", "", "", host_state::leaving}};
                 CPPUNIT_ASSERT(hosts.has_value());
                 CPPUNIT_ASSERT(*hosts == others);
