Soak and integration test: entries of any name arrive and go while gateways pass changes on

Handled already: an entry that arrives by a watch is relayed, omitted from a message if its name is too long for one, and adds nothing to the metrics. passes_changes_on_beside_entries_of_any_name keeps it, with three gateways and all kinds that are followed. Change of the soak: the store sends its lists in pages of one entry, and another writer adds and removes entries of odd names.

--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -41,9 +41,15 @@
                                soak_cluster& cluster,
                                traffic_generator& traffic,
                                soak_record& record)
-    : random(seed), cluster(cluster), traffic(traffic), record(record), phase_ends_at(now() + min_phase)
+    : random(seed),
+      entry_random(seed),
+      cluster(cluster),
+      traffic(traffic),
+      record(record),
+      phase_ends_at(now() + min_phase)
 {
     this->schedule(min_gap, [this] { this->inject_next(); });
+    this->schedule(min_gap, [this] { this->add_foreign_entry(); });
 }
 
 void fault_injector::schedule(duration delay, action work)
@@ -227,6 +233,39 @@
     }
 }
 
+// The store sends its lists in pages, so that a gateway which starts meanwhile lists entries behind this one.
+// Draws of its own leave the other faults of a seed as they are.
+void fault_injector::add_foreign_entry()
+{
+    if (this->is_stopping) {
+        return;
+    }
+    this->schedule(min_gap + this->entry_random() % (max_gap - min_gap).count() * 1ms,
+                   [this] { this->add_foreign_entry(); });
+    static const std::array<std::string, 4> kinds{"servers", "config", "gateways", "quarantines"};
+    static const std::array<std::string, 8> names{
+        "a&b", "a b", "a#", "%7A", "\xFF", "a\r\nX-Other: 1", "a/b?c", "\xED\xA0\x80"};
+    if (!this->is_store_healthy()) {
+        return;
+    }
+    const auto& kind = kinds.at(this->entry_random() % kinds.size());
+    const auto& name = names.at(this->entry_random() % names.size());
+    ++this->injected_counts_by_kind["entry of another writer"];
+    this->cluster.write_foreign_entry(kind, name);
+    const auto span = (max_fault_duration - min_fault_duration).count();
+    this->schedule(min_fault_duration + this->entry_random() % span * 1ms,
+                   [this, kind, name] { this->remove_foreign_entry(kind, name); });
+}
+
+void fault_injector::remove_foreign_entry(const std::string& kind, const std::string& name)
+{
+    if (!this->is_store_healthy()) {
+        this->schedule(min_gap, [this, kind, name] { this->remove_foreign_entry(kind, name); });
+        return;
+    }
+    this->cluster.remove_foreign_entry(kind, name);
+}
+
 // The operators' writes wait until what the copy lacks has been written again.
 void fault_injector::restore_store()
 {
--- a/soak/fault_injector.h
+++ b/soak/fault_injector.h
@@ -58,11 +58,14 @@
     void crash_server();
     void inject_server_fault();
     void change_configuration();
+    void add_foreign_entry();
+    void remove_foreign_entry(const std::string& kind, const std::string& name);
     void restore_store();
     bool is_store_healthy() const;
     bool has_active_fault(const std::string& target) const;
 
     std::mt19937 random;
+    std::mt19937 entry_random; // of the entries of another writer
     soak_cluster& cluster;
     traffic_generator& traffic;
     soak_record& record;
--- a/soak/soak_cluster.cpp
+++ b/soak/soak_cluster.cpp
@@ -1,6 +1,7 @@
 #include "soak/soak_cluster.h"
 
 #include "base/text.h"
+#include "net/uri.h"
 
 #include <algorithm>
 #include <csignal>
@@ -45,6 +46,7 @@
           "standin-site", std::vector<std::string>{"--servers", "0", "--era", "1"})),
       store_http_address(this->store_process->address("http"))
 {
+    this->client.post(this->store_http_address, "/faults?page_size=1");
     for (std::size_t count = 0; count < servers; ++count) {
         this->add_server();
     }
@@ -230,6 +232,17 @@
     });
 }
 
+void soak_cluster::write_foreign_entry(const std::string& kind, const std::string& name)
+{
+    const json object{{"metadata", json::object()}, {"spec", {{"of", "another writer"}}}};
+    this->write({"PUT", "/objects/" + kind + "/" + encode_uri_component(name), {}, object.dump()});
+}
+
+void soak_cluster::remove_foreign_entry(const std::string& kind, const std::string& name)
+{
+    this->write({"DELETE", "/objects/" + kind + "/" + encode_uri_component(name), {}, {}});
+}
+
 testing::test_client& soak_cluster::platform_client()
 {
     return this->client;
--- a/soak/soak_cluster.h
+++ b/soak/soak_cluster.h
@@ -57,6 +57,8 @@
     testing::child_process& store();
     std::string store_address() const;
     void add_route(unsigned number);
+    void write_foreign_entry(const std::string& kind, const std::string& name); // of another writer
+    void remove_foreign_entry(const std::string& kind, const std::string& name);
 
     testing::test_client& platform_client();
 
--- a/tests/tests/foreign_store_entry_tests.cpp
+++ b/tests/tests/foreign_store_entry_tests.cpp
@@ -108,6 +108,7 @@
     CPPUNIT_TEST(serves_beside_a_server_entry_of_any_name);
     CPPUNIT_TEST(serves_beside_an_entry_of_any_name_in_other_kinds);
     CPPUNIT_TEST(sends_nothing_to_a_server_of_no_usable_name);
+    CPPUNIT_TEST(passes_changes_on_beside_entries_of_any_name);
     CPPUNIT_TEST(names_what_it_does_not_know);
     CPPUNIT_TEST_SUITE_END();
 
@@ -173,6 +174,38 @@
         });
     }
 
+    // Two of three gateways watch the store and pass on what changes.
+    void passes_changes_on_beside_entries_of_any_name()
+    {
+        paged_site site;
+        site.assert_served_by({"g0", "g1", "g2"});
+        site.group.wait_for_election();
+        for (const std::string kind : {"servers", "config", "gateways", "quarantines"}) {
+            section(concatenate({"entries of any name are written under ", kind, ", and removed"}), [&] {
+                for (const auto& odd : odd_names()) {
+                    site.write(kind, odd.second, {{"of", "another writer"}});
+                }
+                for (const auto& odd : odd_names()) {
+                    site.remove(kind, odd.second);
+                }
+            });
+        }
+        section("the next configuration is in force on all gateways, and all serve", [&] {
+            site.group.apply_configuration(2);
+            site.group.wait_for_configuration(2);
+            for (const std::string host : {"g0", "g1", "g2"}) {
+                CPPUNIT_ASSERT_EQUAL(status_ok, site.group.fetch_status(host));
+                CPPUNIT_ASSERT_EQUAL(2.0, site.group.metric(host, "tanager_peers_heard"));
+                CPPUNIT_ASSERT_EQUAL(static_cast<double>(server_count),
+                                     site.group.metric(host, "tanager_servers_taking_work"));
+            }
+        });
+        section("what the metrics show does not grow with the entries", [&] {
+            const auto page = site.group.caller.get(site.group.members.at("g0").admin_address, "/metrics");
+            CPPUNIT_ASSERT(page.body.find("e1") == std::string::npos);
+        });
+    }
+
     void names_what_it_does_not_know()
     {
         paged_site site;
