--- a/src/store/tests/http_object_store_tests.cpp
+++ b/src/store/tests/http_object_store_tests.cpp
@@ -71,7 +71,8 @@
                                       "null"}) {
             section("the catalogue has the entry " + odd, [&] {
                 result<object_listing> listing = fail(result_code::not_ready, "pending");
-                const auto body = R"({"revision":9,"whole":true,"objects":[)" + odd + "," + readable + "]}";
+                const auto body =
+                    concatenate({R"({"revision":9,"whole":true,"objects":[)", odd, ",", readable, "]}"});
                 store->list("catalogue/", [&](const auto& received) { listing = received; });
                 client.calls.back()->respond(200, {}, body);
                 CPPUNIT_ASSERT(listing->is_snapshot);
