--- a/review/support-2/harness.h
+++ b/review/support-2/harness.h
@@ -641,8 +641,9 @@
                        const std::string& path_name,
                        std::map<std::string, std::string> query)
     {
-        const auto body = json::parse(request.body, nullptr, false);
-        const auto metadata = body.is_object() ? body.value("metadata", json::object()) : json::object();
+        const auto parsed = json::parse(request.body, nullptr, false);
+        const auto body = parsed.is_object() ? parsed : json::object();
+        const auto metadata = body.value("metadata", json::object());
         const bool is_creation = request.method == "POST";
         const auto name = is_creation ? metadata.value("name", std::string{}) : path_name;
         const auto found = this->objects.find({kind, name});
@@ -892,6 +893,22 @@
         }
     }
 
+    // Stops it like the platform: SIGTERM, and SIGKILL after the grace.
+    void stop(ms grace)
+    {
+        this->signal(SIGTERM);
+        const auto until = steady::now() + grace;
+        while (this->process > 0 && steady::now() < until) {
+            if (waitpid(this->process, nullptr, WNOHANG) == this->process) {
+                this->record.write("gateway " + this->name + ": ended");
+                this->process = -1;
+                return;
+            }
+            sleep_for(ms(10));
+        }
+        this->kill();
+    }
+
     bool is_ready() const
     {
         message question{"GET", "/ready", 0, {{"Host", "ready"}}, {}};
