--- a/review/10/scenario.cpp
+++ b/review/10/scenario.cpp
@@ -102,6 +102,11 @@
     sleep_for(ms(200));
     leaving.set_leaving();
     record.write("i-leaving: leaves, and says so in its answers");
+    if (is_down) {
+        // A server that never reports draining: its entry is removed, also while the store is down.
+        store.remove("servers", "i-leaving");
+        record.write("store: the entry of i-leaving is removed");
+    }
     if (!is_down) {
         store.write("servers", "i-leaving", leaving.entry("draining"));
         record.write("i-leaving: draining, acknowledged by the store");
@@ -115,7 +120,6 @@
     }
     std::this_thread::sleep_until(outage_began + store_outage);
     if (is_down) {
-        store.remove("servers", "i-leaving");
         store.set_down(false);
         record.write("store: back");
     }
