Usage: windows of an earlier era of the store are not fixed again

Cause: which windows are fixed is in duties/usage, which the copy had lost, and in the memory of gateways that had all ended. The new holder took each window after the copy's fixed_through for one that was never fixed. The object didn't show its age: its version is always of the era in force. Fix: the text names the era in which it was written. A holder that finds a text of another era, and has recorded no announcement, leaves out the windows that had ended when its process first saw the era: only those can have been fixed earlier. Event 3063 and a counter name them. The state of the new era is written one second after the take-over; others that know what is fixed tell the new holder, and a holder announces a window before it reports it. So nothing is left out that a running gateway knows.

--- a/src/duties/internal/usage_messages.cpp
+++ b/src/duties/internal/usage_messages.cpp
@@ -55,6 +55,11 @@
     writer.write_number(message.is_resigning ? 1 : 0);
 }
 
+void write_rest(byte_writer& writer, const usage_fixed_notice& message)
+{
+    writer.write_number(message.fixed_through);
+}
+
 void read_rest(byte_reader& reader, usage_counts_message& message)
 {
     message.sequence = reader.read_number();
@@ -81,6 +86,11 @@
     message.is_resigning = reader.read_number() != 0;
 }
 
+void read_rest(byte_reader& reader, usage_fixed_notice& message)
+{
+    message.fixed_through = reader.read_number();
+}
+
 template <class message_type>
 usage_message read_message(byte_reader& reader)
 {
@@ -111,15 +121,17 @@
     constexpr std::uint64_t counts_index = 0;
     constexpr std::uint64_t acknowledgement_index = 1;
     constexpr std::uint64_t announcement_index = 2;
+    constexpr std::uint64_t notice_index = 3;
     byte_reader reader(bytes);
     const auto version = reader.read_number();
     const auto index = reader.read_number();
-    if (version != codec_version || index > announcement_index) {
+    if (version != codec_version || index > notice_index) {
         return fail(result_code::request_malformed, "a usage message of an unknown form");
     }
     auto message = index == counts_index            ? read_message<usage_counts_message>(reader)
                    : index == acknowledgement_index ? read_message<usage_acknowledgement>(reader)
-                                                    : read_message<usage_announcement>(reader);
+                   : index == announcement_index    ? read_message<usage_announcement>(reader)
+                                                    : read_message<usage_fixed_notice>(reader);
     if (!reader.is_complete()) {
         return fail(result_code::request_malformed, "a usage message that is cut or too long");
     }
--- a/src/duties/internal/usage_reporter.cpp
+++ b/src/duties/internal/usage_reporter.cpp
@@ -2,9 +2,11 @@
 
 #include "duties/usage_messages.h"
 #include "logging/event_log.h"
+#include "store/types/fencing_token.h"
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace tanager {
 
@@ -29,6 +31,8 @@
 // A call takes up to twice its timeout, and has to end before the lease does.
 constexpr int call_timeout_lease_divisor = 3;
 constexpr std::chrono::milliseconds retry_delay{1'000};
+// By then a holder has heard from the others which time of day they believe.
+constexpr std::chrono::milliseconds time_claims_delay{1'000};
 // A report that the platform has refused so often is given up, for the later ones to go on.
 constexpr int max_refusals = 5;
 // A message with so many counts fits into two datagrams of the usual size.
@@ -71,6 +75,9 @@
                 std::chrono::duration_cast<duration>(settings.windows.length * settings.windows.tolerance))
     {
         this->first_window = this->current_window();
+        this->seen_era = store.known_era();
+        this->era_seen_at = time.now();
+        this->checked_at = time.now();
     }
 
     void start()
@@ -117,13 +124,56 @@
         if (read.fixed_through >= this->fixed.fixed_through) {
             this->fixed = read;
         }
+        this->fixed.era = read.era;
         this->fixed.fixed_through = std::max(this->fixed.fixed_through, this->known_fixed_through);
+        this->observe_era();
+        this->unknown_until.reset();
+        if (this->is_of_this_era(this->fixed)) {
+            this->follows_holders = true;
+        } else if (!this->follows_holders) {
+            this->unknown_until = this->era_seen_at;
+        }
         this->drop_through(this->fixed.fixed_through);
         this->retry_at = {};
         this->refusals = 0;
         this->announce(false);
     }
 
+    void observe_era()
+    {
+        const auto era = this->store.known_era();
+        if (era != this->seen_era) {
+            this->seen_era = era;
+            this->era_seen_at = this->time.now();
+        }
+    }
+
+    bool is_of_this_era(const usage_state& state) const
+    {
+        return state.era == era_of(this->owner->lease().version());
+    }
+
+    // Returns the last window that had ended at a time of the steady clock.
+    window_number last_window_before(time_point when) const
+    {
+        const auto passed = std::chrono::duration_cast<wall_time_point::duration>(this->time.now() - when);
+        const auto open = window_of(this->settings.windows, this->truth.now() - passed);
+        return open - std::min<window_number>(open, 1);
+    }
+
+    // Returns the fixed windows as a state of the era in force. A window that was fixed in an earlier era had
+    // ended before any process saw this one; unless this process has followed the holders, all of those
+    // count as fixed.
+    usage_state state_of_this_era() const
+    {
+        usage_state next = this->fixed;
+        next.era = era_of(this->owner->lease().version());
+        if (this->unknown_until) {
+            next.fixed_through = std::max(next.fixed_through, this->last_window_before(*this->unknown_until));
+        }
+        return next;
+    }
+
     // Windows that a gateway with a wrong time says it has fixed are still needed.
     void drop_through(window_number window)
     {
@@ -141,10 +191,15 @@
 
     void check()
     {
+        const auto now = this->time.now();
+        // Announcements were missed during a standstill; within a lease no other gateway can have acted.
+        if (now - std::exchange(this->checked_at, now) > this->settings.duty.lease) {
+            this->follows_holders = false;
+        }
+        this->observe_era();
         const auto peers = this->sorted_peers();
         this->owner->check(peers);
         this->update_receivers(peers);
-        const auto now = this->time.now();
         this->counts_interval = this->scaled(min_counts_interval, peers.size());
         if (now - this->counts_sent_at >= this->counts_interval) {
             this->counts_sent_at = now;
@@ -253,13 +308,15 @@
         return bytes.size();
     }
 
+    // Leaves open which windows are fixed as long as the state is of an earlier era.
     void announce(bool is_resigning)
     {
         this->announced_at = this->time.now();
+        const auto fixed_through = this->is_of_this_era(this->fixed) ? this->fixed.fixed_through : 0;
         this->channel.send_to_all(encode_usage_message(usage_announcement{this->make_sender(),
                                                                           this->owner->lease().token(),
                                                                           this->truth.voters(),
-                                                                          this->fixed.fixed_through,
+                                                                          fixed_through,
                                                                           is_resigning}));
     }
 
@@ -284,8 +341,17 @@
     void work()
     {
         const auto now = this->time.now();
-        if (!this->owner->is_ready() || this->is_call_in_flight || now < this->retry_at ||
-            !this->owner->lease().is_predecessor_gone()) {
+        if (!this->owner->is_ready() || this->is_call_in_flight || now < this->retry_at) {
+            return;
+        }
+        // Written before the first window of this era is fixed, so that a successor loses no more windows.
+        if (!this->is_of_this_era(this->fixed)) {
+            if (now - this->owner->lease().held_since() >= time_claims_delay) {
+                this->write(this->state_of_this_era());
+            }
+            return;
+        }
+        if (!this->owner->lease().is_predecessor_gone()) {
             return;
         }
         const auto next = this->with_ended_windows();
@@ -297,34 +363,72 @@
             this->send_report();
             return;
         }
+        this->write(next);
+    }
+
+    void write(const usage_state& next)
+    {
         this->owner->update(encode_usage_state(next), [self = this->shared_from_this(), next](bool is_held) {
             if (!is_held) {
                 return;
             }
+            self->record_left_out(next);
             self->log_fixed(next);
+            // A later correction of the time does not change which windows were left out.
+            if (self->is_of_this_era(self->fixed)) {
+                self->unknown_until.reset();
+            }
             self->fixed = next;
+            self->follows_holders = true;
             self->drop_through(next.fixed_through);
+            // Announced before the report, since the store may lose this update.
+            self->announce(false);
             if (!next.unsent.empty() && self->owner->lease().may_act() && !self->is_call_in_flight) {
                 self->send_report();
             }
         });
     }
 
+    // Returns the first window that a state leaves to be fixed.
+    window_number first_unfixed(const usage_state& state) const
+    {
+        return state.fixed_through != 0
+                   ? state.fixed_through + 1
+                   : std::min(this->first_window, this->ledger.first_window().value_or(this->first_window));
+    }
+
+    // Logs the windows that are passed over, with the era that the state was of.
+    void record_left_out(const usage_state& next)
+    {
+        if (!this->unknown_until) {
+            return;
+        }
+        const auto last = std::min(next.fixed_through, this->last_window_before(*this->unknown_until));
+        const auto oldest = last - std::min(last, max_open_windows - 1);
+        const auto first = std::max({this->first_unfixed(this->fixed), this->left_out_through + 1, oldest});
+        if (first > last) {
+            return;
+        }
+        this->left_out_through = last;
+        write_event(log_event::usage_left_out,
+                    {{"first_window", text_of(first)},
+                     {"last_window", text_of(last)},
+                     {"state_era", text_of(this->fixed.era)},
+                     {"store_era", text_of(next.era)}});
+        this->metrics.increment_counter("tanager_usage_windows_left_out_total", "", last - first + 1);
+    }
+
     // Returns the state with the counts of the windows that have ended and settled.
     usage_state with_ended_windows()
     {
-        usage_state next = this->fixed;
+        usage_state next = this->state_of_this_era();
         const auto settling_delay =
             std::min<duration>(settling_intervals * this->counts_interval + settling_transit,
                                this->settings.windows.max_delay / max_settling_divisor);
         const auto end = window_of(this->settings.windows,
                                    this->truth.now() -
                                        std::chrono::duration_cast<wall_time_point::duration>(settling_delay));
-        auto first = next.fixed_through + 1;
-        if (next.fixed_through == 0) {
-            first = std::min(this->first_window, this->ledger.first_window().value_or(this->first_window));
-        }
-        first = std::max(first, end - std::min(end, max_open_windows));
+        const auto first = std::max(this->first_unfixed(next), end - std::min(end, max_open_windows));
         if (first >= end) {
             return next;
         }
@@ -459,7 +563,27 @@
         if (this->truth.record_agreed(message.sender.time, message.voters)) {
             this->on_time_changed(before, message.voters);
         }
+        if (message.fixed_through != 0) {
+            this->follows_holders = true;
+            this->drop_through(message.fixed_through);
+        } else if (this->follows_holders) {
+            this->channel.send_to(
+                message.sender.gateway,
+                encode_usage_message(usage_fixed_notice{this->make_sender(), this->known_fixed_through}));
+        }
+    }
+
+    // Completes a state of an earlier era with the windows that another gateway has recorded as fixed.
+    void receive(const usage_fixed_notice& message)
+    {
+        this->truth.record_claim(message.sender.gateway, message.sender.time);
+        if (!this->owner->lease().is_holder() || this->is_of_this_era(this->fixed)) {
+            return;
+        }
+        this->follows_holders = true;
+        this->unknown_until.reset();
         this->drop_through(message.fixed_through);
+        this->fixed.fixed_through = std::max(this->fixed.fixed_through, this->known_fixed_through);
     }
 
     void leave()
@@ -492,6 +616,13 @@
     std::optional<std::string> last_holder; // that was heard of, or this gateway
     window_number first_window = 0;
     window_number known_fixed_through = 0;
+    std::uint64_t seen_era = 0; // of the store
+    time_point era_seen_at;
+    time_point checked_at;
+    // Whether this process has recorded what the last holder fixed, from announcements or as a holder.
+    bool follows_holders = false;
+    std::optional<time_point> unknown_until; // windows that ended before it may be fixed
+    window_number left_out_through = 0;
     time_point counts_sent_at;
     duration counts_interval{min_counts_interval};
     time_point announced_at;
--- a/src/duties/tests/duties_tests.cpp
+++ b/src/duties/tests/duties_tests.cpp
@@ -112,6 +112,7 @@
     {
         for (duration passed{0}; passed < span; passed += check_interval) {
             this->time.advance(check_interval);
+            this->history.push_back({this->store.objects, this->store.last_revision()});
             for (auto& [name, member] : this->gateways) {
                 if (!member->is_frozen) {
                     member->reporter.check();
@@ -125,6 +126,76 @@
         }
     }
 
+    void kill_all()
+    {
+        this->gateways.clear();
+    }
+
+    void start_all(const std::vector<std::string>& names)
+    {
+        for (const auto& name : names) {
+            this->start(name);
+        }
+    }
+
+    // Each gateway counts a request each second.
+    void run_with_requests(int seconds)
+    {
+        for (int second = 0; second < seconds; ++second) {
+            for (auto& [name, member] : this->gateways) {
+                member->reporter.record_began("bank");
+            }
+            this->run(1s);
+        }
+    }
+
+    void set_store_down(bool is_down)
+    {
+        this->store.fault_rates = is_down ? store_fault_rates{100, 0, 0} : store_fault_rates{};
+    }
+
+    // The store comes back from a copy of this age.
+    void restore(duration age)
+    {
+        const auto steps =
+            std::min<std::size_t>(static_cast<std::size_t>(age / check_interval), this->history.size() - 1);
+        const auto& [objects, revision] = this->history[this->history.size() - 1 - steps];
+        this->store.restore(objects, revision);
+        this->set_store_down(false);
+    }
+
+    window_number current_window() const
+    {
+        return window_of(usage_windows{}, this->time.wall_now());
+    }
+
+    // Returns the windows between the first reported one and the last one that were not reported.
+    std::size_t missing_windows() const
+    {
+        const auto counts = this->check_calls();
+        const auto number = [](const auto& row) {
+            return std::stoull(row.first.substr(1));
+        };
+        return counts.empty() ? 0 : number(*counts.rbegin()) - number(*counts.begin()) + 1 - counts.size();
+    }
+
+    std::uint64_t left_out() const
+    {
+        std::uint64_t windows = 0;
+        for (const auto& [name, member] : this->gateways) {
+            windows += member->metrics.counter_value("tanager_usage_windows_left_out_total");
+        }
+        return windows;
+    }
+
+    // Checks that the last window that is due was reported.
+    void check_reports_go_on() const
+    {
+        CPPUNIT_ASSERT(!this->calls.empty());
+        const auto last = std::stoull(this->check_calls().rbegin()->first.substr(1));
+        CPPUNIT_ASSERT_MESSAGE("reports have ended", last + 2 >= this->current_window());
+    }
+
     void answer(gateway& member)
     {
         while (!member.is_frozen && member.answered_calls < member.client.calls.size()) {
@@ -181,6 +252,7 @@
     fault_injecting_store store;
     std::map<std::string, std::unique_ptr<gateway>> gateways;
     std::vector<platform_call> calls;
+    std::vector<std::pair<std::map<std::string, stored_object>, std::uint64_t>> history; // of the store
     int platform_status = status_ok;
     std::chrono::milliseconds lease_setting = lease; // of gateways that are started
     bool loses_messages = false;
@@ -243,6 +315,9 @@
     CPPUNIT_TEST(gateways_stop_while_the_store_is_away);
     CPPUNIT_TEST(the_platform_is_away);
     CPPUNIT_TEST(the_store_comes_back_from_a_copy);
+    CPPUNIT_TEST(all_gateways_end_while_the_store_comes_back_from_a_copy);
+    CPPUNIT_TEST(ends_and_returns_come_in_any_order);
+    CPPUNIT_TEST(no_window_is_left_out_that_is_known);
     CPPUNIT_TEST(faults_come_together);
     CPPUNIT_TEST_SUITE_END();
 
@@ -427,7 +502,8 @@
         const std::vector<usage_message> messages{
             usage_counts_message{sender, 3, {{7, "bank", 2}, {8, "shop", 900}}},
             usage_acknowledgement{sender, 3},
-            usage_announcement{sender, 12, 26, 7, true}};
+            usage_announcement{sender, 12, 26, 7, true},
+            usage_fixed_notice{sender, 7}};
         for (const auto& message : messages) {
             const auto bytes = encode_usage_message(message);
             CPPUNIT_ASSERT(decode_usage_message(bytes) == message);
@@ -447,8 +523,10 @@
             // Differences of two times are taken.
             CPPUNIT_ASSERT(time < wall_time_point{wall_time_point::max().time_since_epoch() / 2});
         });
-        const usage_state state{7, {{7, {{"bank", 2}, {"shop", 900}}}}};
+        const usage_state state{7, {{7, {{"bank", 2}, {"shop", 900}}}}, 3};
         CPPUNIT_ASSERT(decode_usage_state(encode_usage_state(state)) == state);
+        CPPUNIT_ASSERT(decode_usage_state(R"({"fixed_through":7,"unsent":[]})") == (usage_state{7, {}, 0}));
+        CPPUNIT_ASSERT(!decode_usage_state(R"({"fixed_through":7,"unsent":[],"era":"x"})"));
         CPPUNIT_ASSERT(decode_usage_state("") == usage_state{});
         CPPUNIT_ASSERT(!decode_usage_state("[7]"));
         CPPUNIT_ASSERT(!decode_usage_state(R"({"fixed_through":7,"unsent":[{"window":"x"}]})"));
@@ -664,6 +742,186 @@
         });
     }
 
+    // Guards against a window that is reported twice with different counts: the copy lacks it, and no process
+    // that knew of it is left.
+    void all_gateways_end_while_the_store_comes_back_from_a_copy()
+    {
+        const std::vector<std::string> names{"a", "b"};
+        gateway_fleet fleet(10);
+        fleet.start_all(names);
+        fleet.run_with_requests(20);
+        const auto reported = fleet.calls.size();
+        while (fleet.calls.size() == reported) {
+            fleet.run_with_requests(1);
+        }
+        fleet.set_store_down(true);
+        fleet.kill_all();
+        fleet.run(500ms);
+        fleet.start_all(names);
+        fleet.run(500ms);
+        fleet.restore(4s);
+        const auto back_at = fleet.current_window();
+        fleet.run_with_requests(20);
+        section("the window is not reported again, and is logged as left out", [&] {
+            fleet.check_reports_go_on();
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, fleet.left_out());
+        });
+        section("the windows that end after the return are reported", [&] {
+            const auto counts = fleet.check_calls();
+            for (auto window = back_at; window + 2 < fleet.current_window(); ++window) {
+                CPPUNIT_ASSERT(counts.contains("/" + std::to_string(window)));
+            }
+        });
+        section("an end of all after a further return: nothing was fixed in the era between", [&] {
+            fleet.restore(15s);
+            fleet.run(2s);
+            fleet.restore(1s);
+            fleet.kill_all();
+            fleet.run(500ms);
+            fleet.start_all(names);
+            fleet.run_with_requests(25);
+            fleet.check_reports_go_on();
+        });
+        section("the object of the duty is younger than the copy", [] {
+            gateway_fleet young(11);
+            young.run(1s);
+            young.start_all({"a", "b"});
+            young.run_with_requests(15);
+            CPPUNIT_ASSERT(!young.calls.empty());
+            young.kill_all();
+            young.start_all({"a", "b"});
+            young.restore(60s);
+            young.run_with_requests(20);
+            young.check_reports_go_on();
+        });
+    }
+
+    // Returns of the store, some soon after another, and ends of all gateways before, during and after them.
+    // One host's time may be wrong, and in half of the series a third of the messages is lost.
+    void ends_and_returns_come_in_any_order()
+    {
+        constexpr std::uint64_t seeds = 60;
+        const std::vector<std::string> names{"a", "b", "c"};
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            section("seed " + std::to_string(seed), [seed, &names] {
+                seeded_random random(seed);
+                gateway_fleet fleet(seed);
+                const auto tenths = [&random](std::uint64_t most) {
+                    return std::chrono::milliseconds{100} * static_cast<int>(random.next() % (most + 1));
+                };
+                const auto count_for = [&fleet](duration span) {
+                    for (duration passed{0}; passed < span; passed += check_interval) {
+                        for (auto& [name, member] : fleet.gateways) {
+                            member->reporter.record_began("bank");
+                        }
+                        fleet.run(check_interval);
+                    }
+                };
+                const auto start = [&](const std::string& name) {
+                    fleet.start(name, name == "b" && random.next() % 3 == 0 ? 8s : 0s);
+                };
+                const auto end_all = [&] {
+                    const bool is_planned = random.next() % 2 == 0;
+                    const bool is_one_by_one = random.next() % 3 == 0;
+                    for (const auto& name : names) {
+                        if (is_planned) {
+                            fleet.gateways.at(name)->reporter.leave();
+                            fleet.gateways.at(name)->reporter.flush();
+                        }
+                        if (is_one_by_one) {
+                            fleet.kill(name);
+                            count_for(tenths(8));
+                            start(name);
+                        }
+                    }
+                    if (!is_one_by_one) {
+                        fleet.kill_all();
+                        fleet.run(tenths(15));
+                        std::ranges::for_each(names, start);
+                    }
+                };
+                fleet.start_all(names);
+                fleet.loses_messages = seed % 2 == 0;
+                count_for(17s + tenths(50));
+                for (auto returns = 1 + random.next() % 3; returns > 0; --returns) {
+                    const auto order = random.next() % 4;
+                    if (order == 0) {
+                        end_all();
+                        count_for(tenths(20));
+                    }
+                    fleet.set_store_down(true);
+                    count_for(tenths(20));
+                    if (order == 1) {
+                        end_all();
+                    }
+                    count_for(tenths(25));
+                    fleet.restore(1s + tenths(150));
+                    if (order == 2) {
+                        count_for(tenths(60));
+                        end_all();
+                    }
+                    count_for(random.next() % 2 == 0 ? tenths(30) : 5s + tenths(100));
+                }
+                fleet.loses_messages = false;
+                count_for(25s);
+                fleet.check_reports_go_on();
+            });
+        }
+    }
+
+    void no_window_is_left_out_that_is_known()
+    {
+        constexpr std::uint64_t seeds = 20;
+        const std::vector<std::string> names{"a", "b", "c"};
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+            const auto offset = std::chrono::milliseconds{250} * static_cast<int>(seed);
+            section("all gateways end, the store keeps what it has, offset " + std::to_string(seed), [&] {
+                gateway_fleet fleet(seed);
+                fleet.start_all(names);
+                fleet.run(17s + offset);
+                fleet.kill_all();
+                fleet.run(500ms);
+                fleet.start_all(names);
+                fleet.run(25s);
+                fleet.check_reports_go_on();
+                CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.missing_windows());
+            });
+            section("the gateways live through a return, offset " + std::to_string(seed), [&] {
+                gateway_fleet fleet(seed);
+                fleet.start_all(names);
+                fleet.run(17s + offset);
+                fleet.set_store_down(true);
+                fleet.run(std::chrono::milliseconds{300} * static_cast<int>(seed));
+                fleet.restore(4s);
+                fleet.run(25s);
+                fleet.check_reports_go_on();
+                CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.missing_windows());
+                section("all end some time after it", [&] {
+                    fleet.kill_all();
+                    fleet.run(500ms);
+                    fleet.start_all(names);
+                    fleet.run(25s);
+                    fleet.check_reports_go_on();
+                    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.missing_windows());
+                });
+            });
+            section("one that starts while the store is away is told, offset " + std::to_string(seed), [&] {
+                gateway_fleet fleet(seed);
+                fleet.start_all({"b", "c"});
+                fleet.run(17s + offset);
+                fleet.set_store_down(true);
+                fleet.kill("b");
+                fleet.start("a");
+                fleet.run(2'900ms);
+                fleet.restore(4s);
+                fleet.run(25s);
+                fleet.check_reports_go_on();
+                CPPUNIT_ASSERT_EQUAL(std::string{"a"}, fleet.holder());
+                CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.missing_windows());
+            });
+        }
+    }
+
     // Gateways are killed, frozen and restarted in turn, while the store rejects calls and loses answers, and
     // messages are lost.
     void faults_come_together()
--- a/src/duties/usage_messages.h
+++ b/src/duties/usage_messages.h
@@ -42,13 +42,23 @@
     usage_sender sender;
     std::uint64_t token = 0;
     std::uint64_t voters = 0;        // how many gateways' times are the base of the sender's time
-    window_number fixed_through = 0; // the counts of later windows are still needed
+    window_number fixed_through = 0; // the counts of later windows are still needed; 0 while that is open
     bool is_resigning = false;
 
     friend bool operator==(const usage_announcement&, const usage_announcement&) = default;
 };
 
-using usage_message = std::variant<usage_counts_message, usage_acknowledgement, usage_announcement>;
+// The answer to a holder whose announcement leaves `fixed_through` open, from a gateway that has recorded
+// what earlier holders fixed.
+struct usage_fixed_notice {
+    usage_sender sender;
+    window_number fixed_through = 0;
+
+    friend bool operator==(const usage_fixed_notice&, const usage_fixed_notice&) = default;
+};
+
+using usage_message =
+    std::variant<usage_counts_message, usage_acknowledgement, usage_announcement, usage_fixed_notice>;
 
 // Counts in one message; the whole fits into two datagrams of the usual size.
 inline constexpr std::size_t max_usage_entry_bytes = 2'800;
--- a/src/duties/usage_state_codec.h
+++ b/src/duties/usage_state_codec.h
@@ -10,10 +10,12 @@
 namespace tanager {
 
 // What a successor has to go on with: it sends exactly the counts of the unsent windows, and never those of
-// other windows up to `fixed_through`.
+// other windows up to `fixed_through`. In a later era than `era`, windows that ended before that one began
+// may have been fixed as well.
 struct usage_state {
     window_number fixed_through = 0; // 0 before the first window
     std::vector<window_usage> unsent;
+    std::uint64_t era = 0; // of the store, in which the holder wrote the state
 
     friend bool operator==(const usage_state&, const usage_state&) = default;
 };
--- a/src/gateway/tests/quarantine_archive_tests.cpp
+++ b/src/gateway/tests/quarantine_archive_tests.cpp
@@ -54,6 +54,11 @@
         this->results.emplace_back([callback, written] { callback(written); });
     }
 
+    std::uint64_t known_era() const override
+    {
+        return 0;
+    }
+
     void remove(const std::string& name, std::uint64_t /*expected*/, version_callback callback) override
     {
         ++this->call_count;
--- a/src/logging/internal/log_event.cpp
+++ b/src/logging/internal/log_event.cpp
@@ -45,6 +45,7 @@
     event_row{log_event::usage_late, "usage_late", log_level::warning},
     event_row{log_event::usage_postponed, "usage_postponed", log_level::warning},
     event_row{log_event::usage_given_up, "usage_given_up", log_level::warning},
+    event_row{log_event::usage_left_out, "usage_left_out", log_level::warning},
     event_row{log_event::time_corrected, "time_corrected", log_level::warning},
     event_row{log_event::attempt_refused, "attempt_refused", log_level::info},
     event_row{log_event::attempt_finished, "attempt_finished", log_level::debug},
--- a/src/logging/types/log_event.h
+++ b/src/logging/types/log_event.h
@@ -98,6 +98,7 @@
     usage_late = 3059,
     usage_postponed = 3060,
     usage_given_up = 3061,
+    usage_left_out = 3063,
     time_corrected = 3062,
     link_full = 3070,
     engine_speed_rated = 3065,
--- a/src/relay/internal/watch_relay.cpp
+++ b/src/relay/internal/watch_relay.cpp
@@ -185,6 +185,11 @@
     this->store.remove(name, expected, std::move(callback));
 }
 
+std::uint64_t watch_relay::known_era() const
+{
+    return this->store.known_era();
+}
+
 // Answers the pending watch if there is something to report, or calls the store if that is due.
 void watch_relay::advance(feed_state& feed)
 {
--- a/src/relay/watch_relay.h
+++ b/src/relay/watch_relay.h
@@ -63,6 +63,7 @@
              std::uint64_t expected,
              version_callback callback) override;
     void remove(const std::string& name, std::uint64_t expected, version_callback callback) override;
+    std::uint64_t known_era() const override;
 
     // Take what a peer has sent.
     void record_changes(const relayed_changes& relayed);
--- a/src/store/http_object_store.h
+++ b/src/store/http_object_store.h
@@ -33,6 +33,7 @@
              std::uint64_t expected,
              version_callback callback) override;
     void remove(const std::string& name, std::uint64_t expected, version_callback callback) override;
+    std::uint64_t known_era() const override;
     void list_hosts(hosts_callback callback) override;
 
     // Returns the number of calls made so far, watches included.
--- a/src/store/internal/http_object_store.cpp
+++ b/src/store/internal/http_object_store.cpp
@@ -211,6 +211,11 @@
     });
 }
 
+std::uint64_t http_object_store::known_era() const
+{
+    return 0;
+}
+
 void http_object_store::list_hosts(hosts_callback callback)
 {
     const http_request request{"GET", "/v1/hosts", {}, {}};
--- a/src/store/internal/observed_object_store.cpp
+++ b/src/store/internal/observed_object_store.cpp
@@ -56,6 +56,11 @@
     this->store.remove(name, expected, this->observe("remove", name, std::move(callback)));
 }
 
+std::uint64_t observed_object_store::known_era() const
+{
+    return this->store.known_era();
+}
+
 template <typename value>
 std::function<void(const result<value>&)> observed_object_store::observe(
     std::string_view call, const std::string& name, std::function<void(const result<value>&)> callback)
--- a/src/store/mocks/fault_injecting_store.h
+++ b/src/store/mocks/fault_injecting_store.h
@@ -78,6 +78,11 @@
         callback(fail(result_code::store_unavailable, "not part of this fake"));
     }
 
+    std::uint64_t known_era() const override
+    {
+        return era_of(this->revision);
+    }
+
     // Comes back from a copy with these objects, as of `copied`, in the next era: the revisions since are
     // given out again.
     void restore(std::map<std::string, stored_object> copy, std::uint64_t copied)
--- a/src/store/mocks/watch_only_store.h
+++ b/src/store/mocks/watch_only_store.h
@@ -24,6 +24,11 @@
     {
         callback(fail(result_code::store_unavailable, "not part of this fake"));
     }
+
+    std::uint64_t known_era() const override
+    {
+        return 0;
+    }
 };
 
 } // namespace tanager
--- a/src/store/object_store.h
+++ b/src/store/object_store.h
@@ -52,6 +52,10 @@
 
     // Removes an object if its current version is `expected`.
     virtual void remove(const std::string& name, std::uint64_t expected, version_callback callback) = 0;
+
+    // Returns the highest era that an answer has stated to this process; 0 before the first one, and for a
+    // store that states none.
+    virtual std::uint64_t known_era() const = 0;
 };
 
 // The platform's list of hosts, on platforms that have one.
--- a/src/store/observed_object_store.h
+++ b/src/store/observed_object_store.h
@@ -30,6 +30,7 @@
              std::uint64_t expected,
              version_callback callback) override;
     void remove(const std::string& name, std::uint64_t expected, version_callback callback) override;
+    std::uint64_t known_era() const override;
 
 private:
     template <typename value>
