Servers: one that states in an answer that it leaves gets nothing new

Cause: a server was taken out of use by its entry in the store alone; nothing read the header, and server_list::mark_draining had no caller. Requests, hedges, prefill, releases of KV caches, reports and orders tell the pool before the answer is passed on. Shared prefixes are not fetched from such a server, and it gets no order, also when that is learned between report and order. 2022 and a counter.

--- a/src/duties/tests/duties_tests.cpp
+++ b/src/duties/tests/duties_tests.cpp
@@ -112,7 +112,7 @@
     {
         for (duration passed{0}; passed < span; passed += check_interval) {
             this->time.advance(check_interval);
-            this->history.push_back({this->store.objects, this->store.last_revision()});
+            this->history.emplace_back(this->store.objects, this->store.last_revision());
             for (auto& [name, member] : this->gateways) {
                 if (!member->is_frozen) {
                     member->reporter.check();
--- a/src/fleet/internal/server_list.cpp
+++ b/src/fleet/internal/server_list.cpp
@@ -7,6 +7,9 @@
 // A copy of the store is some seconds old. A later return of an entry is not due to a copy.
 constexpr std::chrono::seconds max_copy_age{60};
 
+// A server that leaves ends within minutes, and its entry with it.
+constexpr std::chrono::hours max_statement_age{1};
+
 bool is_same_incarnation(const backend_server& one, const backend_server& other)
 {
     return one.incarnation == other.incarnation && one.address == other.address;
@@ -14,6 +17,23 @@
 
 } // namespace
 
+std::string_view name_of(listing_state state)
+{
+    switch (state) {
+    case listing_state::ready:
+        return "ready";
+    case listing_state::draining:
+        return "draining";
+    case listing_state::missing:
+        return "missing";
+    case listing_state::replaced:
+        return "replaced";
+    case listing_state::unlisted:
+        return "unlisted";
+    }
+    return "unlisted";
+}
+
 server_list::server_list(const clock& time, duration recovery_grace)
     : time(time), recovery_grace(recovery_grace), recovery_grace_until(time.now())
 {
@@ -56,7 +76,7 @@
     if (row.server == nullptr || *row.server != server) {
         row.server = std::make_shared<const backend_server>(server);
     }
-    row.is_draining = row.is_draining || server.is_draining;
+    row.is_draining = row.is_draining || server.is_draining || this->has_stated_leaving(server);
 }
 
 void server_list::remove(const std::string& id)
@@ -81,8 +101,13 @@
     if (row.is_draining) {
         this->retired.insert_or_assign(id, retired_server{row.server, now});
     }
+    const auto stated = this->leaving.find(id);
+    if (stated != this->leaving.end()) {
+        stated->second.last_known_at = now;
+    }
     ++this->changes;
     this->servers.erase(id);
+    this->drop_old_statements();
 }
 
 bool server_list::is_retired(const backend_server& server) const
@@ -104,13 +129,65 @@
     this->recovery_grace_until = this->time.now() + this->recovery_grace;
 }
 
-void server_list::mark_draining(const std::string& id)
+std::optional<listing_state> server_list::record_leaving(const backend_server& server)
 {
-    const auto found = this->servers.find(id);
-    if (found != this->servers.end()) {
+    const auto state = this->state_of(server);
+    // A late answer of an earlier incarnation does not replace the statement of the listed one.
+    const bool has_listed_stated =
+        state == listing_state::replaced && this->has_stated_leaving(*this->servers.at(server.id).server);
+    if (has_listed_stated || this->has_stated_leaving(server)) {
+        return std::nullopt;
+    }
+    this->leaving.insert_or_assign(
+        server.id, leaving_server{std::make_shared<const backend_server>(server), this->time.now()});
+    if (state != listing_state::replaced && state != listing_state::unlisted) {
         ++this->changes;
-        found->second.is_draining = true;
+        this->servers.at(server.id).is_draining = true;
+    }
+    this->drop_old_statements();
+    return state;
+}
+
+listing_state server_list::state_of(const backend_server& server) const
+{
+    const auto found = this->servers.find(server.id);
+    if (found == this->servers.end()) {
+        return listing_state::unlisted;
+    }
+    if (!is_same_incarnation(*found->second.server, server)) {
+        return listing_state::replaced;
     }
+    if (found->second.expires_at) {
+        return listing_state::missing;
+    }
+    return found->second.server->is_draining ? listing_state::draining : listing_state::ready;
+}
+
+bool server_list::has_stated_leaving(const backend_server& server) const
+{
+    const auto found = this->leaving.find(server.id);
+    return found != this->leaving.end() && is_same_incarnation(*found->second.server, server);
+}
+
+void server_list::drop_old_statements()
+{
+    const auto now = this->time.now();
+    std::erase_if(this->leaving, [&](const auto& row) {
+        return now - row.second.last_known_at > max_statement_age && !this->servers.contains(row.first);
+    });
+}
+
+std::shared_ptr<const backend_server> server_list::find_other_at(const socket_address& address,
+                                                                 const std::string& id) const
+{
+    std::shared_ptr<const backend_server> found;
+    for (const auto& [other, row] : this->servers) {
+        if (other != id && row.server->address == address &&
+            (found == nullptr || found->incarnation < row.server->incarnation)) {
+            found = row.server;
+        }
+    }
+    return found;
 }
 
 std::vector<std::string> server_list::expire()
--- a/src/fleet/server_list.h
+++ b/src/fleet/server_list.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace tanager {
@@ -20,11 +21,22 @@
     std::optional<backend_server> current; // empty for a removal
 };
 
+// What the list says of a server.
+enum class listing_state {
+    ready,
+    draining,
+    missing,  // its entry is missing, and may be written again
+    replaced, // a later incarnation is listed
+    unlisted
+};
+
+std::string_view name_of(listing_state state);
+
 // Load pattern: entries are added, drain and expire while the store becomes unavailable and recovers. A
 // draining server takes no further requests in that incarnation. A server whose entry is missing just after
 // the store has recovered may only have had its entry expire, so it is kept for a grace period; a removal at
 // any other time takes effect at once. A store that comes back from a copy lists again what was removed
-// since.
+// since. A server may state that it leaves before the list does, or while nobody can read the list.
 class server_list {
 public:
     // `recovery_grace` is the time that an entry has to be written again after the store has recovered.
@@ -42,8 +54,14 @@
     // were removed, not long before, take no requests when they are listed again in that incarnation.
     void note_store_restored();
 
-    // Marks a server as draining for its incarnation, because it reported so itself.
-    void mark_draining(const std::string& id);
+    // Records that a server has stated that it leaves: whatever the list says, it takes no requests in that
+    // incarnation. Returns what the list says of it, or nothing if the server had stated so before.
+    std::optional<listing_state> record_leaving(const backend_server& server);
+
+    // Returns the listed server at an address that was started last, other than the one with this id; null if
+    // there is none.
+    std::shared_ptr<const backend_server> find_other_at(const socket_address& address,
+                                                        const std::string& id) const;
 
     // Removes the servers whose grace period is over; returns their ids.
     std::vector<std::string> expire();
@@ -78,6 +96,15 @@
         time_point removed_at;
     };
 
+    // A server that has stated that it leaves.
+    struct leaving_server {
+        std::shared_ptr<const backend_server> server;
+        time_point last_known_at; // when it stated so, or was last listed
+    };
+
+    listing_state state_of(const backend_server& server) const;
+    bool has_stated_leaving(const backend_server& server) const;
+    void drop_old_statements();
     void put(const backend_server& server);
     void erase(const std::string& id);
     bool is_retired(const backend_server& server) const;
@@ -89,6 +116,7 @@
     std::uint64_t changes = 0;
     std::map<std::string, listed_server> servers;
     std::map<std::string, retired_server> retired; // by id; kept for as long as a copy may be old
+    std::map<std::string, leaving_server> leaving; // by id
     bool is_restored = false;
 };
 
--- a/src/fleet/tests/fleet_tests.cpp
+++ b/src/fleet/tests/fleet_tests.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(never_uses_a_draining_server_again_in_its_incarnation);
     CPPUNIT_TEST(keeps_missing_entries_for_the_grace_period);
     CPPUNIT_TEST(uses_no_drained_server_that_a_copy_lists_again);
+    CPPUNIT_TEST(uses_no_server_that_has_stated_that_it_leaves);
     CPPUNIT_TEST(stops_using_a_server_whose_address_was_reassigned);
     CPPUNIT_TEST(ejects_unresponsive_servers);
     CPPUNIT_TEST(ejects_servers_that_fail_often);
@@ -139,13 +140,75 @@
         });
     }
 
+    void uses_no_server_that_has_stated_that_it_leaves()
+    {
+        manual_clock time;
+        server_list servers(time, grace);
+        servers.replace_all({make_server("a"), make_server("b")});
+        section("a server states it while the list says ready", [&] {
+            CPPUNIT_ASSERT(servers.record_leaving(make_server("a")) == listing_state::ready);
+            CPPUNIT_ASSERT(!servers.takes_work("a"));
+            section("a repeated statement is not reported",
+                    [&] { CPPUNIT_ASSERT(!servers.record_leaving(make_server("a"))); });
+        });
+        section("it stays so whatever is listed of that incarnation", [&] {
+            servers.apply({"a", make_server("a")});
+            CPPUNIT_ASSERT(!servers.takes_work("a"));
+            servers.apply({"a", std::nullopt});
+            time.advance(5min);
+            servers.replace_all({make_server("a"), make_server("b")});
+            CPPUNIT_ASSERT(!servers.takes_work("a"));
+            servers.note_store_recovered();
+            servers.replace_all({make_server("b")});
+            servers.note_store_restored();
+            servers.replace_all({make_server("a"), make_server("b")});
+            CPPUNIT_ASSERT(!servers.takes_work("a"));
+        });
+        section("its next incarnation takes requests, also after a late answer of the earlier one", [&] {
+            servers.apply({"a", make_server("a", false, 2)});
+            CPPUNIT_ASSERT(servers.takes_work("a"));
+            servers.record_leaving(make_server("a"));
+            CPPUNIT_ASSERT(servers.takes_work("a"));
+        });
+        section("a server at the address of one that leaves takes requests", [&] {
+            servers.record_leaving(make_server("b"));
+            auto successor = make_server("c");
+            successor.address = {"10.0.0.2", 8080};
+            servers.apply({"c", successor});
+            CPPUNIT_ASSERT(servers.takes_work("c"));
+            CPPUNIT_ASSERT(!servers.takes_work("b"));
+            section("the one that was started last is found by the address", [&] {
+                auto later = successor;
+                later.id = "0";
+                later.incarnation = 9;
+                servers.apply({"0", later});
+                CPPUNIT_ASSERT(servers.find_other_at(successor.address, "b")->id == "0");
+                CPPUNIT_ASSERT(servers.find_other_at(successor.address, "0")->id == "c");
+                CPPUNIT_ASSERT(servers.find_other_at({"10.9.9.9", 1}, "b") == nullptr);
+            });
+        });
+        section("the result names what the list says", [&] {
+            servers.apply({"g", make_server("g", true)});
+            CPPUNIT_ASSERT(servers.record_leaving(make_server("g")) == listing_state::draining);
+            CPPUNIT_ASSERT(servers.record_leaving(make_server("x")) == listing_state::unlisted);
+            servers.apply({"d", make_server("d", false, 2)});
+            CPPUNIT_ASSERT(servers.record_leaving(make_server("d")) == listing_state::replaced);
+            CPPUNIT_ASSERT(servers.takes_work("d"));
+            servers.apply({"e", make_server("e")});
+            servers.note_store_recovered();
+            servers.apply({"e", std::nullopt});
+            CPPUNIT_ASSERT(servers.record_leaving(make_server("e")) == listing_state::missing);
+            CPPUNIT_ASSERT(!servers.takes_work("e"));
+        });
+    }
+
     void stops_using_a_server_whose_address_was_reassigned()
     {
         section("the address of a server now belongs to another server", [] {
             const manual_clock time;
             server_list servers(time, grace);
             servers.apply({"a", make_server("a")});
-            servers.mark_draining("a");
+            servers.record_leaving(make_server("a"));
             CPPUNIT_ASSERT(!servers.takes_work("a"));
             servers.apply({"a", make_server("a", false, 2)});
             CPPUNIT_ASSERT(servers.takes_work("a"));
--- a/src/gateway/gateway_setup.cpp
+++ b/src/gateway/gateway_setup.cpp
@@ -183,6 +183,27 @@
     peer_exchange& exchange;
 };
 
+class pool_engine_availability final : public engine_availability {
+public:
+    explicit pool_engine_availability(server_pool& pool) : pool(pool) {}
+
+    bool takes_work(const std::string& engine_id) const override
+    {
+        return this->pool.servers().takes_work(engine_id);
+    }
+
+    void record_leaving(const backend_server& asked,
+                        leaving_statement statement,
+                        answer_kind answer,
+                        int status) override
+    {
+        this->pool.record_leaving(asked, statement, answer, status);
+    }
+
+private:
+    server_pool& pool;
+};
+
 // Counts only once the reporter has been set up, which needs the exchange with the peers.
 class late_usage_recorder final : public usage_recorder {
 public:
@@ -323,6 +344,10 @@
             this->receive_suspicions(message);
         });
         this->pool.set_load_change_callback([this] { this->peers->mark_load_changed(); });
+        this->pool.set_leaving_callback([this](answer_kind answer) {
+            this->metrics.increment_counter("tanager_servers_leaving_total",
+                                            "answer=\"" + std::string{name_of(answer)} + "\"");
+        });
         this->roles = std::make_unique<role_controller>(
             this->time,
             this->settings.host,
@@ -334,6 +359,7 @@
                                       this->store,
                                       *this->client,
                                       *this->platform.engines,
+                                      this->engines,
                                       {this->settings.host, this->settings.role_order_lease}),
             role_policy{this->settings.min_role_gain_ratio});
         this->start_usage_reports();
@@ -659,6 +685,7 @@
     peer_exchange_load_view peer_loads;
     route_directory routes;
     server_pool pool;
+    pool_engine_availability engines{this->pool};
     uplink_queue_model link;
     caller_timeout_tracker caller_timeouts;
     byte_budget response_buffer_budget{max_response_buffer_bytes};
--- a/src/gateway/internal/hedge_attempt.cpp
+++ b/src/gateway/internal/hedge_attempt.cpp
@@ -91,7 +91,9 @@
 
 response_owner hedge_attempt::find_owner(int status, const http_headers& headers)
 {
-    return this->context.codec.decode_response_head(this->request.request, status, headers).owner();
+    const auto head = this->context.codec.decode_response_head(this->request.request, status, headers);
+    this->context.servers.record_leaving(*this->grant.server, head.leaving, answer_kind::hedge, status);
+    return head.owner();
 }
 
 void hedge_attempt::on_response_head(int status, const http_headers& response_headers)
--- a/src/gateway/internal/prefill_call.cpp
+++ b/src/gateway/internal/prefill_call.cpp
@@ -41,7 +41,9 @@
             }
         },
         [self = this->shared_from_this()](int status, const http_headers& headers) {
-            const auto owner = self->codec.decode_response_head(self->request, status, headers).owner();
+            const auto head = self->codec.decode_response_head(self->request, status, headers);
+            self->pool.record_leaving(*self->prefill_engine, head.leaving, answer_kind::prefill, status);
+            const auto owner = head.owner();
             if (owner == response_owner::another_call) {
                 self->metrics.increment_counter("tanager_responses_skipped_total");
             }
--- a/src/gateway/internal/request_forwarder.cpp
+++ b/src/gateway/internal/request_forwarder.cpp
@@ -350,8 +350,9 @@
 
 std::optional<socket_address> request_forwarder::prefix_source_address() const
 {
-    return this->grant.prefix_source == nullptr ? std::nullopt
-                                                : std::optional{this->grant.prefix_source->address};
+    const auto& source = this->grant.prefix_source;
+    const bool is_usable = source != nullptr && this->context.servers.servers().takes_work(source->id);
+    return is_usable ? std::optional{source->address} : std::nullopt;
 }
 
 // Encodes an attempt and records its bytes as sent on this host's link.
@@ -441,6 +442,7 @@
         return;
     }
     this->unclaimed_kv_cache = *cache;
+    this->kv_cache_engine = prefill_engine;
     this->send_after_prefill();
 }
 
@@ -535,12 +537,18 @@
     this->end_prefill(false);
 }
 
-// Frees a KV cache that no engine has fetched and that its engine would otherwise keep for seconds.
+// Frees a KV cache that no engine has fetched and that its engine would otherwise keep for seconds. An engine
+// that leaves gets no further calls.
 void request_forwarder::release_kv_cache()
 {
     if (!this->unclaimed_kv_cache) {
         return;
     }
+    const auto engine = this->kv_cache_engine;
+    if (!this->context.servers.servers().takes_work(engine->id)) {
+        this->unclaimed_kv_cache.reset();
+        return;
+    }
     http_call_options options;
     options.max_collected_bytes = prefill_call::max_response_bytes;
     this->context.client.fetch(
@@ -550,9 +558,12 @@
         [](const tl::expected<http_response, http_failure>& /*response*/) {
             // If this call fails, the engine drops the cache after its own timeout.
         },
-        [&codec = this->context.codec](int status, const http_headers& headers) {
+        [&codec = this->context.codec, &servers = this->context.servers, engine](
+            int status, const http_headers& headers) {
             // A response with an id is that to a caller's request.
-            return codec.decode_response_head({}, status, headers).owner();
+            const auto head = codec.decode_response_head({}, status, headers);
+            servers.record_leaving(*engine, head.leaving, answer_kind::cache_release, status);
+            return head.owner();
         });
     this->unclaimed_kv_cache.reset();
 }
@@ -688,6 +699,7 @@
 response_owner request_forwarder::find_owner(int status, const http_headers& headers)
 {
     const auto head = this->context.codec.decode_response_head(this->routed.request, status, headers);
+    this->context.servers.record_leaving(*this->server, head.leaving, answer_kind::response, status);
     if (head.owner() == response_owner::another_call) {
         this->log.write_skipped_response(this->make_evidence(head));
         this->context.metrics.increment_counter("tanager_responses_skipped_total");
--- a/src/gateway/internal/request_forwarder.h
+++ b/src/gateway/internal/request_forwarder.h
@@ -197,6 +197,7 @@
     slot_grant grant;
     time_point granted_at;
     std::optional<kv_cache_handle> unclaimed_kv_cache;
+    std::shared_ptr<const backend_server> kv_cache_engine; // that holds it
     std::vector<std::string> tried_server_ids;
     attempt_limit attempts;
     std::uint32_t connect_failures = 0;
--- a/src/gateway/internal/server_pool.cpp
+++ b/src/gateway/internal/server_pool.cpp
@@ -433,6 +433,35 @@
     this->load_change_callback = std::move(callback);
 }
 
+void server_pool::record_leaving(const backend_server& asked,
+                                 leaving_statement statement,
+                                 answer_kind answer,
+                                 int status)
+{
+    if (statement == leaving_statement::none) {
+        return;
+    }
+    const auto holder = statement == leaving_statement::address_holder
+                            ? this->server_directory.find_other_at(asked.address, asked.id)
+                            : std::make_shared<const backend_server>(asked);
+    const auto listed = holder == nullptr ? std::nullopt : this->server_directory.record_leaving(*holder);
+    if (!listed) {
+        return;
+    }
+    write_event(log_event::server_leaving,
+                {{"server", holder->id},
+                 {"answer", std::string{name_of(answer)}},
+                 {"status", std::to_string(status)},
+                 {"listed", std::string{name_of(*listed)}},
+                 {"running", std::to_string(this->total_load(holder->id).running_requests)}});
+    this->leaving_callback(answer);
+}
+
+void server_pool::set_leaving_callback(std::function<void(answer_kind)> callback)
+{
+    this->leaving_callback = std::move(callback);
+}
+
 void server_pool::remove_unlisted()
 {
     this->end_suspensions_of_changed_servers();
--- a/src/gateway/mocks/fake_request_codec.h
+++ b/src/gateway/mocks/fake_request_codec.h
@@ -6,7 +6,7 @@
 
 // Encodes and decodes with short headers of its own: `id` in requests and responses, `key` in requests;
 // `server`, `organisation`, `time-left`, `resume`, `prefill-only`, `prefix-from` and `cache` in attempts;
-// `signed` and `not-run` in responses.
+// `signed`, `not-run` and `leaving` in responses.
 class fake_request_codec final : public request_codec {
 public:
     result<caller_request> decode_request(const http_request& request) const override
@@ -58,6 +58,10 @@
             head.id == response_id::own || (head.id == response_id::none && request.id.empty());
         head.has_digest = !find_header(headers, "signed").empty();
         head.is_misdirected = status == misdirected_status;
+        if (!find_header(headers, "leaving").empty()) {
+            head.leaving =
+                head.is_misdirected ? leaving_statement::address_holder : leaving_statement::asked_server;
+        }
         head.states_not_executed = head.is_misdirected || !find_header(headers, "not-run").empty();
         return head;
     }
--- a/src/gateway/server_pool.h
+++ b/src/gateway/server_pool.h
@@ -9,6 +9,7 @@
 #include "fleet/prefix_cache_index.h"
 #include "fleet/server_list.h"
 #include "fleet/server_speed_model.h"
+#include "fleet/types/leaving_statement.h"
 #include "peers/types/load_report.h"
 #include "placement/types/placement_candidate.h"
 
@@ -148,6 +149,14 @@
     void record_misdirected(const backend_server& server);
     void record_accepted(const std::string& server_id);
 
+    // Takes a server out of use if its answer states that it leaves; `asked` is the one that the request was
+    // for. Waiting requests and later ones get other servers.
+    void
+    record_leaving(const backend_server& asked, leaving_statement statement, answer_kind answer, int status);
+
+    // Sets the function that is called when a server is taken out of use so.
+    void set_leaving_callback(std::function<void(answer_kind)> callback);
+
     // Drops the measurements of servers that are no longer listed. Their ids are never reused.
     void remove_unlisted();
 
@@ -188,6 +197,8 @@
     std::map<std::string, load_counts> local_loads_by_server;
     std::function<void()> load_change_callback = [] {
     };
+    std::function<void(answer_kind)> leaving_callback = [](answer_kind) {
+    };
 };
 
 } // namespace tanager
--- a/src/gateway/tests/gateway_tests.cpp
+++ b/src/gateway/tests/gateway_tests.cpp
@@ -736,7 +736,7 @@
                 add_engines(gateway);
                 gateway.send();
                 gateway.add_server("f", engine_role::decode);
-                gateway.pool.servers().mark_draining("d");
+                gateway.pool.servers().record_leaving(*gateway.pool.servers().find("d"));
                 if (has_prefill_succeeded) {
                     gateway.call(0).respond(200, prefill_headers, "h7");
                     section("another decode engine gets the KV cache", [&] {
--- a/src/gateway/tests/hedge_tests.cpp
+++ b/src/gateway/tests/hedge_tests.cpp
@@ -71,9 +71,19 @@
     CPPUNIT_TEST(suspects_no_server_for_an_error_of_the_caller);
     CPPUNIT_TEST(is_true_about_execution);
     CPPUNIT_TEST(leaves_other_requests_alone);
+    CPPUNIT_TEST(the_second_server_states_that_it_leaves);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    void the_second_server_states_that_it_leaves()
+    {
+        hedging_fixture fixture;
+        fixture.send_hedged();
+        fixture.call(1).respond(200, {{"id", "r1"}, {"signed", "1"}, {"leaving", "1"}}, "second");
+        CPPUNIT_ASSERT(!fixture.pool.servers().takes_work(hedging_fixture::server_of(fixture.call(1))));
+        CPPUNIT_ASSERT(fixture.pool.servers().takes_work(hedging_fixture::server_of(fixture.call(0))));
+    }
+
     void forwards_the_first_good_answer()
     {
         section("a server is slow", [] {
--- a/src/gateway/types/response_info.h
+++ b/src/gateway/types/response_info.h
@@ -2,6 +2,7 @@
 // server has executed the request.
 #pragma once
 
+#include "fleet/types/leaving_statement.h"
 #include "net/http_client.h"
 
 #include <string_view>
@@ -32,6 +33,7 @@
     bool has_digest = false;          // carries a digest set by the server
     bool states_not_executed = false; // the server states that it did not execute the request
     bool is_misdirected = false;      // another server now uses the address
+    leaving_statement leaving = leaving_statement::none;
 
     // Returns whose response it is, for the connection that brought it.
     response_owner owner() const;
--- a/src/logging/internal/log_event.cpp
+++ b/src/logging/internal/log_event.cpp
@@ -24,6 +24,7 @@
     event_row{log_event::catalogue_rejected, "catalogue_rejected", log_level::error},
     event_row{log_event::store_unavailable, "store_unavailable", log_level::warning},
     event_row{log_event::store_list_incomplete, "store_list_incomplete", log_level::warning},
+    event_row{log_event::server_leaving, "server_leaving", log_level::info},
     event_row{log_event::store_recovered, "store_recovered", log_level::info},
     event_row{log_event::host_list_changed, "host_list_changed", log_level::info},
     event_row{log_event::catalogue_pulled, "catalogue_pulled", log_level::info},
--- a/src/logging/types/log_event.h
+++ b/src/logging/types/log_event.h
@@ -44,6 +44,7 @@
     store_era_rejected = 2019,
     store_registration_renewed = 2020,
     store_list_incomplete = 2021,
+    server_leaving = 2022,
 
     // 3000: entry
     request_refused = 3001,
--- a/src/roles/engine_codec.h
+++ b/src/roles/engine_codec.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/types/result.h"
+#include "fleet/types/leaving_statement.h"
 #include "net/types/http_types.h"
 #include "roles/types/role_types.h"
 
@@ -23,6 +24,9 @@
 
     virtual http_request encode_order(const role_order& order) const = 0;
 
+    // Returns of which server a response to a report request or an order states that it leaves.
+    virtual leaving_statement read_leaving(const http_response& response) const = 0;
+
     // Returns whether the engine has accepted the order, or had already executed it.
     virtual bool is_accepted(const http_response& response) const = 0;
 };
--- a/src/roles/internal/role_order_sender.cpp
+++ b/src/roles/internal/role_order_sender.cpp
@@ -43,8 +43,9 @@
                             object_store& store,
                             http_client& client,
                             const engine_codec& codec,
+                            engine_availability& engines,
                             const role_order_settings& settings)
-        : time(time), store(store), client(client), codec(codec), settings(settings)
+        : time(time), store(store), client(client), codec(codec), engines(engines), settings(settings)
     {
     }
 
@@ -94,17 +95,32 @@
             this->codec.encode_report_request(engine.id),
             make_call_options(),
             [self = this->shared_from_this(), engine, change](const auto& response) {
+                self->record_leaving(engine, answer_kind::engine_report, response);
                 const auto report = response.has_value() ? self->codec.decode_report(*response)
                                                          : fail(result_code::connection_lost, engine.id);
                 if (!report || report->is_busy || report->role == change.role) {
                     self->abandon(report ? "engine is busy or has the role" : report.error().detail);
                     return;
                 }
+                if (!self->engines.takes_work(engine.id)) {
+                    self->abandon("engine leaves");
+                    return;
+                }
                 self->renew_lease(engine, change, report->accepted_order_count);
             });
     }
 
 private:
+    void record_leaving(const backend_server& engine,
+                        answer_kind answer,
+                        const tl::expected<http_response, http_failure>& response)
+    {
+        if (response.has_value()) {
+            this->engines.record_leaving(
+                engine, this->codec.read_leaving(*response), answer, response->status);
+        }
+    }
+
     void take_over()
     {
         this->is_call_in_flight = true;
@@ -164,6 +180,10 @@
                                 return;
                             }
                             self->token = *new_version;
+                            if (!self->engines.takes_work(engine.id)) {
+                                self->abandon("engine leaves");
+                                return;
+                            }
                             self->send_order(engine, change, accepted_order_count);
                         });
     }
@@ -184,6 +204,7 @@
             this->codec.encode_order(order),
             make_call_options(),
             [self = this->shared_from_this(), engine, execution_deadline](const auto& response) {
+                self->record_leaving(engine, answer_kind::role_order, response);
                 self->is_call_in_flight = false;
                 self->engine_in_flight.reset();
                 if (!response.has_value() && response.error().progress == call_progress::maybe_sent) {
@@ -211,6 +232,7 @@
     object_store& store;
     http_client& client;
     const engine_codec& codec;
+    engine_availability& engines;
     role_order_settings settings;
     bool is_holder = false;
     bool is_call_in_flight = false;
@@ -228,9 +250,10 @@
                                                              object_store& store,
                                                              http_client& client,
                                                              const engine_codec& codec,
+                                                             engine_availability& engines,
                                                              const role_order_settings& settings)
 {
-    return std::make_shared<store_role_order_sender>(time, store, client, codec, settings);
+    return std::make_shared<store_role_order_sender>(time, store, client, codec, engines, settings);
 }
 
 } // namespace tanager
--- a/src/roles/role_order_sender.h
+++ b/src/roles/role_order_sender.h
@@ -20,6 +20,24 @@
     friend bool operator==(const role_order_settings&, const role_order_settings&) = default;
 };
 
+// Which engines may get orders.
+class engine_availability {
+public:
+    engine_availability() = default;
+    engine_availability(const engine_availability&) = delete;
+    engine_availability& operator=(const engine_availability&) = delete;
+    engine_availability(engine_availability&&) = delete;
+    engine_availability& operator=(engine_availability&&) = delete;
+    virtual ~engine_availability() = default;
+
+    virtual bool takes_work(const std::string& engine_id) const = 0;
+
+    virtual void record_leaving(const backend_server& asked,
+                                leaving_statement statement,
+                                answer_kind answer,
+                                int status) = 0;
+};
+
 // A process holds the lease after a successful conditional update of the one object in the store that names
 // the holder; the object's revision is the fencing token. Each order is preceded by such an update, so that a
 // process that was replaced detects this before it sends. A new holder first waits until the lease of its
@@ -32,6 +50,7 @@
                                                      object_store& store,
                                                      http_client& client,
                                                      const engine_codec& codec,
+                                                     engine_availability& engines,
                                                      const role_order_settings& settings);
 
     role_order_sender() = default;
@@ -50,7 +69,7 @@
     virtual void step_down() = 0;
 
     // `ended` is called with true if the engine has accepted the order or may still execute it. Nothing is
-    // sent to an engine that is not settled.
+    // sent to an engine that is not settled, and no order to one that has begun to leave meanwhile.
     virtual void send(const backend_server& engine,
                       const role_change& change,
                       std::function<void(bool may_be_executed)> ended) = 0;
--- a/src/roles/tests/roles_tests.cpp
+++ b/src/roles/tests/roles_tests.cpp
@@ -57,13 +57,39 @@
     {
         return response.status == 202; // NOLINT(*-magic-numbers)
     }
+
+    leaving_statement read_leaving(const http_response& response) const override
+    {
+        return find_header(response.headers, "leaving").empty() ? leaving_statement::none
+                                                                : leaving_statement::asked_server;
+    }
+};
+
+class fake_engines final : public engine_availability {
+public:
+    bool takes_work(const std::string& engine_id) const override
+    {
+        return !this->leaving.contains(engine_id);
+    }
+
+    void record_leaving(const backend_server& asked,
+                        leaving_statement statement,
+                        answer_kind /*answer*/,
+                        int /*status*/) override
+    {
+        if (statement != leaving_statement::none) {
+            this->leaving.insert(asked.id);
+        }
+    }
+
+    std::set<std::string> leaving;
 };
 
 // One process that sends orders; several can share a store.
 class sender_fixture {
 public:
     sender_fixture(manual_clock& time, fault_injecting_store& store, const std::string& host)
-        : orders(role_order_sender::create(time, store, this->client, this->codec, {host, 3s}))
+        : orders(role_order_sender::create(time, store, this->client, this->codec, this->engines, {host, 3s}))
     {
     }
 
@@ -82,6 +108,7 @@
         return *this->client.calls.back();
     }
 
+    fake_engines engines;
     fake_client client;
     fake_engine_codec codec;
     std::shared_ptr<role_order_sender> orders;
@@ -96,6 +123,7 @@
     CPPUNIT_TEST(measures_demand);
     CPPUNIT_TEST(counts_arrivals_of_the_last_second);
     CPPUNIT_TEST(sends_an_order_after_acquiring_the_lease);
+    CPPUNIT_TEST(orders_nothing_of_an_engine_that_leaves);
     CPPUNIT_TEST(sends_nothing_after_losing_the_lease);
     CPPUNIT_TEST(keeps_authority_apart_when_the_store_comes_back_from_a_copy);
     CPPUNIT_TEST(blocks_an_engine_while_the_outcome_of_its_order_is_unknown);
@@ -293,6 +321,42 @@
         });
     }
 
+    // Guards against an order to an engine that has stated that it leaves; it may be lost with the engine.
+    void orders_nothing_of_an_engine_that_leaves()
+    {
+        for (const bool is_stated_by_report : {true, false}) {
+            section(is_stated_by_report ? "the report states it" : "another answer states it meanwhile", [&] {
+                manual_clock time;
+                fault_injecting_store store(1);
+                sender_fixture sender(time, store, "a");
+                sender.orders->prepare_to_send();
+                deliver(store);
+                time.advance(3s);
+                sender.send();
+                if (is_stated_by_report) {
+                    sender.last_call().respond(200, {{"leaving", "1"}}, "5");
+                } else {
+                    sender.last_call().respond(200, {}, "5");
+                    sender.engines.leaving.insert("e7");
+                }
+                deliver(store);
+                CPPUNIT_ASSERT_EQUAL(std::size_t{1}, sender.client.calls.size());
+                CPPUNIT_ASSERT(sender.outcome == false);
+                CPPUNIT_ASSERT(sender.orders->is_settled("e7"));
+                section("another engine gets its order", [&] {
+                    sender.send("e8");
+                    sender.last_call().respond(200, {}, "5");
+                    deliver(store);
+                    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, sender.client.calls.size());
+                    section("its answer states it", [&] {
+                        sender.last_call().respond(202, {{"leaving", "1"}}, "");
+                        CPPUNIT_ASSERT(sender.engines.leaving.contains("e8"));
+                    });
+                });
+            });
+        }
+    }
+
     void sends_nothing_after_losing_the_lease()
     {
         section("a holder is suspended while another process acquires the lease", [] {
