Soak: servers state that they leave, and get no work after it

Cause: no stand-in sent the header, so no soak could see requests to a server that says that it leaves. Change: the stand-in's servers state it on demand; half of the drained ones do, and others leave while their entry stays ready. The check compares what callers got from each gateway process with what each server ran; only a pause of the gateway excuses it.

--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -26,6 +26,9 @@
 constexpr auto max_copy_age = 4'000ms;
 // The stand-in has written everything again after 0.9 s, and gateways list within a second more.
 constexpr auto restore_duration = 2'000ms;
+// Between two servers that leave while the store lists them as ready.
+constexpr auto min_leaving_gap = 2'000ms;
+constexpr auto max_leaving_gap = 6'000ms;
 constexpr std::size_t min_servers = 2;
 constexpr unsigned planned_kind_count = 5;
 constexpr unsigned fault_kind_count = 16; // numbers without a case in inject_fault are server faults
@@ -43,6 +46,7 @@
                                soak_record& record)
     : random(seed),
       entry_random(seed),
+      leaving_random(seed),
       cluster(cluster),
       traffic(traffic),
       record(record),
@@ -50,6 +54,7 @@
 {
     this->schedule(min_gap, [this] { this->inject_next(); });
     this->schedule(min_gap, [this] { this->add_foreign_entry(); });
+    this->schedule(min_leaving_gap, [this] { this->leave_unlisted(); });
 }
 
 void fault_injector::schedule(duration delay, action work)
@@ -353,7 +358,10 @@
     this->active_faults[host] = true;
     this->inject_for_interval(
         "gateway paused",
-        [this, host] { this->cluster.gateway(host).send_signal(SIGSTOP); },
+        [this, host] {
+            this->record.pauses.push_back({this->cluster.gateway_instance(host), now()});
+            this->cluster.gateway(host).send_signal(SIGSTOP);
+        },
         [this, host] {
             this->cluster.gateway(host).send_signal(SIGCONT);
             this->active_faults[host] = false;
@@ -371,6 +379,32 @@
     this->active_faults[id] = true;
     this->cluster.add_server();
     this->cluster.set_server_draining(id);
+    if (this->leaving_random() % 2 == 0) {
+        this->cluster.set_server_leaving(id);
+    }
+    this->schedule(drain_time, [this, id] { this->remove_drained_server(id); });
+}
+
+// A server states in its answers that it leaves; its entry stays as it is until it is removed. Faults of the
+// store and of gateways may be active meanwhile. Draws of its own leave the other faults of a seed as they
+// are.
+void fault_injector::leave_unlisted()
+{
+    if (this->is_stopping) {
+        return;
+    }
+    this->schedule(min_leaving_gap +
+                       this->leaving_random() % (max_leaving_gap - min_leaving_gap).count() * 1ms,
+                   [this] { this->leave_unlisted(); });
+    const auto servers = this->cluster.servers();
+    const auto& id = servers.at(this->leaving_random() % servers.size());
+    if (this->has_active_fault(id) || !this->is_store_healthy()) {
+        return;
+    }
+    ++this->injected_counts_by_kind["server left unlisted"];
+    this->active_faults[id] = true;
+    this->cluster.add_server();
+    this->cluster.set_server_leaving(id);
     this->schedule(drain_time, [this, id] { this->remove_drained_server(id); });
 }
 
--- a/soak/fault_injector.h
+++ b/soak/fault_injector.h
@@ -54,6 +54,7 @@
     void schedule_restart(const std::string& host, duration delay);
     void drain_server();
     void remove_drained_server(const std::string& id);
+    void leave_unlisted();
     void replace_server(const std::string& id);
     void crash_server();
     void inject_server_fault();
@@ -65,7 +66,8 @@
     bool has_active_fault(const std::string& target) const;
 
     std::mt19937 random;
-    std::mt19937 entry_random; // of the entries of another writer
+    std::mt19937 entry_random;   // of the entries of another writer
+    std::mt19937 leaving_random; // of the servers that state that they leave
     soak_cluster& cluster;
     traffic_generator& traffic;
     soak_record& record;
--- a/soak/guarantee_check.cpp
+++ b/soak/guarantee_check.cpp
@@ -1,6 +1,8 @@
 #include "soak/guarantee_check.h"
 
 #include <algorithm>
+#include <map>
+#include <utility>
 
 namespace tanager::soak {
 
@@ -55,6 +57,10 @@
             this->check_response(*request);
             this->check_graceful_stop(*request);
             this->check_draining(*request);
+            this->record_statement(*request);
+        }
+        for (const auto& request : this->record.requests) {
+            this->check_leaving(*request);
         }
         this->check_configuration();
         return std::move(this->violations);
@@ -152,6 +158,37 @@
         }
     }
 
+    // Records when a gateway first passed on an answer in which a server states that it leaves.
+    void record_statement(const sent_request& request)
+    {
+        if (!request.response || find_header(request.response->headers, "Server-Leaving") != "1") {
+            return;
+        }
+        const auto server = find_header(request.response->headers, "Server-Id");
+        const auto [row, is_first] =
+            this->statements.emplace(std::pair{request.gateway_instance, server}, request.finished_at);
+        row->second = std::min(row->second, request.finished_at);
+    }
+
+    // Only a pause of the gateway excuses it; after a restart it is another instance.
+    void check_leaving(const sent_request& request)
+    {
+        for (const auto& [server, runs] : this->record.execution_counts) {
+            const auto stated = this->statements.find(std::pair{request.gateway_instance, server});
+            if (stated == this->statements.end() || !runs.contains(request.id) ||
+                request.sent_at <= stated->second + max_drain_delay + caller_tolerance) {
+                continue;
+            }
+            const bool was_paused = std::ranges::any_of(this->record.pauses, [&](const auto& pause) {
+                return pause.gateway_instance == request.gateway_instance &&
+                       pause.started_at >= stated->second && pause.started_at <= request.finished_at;
+            });
+            if (!was_paused) {
+                this->report("leaving servers get no work", request, "ran on " + server);
+            }
+        }
+    }
+
     // As long as a gateway process runs, a route that it has served never becomes unknown again, nor does any
     // route that was added before that one.
     void check_configuration()
@@ -185,6 +222,8 @@
                earlier.response->status == status_ok;
     }
 
+    // By gateway process and server.
+    std::map<std::pair<std::string, std::string>, time_point> statements;
     const soak_record& record;
     std::vector<std::string> violations;
 };
--- a/soak/soak_cluster.cpp
+++ b/soak/soak_cluster.cpp
@@ -189,6 +189,11 @@
     this->record.draining_servers.push_back({id, std::chrono::steady_clock::now()});
 }
 
+void soak_cluster::set_server_leaving(const std::string& id)
+{
+    this->client.post(this->backends.at(id).process_address, "/faults?leaving=1");
+}
+
 void soak_cluster::collect_execution_counts(const std::string& id)
 {
     const auto page = this->client.get(this->backends.at(id).process_address, "/runs").body;
--- a/soak/soak_cluster.h
+++ b/soak/soak_cluster.h
@@ -49,6 +49,7 @@
     proxied_process& server(const std::string& id);
     std::string add_server();
     void set_server_draining(const std::string& id);
+    void set_server_leaving(const std::string& id); // it states so in its answers; the store is not told
     void collect_execution_counts(const std::string& id);
     void kill_server(const std::string& id); // like a crash: does not deregister it
     void deregister_server(const std::string& id);
--- a/soak/soak_record.h
+++ b/soak/soak_record.h
@@ -36,6 +36,12 @@
     time_point requested_at;
 };
 
+// A gateway that did not run for a while.
+struct gateway_pause {
+    std::string gateway_instance;
+    time_point started_at;
+};
+
 // A backend server whose state was set to draining.
 struct draining_server {
     std::string id;
@@ -50,6 +56,7 @@
     std::vector<fault_interval> fault_intervals;
     std::vector<planned_stop> planned_stops;
     std::vector<draining_server> draining_servers;
+    std::vector<gateway_pause> pauses;
     execution_counts_by_server execution_counts;
     std::vector<std::string> unexpected_exits; // of gateways, with their exit status
 };
--- a/soak/tests/guarantee_check_tests.cpp
+++ b/soak/tests/guarantee_check_tests.cpp
@@ -66,6 +66,7 @@
     CPPUNIT_TEST(reports_requests_without_a_response);
     CPPUNIT_TEST(reports_requests_interrupted_by_a_stop);
     CPPUNIT_TEST(reports_work_on_draining_servers);
+    CPPUNIT_TEST(reports_work_on_servers_that_stated_that_they_leave);
     CPPUNIT_TEST(reports_a_configuration_that_reverts);
     CPPUNIT_TEST_SUITE_END();
 
@@ -182,6 +183,36 @@
         });
     }
 
+    void reports_work_on_servers_that_stated_that_they_leave()
+    {
+        run_without_violations run;
+        const auto first = run.add(request_kind::idempotent);
+        const auto late = run.add(request_kind::idempotent, 13s);
+        first->response->headers.push_back({"Server-Leaving", "1"});
+        first->response->headers.push_back({"Server-Id", "s1-0"});
+        run.add_fault_interval(0s, 20s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, run.count_violations("leaving servers get no work"));
+        section("a pause of the gateway since then excuses it, one before does not", [&] {
+            run.record.pauses.push_back({"g0#1", start + 9s});
+            run.record.pauses.push_back({"g1#1", start + 12s});
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, run.count_violations("leaving servers get no work"));
+            run.record.pauses.push_back({"g0#1", start + 12s});
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, run.count_violations("nothing"));
+            run.record.pauses.clear();
+        });
+        section("another process of the gateway, another server and the drain delay are no violation", [&] {
+            late->gateway_instance = "g0#2";
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, run.count_violations("nothing"));
+            late->gateway_instance = "g0#1";
+            late->sent_at = first->finished_at + 2s;
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, run.count_violations("nothing"));
+            late->sent_at = start + 13s;
+            run.record.execution_counts["s1-0"].erase(late->id);
+            run.record.execution_counts["s2-0"][late->id] = 1;
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, run.count_violations("nothing"));
+        });
+    }
+
     void reports_a_configuration_that_reverts()
     {
         section("a route that a gateway served and later does not know is a violation", [] {
--- a/standins/site/fake_backend_server.cpp
+++ b/standins/site/fake_backend_server.cpp
@@ -40,11 +40,11 @@
     }
     const auto expected = find_header(request.headers, "Expect-Instance");
     if (!expected.empty() && expected != this->id) {
-        exchange->send_response({status_misdirected, {{"Instance-Id", this->id}}, {}});
+        this->respond_without_run(*exchange, status_misdirected, {{"Instance-Id", this->id}});
         return;
     }
     if (this->faults.consume("refuse")) {
-        exchange->send_response({status_unavailable, {{"Not-Executed", "1"}}, {}});
+        this->respond_without_run(*exchange, status_unavailable, {{"Not-Executed", "1"}});
         return;
     }
     const auto target = parse_request_target(request.path);
@@ -52,6 +52,19 @@
                    [this, exchange] { this->run(exchange); });
 }
 
+void fake_backend_server::respond_without_run(http_exchange& exchange, int status, http_headers headers)
+{
+    this->add_leaving_statement(headers);
+    exchange.send_response({status, std::move(headers), {}});
+}
+
+void fake_backend_server::add_leaving_statement(http_headers& headers) const
+{
+    if (this->faults.value("leaving") != 0) {
+        headers.push_back({"Server-Leaving", "1"});
+    }
+}
+
 http_headers fake_backend_server::make_response_headers(const http_exchange& exchange)
 {
     http_headers headers{{"Content-Type", "text/plain"}, {"Server-Id", this->id}};
@@ -60,6 +73,7 @@
     if (!this->faults.consume("unsigned")) {
         headers.push_back({"Response-Seal", "seal-of-" + request_id});
     }
+    this->add_leaving_statement(headers);
     return headers;
 }
 
--- a/standins/site/fake_backend_server.h
+++ b/standins/site/fake_backend_server.h
@@ -20,7 +20,7 @@
 // Faults, each used up by one per occurrence: `refuse` (the request is refused as not run), `cut` (the
 // request runs, then its connection is closed; that of a stream in the middle of an event), `foreign` (the
 // response names another request), `unsigned` (the response has no Response-Seal). `extra` is accepted and
-// has no effect.
+// has no effect. While `leaving` is not 0, the server states in all its answers that it leaves.
 class fake_backend_server {
 public:
     fake_backend_server(event_loop& loop, std::string id);
@@ -34,6 +34,8 @@
     void send_event(const std::shared_ptr<http_exchange>& exchange, std::uint64_t number, std::uint64_t last);
     void schedule(std::chrono::milliseconds delay, std::function<void()> callback);
     http_headers make_response_headers(const http_exchange& exchange);
+    void respond_without_run(http_exchange& exchange, int status, http_headers headers);
+    void add_leaving_statement(http_headers& headers) const;
 
     event_loop& loop;
     std::string id;
