Duties tests: one fleet for the windows that must not be left out

Cause: three sections repeated the same steps on fleets of their own. Change: one fleet per offset plays an end, a return, an end after it, and a holder that starts while the store is away; each must leave out nothing.

--- a/src/duties/tests/duties_tests.cpp
+++ b/src/duties/tests/duties_tests.cpp
@@ -872,52 +872,47 @@
     void no_window_is_left_out_that_is_known()
     {
         constexpr std::uint64_t seeds = 20;
-        const std::vector<std::string> names{"a", "b", "c"};
+        const std::vector<std::string> names{"b", "c", "d"};
+        const auto check_all_reported = [](gateway_fleet& fleet) {
+            fleet.run(25s);
+            fleet.check_reports_go_on();
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.missing_windows());
+        };
+        const auto end_all = [&names](gateway_fleet& fleet) {
+            fleet.kill_all();
+            fleet.run(500ms);
+            fleet.start_all(names);
+        };
         for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-            const auto offset = std::chrono::milliseconds{250} * static_cast<int>(seed);
-            section("all gateways end, the store keeps what it has, offset " + std::to_string(seed), [&] {
-                gateway_fleet fleet(seed);
-                fleet.start_all(names);
-                fleet.run(17s + offset);
-                fleet.kill_all();
-                fleet.run(500ms);
-                fleet.start_all(names);
-                fleet.run(25s);
-                fleet.check_reports_go_on();
-                CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.missing_windows());
+            const auto name = [seed](const std::string& condition) {
+                return condition + ", offset " + std::to_string(seed);
+            };
+            gateway_fleet fleet(seed);
+            fleet.start_all(names);
+            fleet.run(17s + std::chrono::milliseconds{250} * static_cast<int>(seed));
+            section(name("all gateways end, the store keeps what it has"), [&] {
+                end_all(fleet);
+                check_all_reported(fleet);
             });
-            section("the gateways live through a return, offset " + std::to_string(seed), [&] {
-                gateway_fleet fleet(seed);
-                fleet.start_all(names);
-                fleet.run(17s + offset);
+            section(name("the gateways live through a return"), [&] {
                 fleet.set_store_down(true);
                 fleet.run(std::chrono::milliseconds{300} * static_cast<int>(seed));
                 fleet.restore(4s);
-                fleet.run(25s);
-                fleet.check_reports_go_on();
-                CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.missing_windows());
-                section("all end some time after it", [&] {
-                    fleet.kill_all();
-                    fleet.run(500ms);
-                    fleet.start_all(names);
-                    fleet.run(25s);
-                    fleet.check_reports_go_on();
-                    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.missing_windows());
-                });
+                check_all_reported(fleet);
             });
-            section("one that starts while the store is away is told, offset " + std::to_string(seed), [&] {
-                gateway_fleet fleet(seed);
-                fleet.start_all({"b", "c"});
-                fleet.run(17s + offset);
+            section(name("all end some time after it"), [&] {
+                end_all(fleet);
+                check_all_reported(fleet);
+            });
+            section(name("one that starts while the store is away is told by the others"), [&] {
+                const auto holder = fleet.holder();
                 fleet.set_store_down(true);
-                fleet.kill("b");
+                fleet.kill(holder);
                 fleet.start("a");
                 fleet.run(2'900ms);
                 fleet.restore(4s);
-                fleet.run(25s);
-                fleet.check_reports_go_on();
+                check_all_reported(fleet);
                 CPPUNIT_ASSERT_EQUAL(std::string{"a"}, fleet.holder());
-                CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.missing_windows());
             });
         }
     }
