Store tests: the era passes through the observed store

Cause: the holder of a duty compares eras through this wrapper, and no test of the store module read it there. Change: one test, of a store before and after a return from a copy.

--- a/src/store/tests/observed_object_store_tests.cpp
+++ b/src/store/tests/observed_object_store_tests.cpp
@@ -1,5 +1,6 @@
 // Tests that the calls to the store can be told apart. Guards against a number of calls that grows unseen.
 #include "base/mocks/manual_clock.h"
+#include "store/mocks/fault_injecting_store.h"
 #include "store/mocks/watch_only_store.h"
 #include "store/observed_object_store.h"
 #include "testing/section.h"
@@ -36,9 +37,22 @@
     CPPUNIT_TEST_SUITE(observed_object_store_tests);
     CPPUNIT_TEST(counts_calls_by_kind_prefix_and_outcome);
     CPPUNIT_TEST(shows_incomplete_lists);
+    CPPUNIT_TEST(passes_the_era_on);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against a holder of a duty that takes a state of an earlier era for one of the era in force.
+    void passes_the_era_on()
+    {
+        const manual_clock time;
+        metrics_registry metrics;
+        fault_injecting_store restored(1);
+        const observed_object_store store(time, metrics, restored);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, store.known_era());
+        restored.restore({}, 0);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, store.known_era());
+    }
+
     void counts_calls_by_kind_prefix_and_outcome()
     {
         section("a process lists, watches in vain, and reads two objects that do not exist", [] {
