Store calls: the log says why a call failed and after how many bytes

A slow link, a reset, a silent store and an answer that is too long could not be told apart. Change: a failed HTTP call reports how many bytes of the response it has received, in its detail too; `store_called` has that detail. One field more in a line that is written anyway.

--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -20,6 +20,7 @@
 struct http_failure {
     error cause;
     call_progress progress = call_progress::maybe_sent;
+    std::size_t received_bytes = 0; // of the response, heads and framing included
 
     friend bool operator==(const http_failure&, const http_failure&) = default;
 };
--- a/src/net/internal/http_client.cpp
+++ b/src/net/internal/http_client.cpp
@@ -272,9 +272,10 @@
         }
     }
 
-    static void on_input_changed(evbuffer* buffer, const evbuffer_cb_info* /*info*/, void* self)
+    static void on_input_changed(evbuffer* buffer, const evbuffer_cb_info* info, void* self)
     {
         auto& call = *static_cast<evhttp_call*>(self);
+        call.received_bytes += info->n_added;
         call.check_status_line_at_input_start();
         if (call.done || call.unparsed_limit_exceeded || evbuffer_get_length(buffer) <= max_unparsed_bytes) {
             return;
@@ -445,7 +446,11 @@
                               ? result_code::connect_failed
                               : this->failure_code;
         const auto progress = never_sent ? call_progress::not_sent : call_progress::maybe_sent;
-        return {{code, std::string{name_of(code)} + " at " + to_text(this->peer)}, progress};
+        auto detail = std::string{name_of(code)} + " at " + to_text(this->peer);
+        if (this->received_bytes > 0) {
+            detail += " after " + std::to_string(this->received_bytes) + " bytes";
+        }
+        return {{code, std::move(detail)}, progress, this->received_bytes};
     }
 
     void release()
@@ -471,6 +476,7 @@
     evbuffer_cb_entry* output_callback_entry = nullptr;
     evbuffer_cb_entry* input_callback_entry = nullptr;
     std::unique_ptr<loop_timer> total_timeout_timer;
+    std::size_t received_bytes = 0;
     bool unparsed_limit_exceeded = false;
     bool is_status_line_checked = false; // of the response that is next
     bool has_invalid_status_line = false;
--- /dev/null
+++ b/src/net/tests/slow_response_tests.cpp
@@ -0,0 +1,77 @@
+// Tests how long a call waits for a response that comes in slowly.
+#include "net/http_client.h"
+#include "net/mocks/paced_server.h"
+#include "testing/section.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <optional>
+
+namespace tanager {
+
+namespace {
+
+using namespace std::chrono_literals;
+using testing::section;
+
+using fetch_outcome = tl::expected<http_response, http_failure>;
+
+std::string make_response(std::size_t body_bytes)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body_bytes) + "\r\n\r\n" +
+           std::string(body_bytes, 'x');
+}
+
+struct timed_outcome {
+    fetch_outcome outcome;
+    duration elapsed;
+};
+
+timed_outcome fetch_slowly(const std::string& response, const pace& rate, const http_call_options& options)
+{
+    const auto loop = std::move(*event_loop::create());
+    const paced_server server(*loop, response, rate);
+    const auto client = http_client::create(*loop);
+    const auto started_at = std::chrono::steady_clock::now();
+    std::optional<fetch_outcome> outcome;
+    client->fetch(
+        server.address, {"GET", "/", {}, {}}, options, [&](const auto& received) { outcome = received; });
+    while (!outcome) {
+        loop->run_once();
+    }
+    return {*outcome, std::chrono::steady_clock::now() - started_at};
+}
+
+class slow_response_tests : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(slow_response_tests);
+    CPPUNIT_TEST(reports_how_much_has_arrived);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a log in which a slow link, a reset and a silent server look the same.
+    void reports_how_much_has_arrived()
+    {
+        http_call_options options;
+        options.timeout = 200ms;
+        section("a response trickles in", [&] {
+            const auto [outcome, elapsed] = fetch_slowly(make_response(1'000), {10, 40ms, {}}, options);
+            CPPUNIT_ASSERT(!outcome && outcome.error().cause.code == result_code::timed_out);
+            const auto received = outcome.error().received_bytes;
+            CPPUNIT_ASSERT(received > 0 && received < 1'000);
+            section("the failure says after how many bytes the call has timed out", [&] {
+                const auto expected = " after " + std::to_string(received) + " bytes";
+                CPPUNIT_ASSERT(outcome.error().cause.detail.ends_with(expected));
+            });
+        });
+        section("a silent server has sent none", [&] {
+            const auto [outcome, elapsed] = fetch_slowly(make_response(1'000), {10, 40ms, 0}, options);
+            CPPUNIT_ASSERT(!outcome && outcome.error().cause.code == result_code::timed_out);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{0}, outcome.error().received_bytes);
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(slow_response_tests);
+
+} // namespace
+
+} // namespace tanager
--- a/src/store/internal/observed_object_store.cpp
+++ b/src/store/internal/observed_object_store.cpp
@@ -68,10 +68,7 @@
     return
         [this, call, prefix = prefix_of(name), started_at = this->time.now(), callback = std::move(callback)](
             const result<value>& outcome) {
-            this->record(call,
-                         prefix,
-                         outcome ? std::string_view{"done"} : name_of(outcome.error().code),
-                         this->time.now() - started_at);
+            this->record(call, prefix, outcome ? nullptr : &outcome.error(), this->time.now() - started_at);
             if constexpr (std::is_same_v<value, object_listing>) {
                 if (outcome) {
                     this->metrics.set_gauge("tanager_store_era",
@@ -89,18 +86,20 @@
 
 void observed_object_store::record(std::string_view call,
                                    const std::string& prefix,
-                                   std::string_view outcome,
+                                   const error* cause,
                                    duration elapsed)
 {
+    const std::string outcome{cause == nullptr ? "done" : name_of(cause->code)};
     this->metrics.increment_counter("tanager_store_calls_total",
                                     R"(call=")" + std::string{call} + R"(",prefix=")" + prefix +
-                                        R"(",outcome=")" + std::string{outcome} + '"');
+                                        R"(",outcome=")" + outcome + '"');
     const auto elapsed_ms = std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count();
     write_event(log_event::store_called,
                 {{"call", std::string{call}},
                  {"prefix", prefix},
-                 {"outcome", std::string{outcome}},
-                 {"ms", std::to_string(elapsed_ms)}});
+                 {"outcome", outcome},
+                 {"ms", std::to_string(elapsed_ms)},
+                 {"detail", cause == nullptr ? "-" : cause->detail}});
 }
 
 } // namespace tanager
--- a/src/store/observed_object_store.h
+++ b/src/store/observed_object_store.h
@@ -13,7 +13,7 @@
 // Passes all calls on. Shows the era of the last listing in `tanager_store_era`, and in
 // `tanager_store_list_incomplete` by prefix whether the last list was incomplete. Counts calls in
 // `tanager_store_calls_total` by call, prefix and outcome, and writes one log line for each when it has a
-// result.
+// result, with the reason if it failed.
 class observed_object_store final : public object_store {
 public:
     // The references must outlive the store and its pending calls.
@@ -37,7 +37,7 @@
     std::function<void(const result<value>&)> observe(std::string_view call,
                                                       const std::string& name,
                                                       std::function<void(const result<value>&)> callback);
-    void record(std::string_view call, const std::string& prefix, std::string_view outcome, duration elapsed);
+    void record(std::string_view call, const std::string& prefix, const error* cause, duration elapsed);
 
     const clock& time;
     metrics_registry& metrics;
