--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -94,7 +94,7 @@
 
 struct http_call_options {
     // Maximum time without receiving or sending a byte. The whole call is limited to twice this value, so
-    // that a slow trickle of bytes ends as well.
+    // that a slow trickle of bytes ends as well, unless it makes steady progress.
     std::chrono::milliseconds timeout{30'000};
     bool reuse_connection = true;
     // Accepts a response without length or chunked framing, which ends when the peer closes the connection. A
@@ -108,6 +108,9 @@
     // The id that the peer repeats in its response; empty for calls without one. No connection carries two
     // requests with the same id, since the id could not tell their responses apart.
     std::string request_id;
+    // In bytes per second, in both directions together. A call that was at least as fast over the last second
+    // goes on beyond twice its timeout; 0 ends it there at any rate.
+    std::size_t min_rate = 0;
 
     friend bool operator==(const http_call_options&, const http_call_options&) = default;
 };
--- a/src/net/internal/http_client.cpp
+++ b/src/net/internal/http_client.cpp
@@ -25,6 +25,9 @@
 // framing, such as a chunk size, grows to this limit.
 constexpr std::size_t max_unparsed_bytes = std::size_t{128} * 1024;
 constexpr int total_timeout_factor = 2;
+// Over this time the progress of a slow call is measured. It bridges the gaps of a busy link or processor.
+constexpr std::chrono::seconds progress_window{1};
+constexpr std::int64_t milliseconds_per_second = 1000;
 constexpr int max_skipped_responses = 8;
 constexpr int status_continue = 100;
 constexpr int first_final_status = 200;
@@ -98,10 +101,7 @@
         this->output_callback_entry = evbuffer_add_cb(this->output(), &evhttp_call::on_output_changed, this);
         this->input_callback_entry = evbuffer_add_cb(this->input(), &evhttp_call::on_input_changed, this);
         this->is_status_line_checked = false;
-        this->total_timeout_timer = this->loop.run_after(options.timeout * total_timeout_factor, [this] {
-            this->failure_code = result_code::timed_out;
-            this->cancel_with_failure();
-        });
+        this->limit_total_time(options.timeout * total_timeout_factor, options.min_rate);
         this->command = to_command(request.method);
         this->create_native_request();
         this->fill_request(request);
@@ -226,7 +226,6 @@
 
     void set_timeout(std::chrono::milliseconds timeout)
     {
-        constexpr std::int64_t milliseconds_per_second = 1000;
         constexpr std::int64_t microseconds_per_millisecond = 1000;
         timeval span{};
         span.tv_sec = timeout.count() / milliseconds_per_second;
@@ -253,6 +252,38 @@
             evhttp_request_get_output_buffer(this->native), request.body.data(), request.body.size());
     }
 
+    void limit_total_time(std::chrono::milliseconds limit, std::size_t min_rate)
+    {
+        if (min_rate == 0) {
+            this->total_timeout_timer = this->loop.run_after(limit, [this] { this->time_out(); });
+            return;
+        }
+        const auto window = std::min<std::chrono::milliseconds>(progress_window, limit);
+        this->total_timeout_timer = this->loop.run_after(
+            limit - window, [this, window, min_rate] { this->measure_progress(window, min_rate); });
+    }
+
+    // Ends the call after `window`, or goes on measuring if it is fast enough.
+    void measure_progress(std::chrono::milliseconds window, std::size_t min_rate)
+    {
+        const auto bytes_before = this->transferred_bytes;
+        const auto min_bytes = min_rate * static_cast<std::size_t>(window.count()) / milliseconds_per_second;
+        this->total_timeout_timer =
+            this->loop.run_after(window, [this, window, min_rate, bytes_before, min_bytes] {
+                if (this->transferred_bytes - bytes_before >= min_bytes) {
+                    this->measure_progress(window, min_rate);
+                } else {
+                    this->time_out();
+                }
+            });
+    }
+
+    void time_out()
+    {
+        this->failure_code = result_code::timed_out;
+        this->cancel_with_failure();
+    }
+
     evbuffer* input() const
     {
         return bufferevent_get_input(evhttp_connection_get_bufferevent(this->connection));
@@ -268,7 +299,9 @@
     static void on_output_changed(evbuffer* /*buffer*/, const evbuffer_cb_info* info, void* self)
     {
         if (info->n_deleted > 0) {
-            static_cast<evhttp_call*>(self)->sent = true;
+            auto& call = *static_cast<evhttp_call*>(self);
+            call.sent = true;
+            call.transferred_bytes += info->n_deleted;
         }
     }
 
@@ -276,6 +309,7 @@
     {
         auto& call = *static_cast<evhttp_call*>(self);
         call.received_bytes += info->n_added;
+        call.transferred_bytes += info->n_added;
         call.check_status_line_at_input_start();
         if (call.done || call.unparsed_limit_exceeded || evbuffer_get_length(buffer) <= max_unparsed_bytes) {
             return;
@@ -477,6 +511,7 @@
     evbuffer_cb_entry* input_callback_entry = nullptr;
     std::unique_ptr<loop_timer> total_timeout_timer;
     std::size_t received_bytes = 0;
+    std::size_t transferred_bytes = 0; // in both directions
     bool unparsed_limit_exceeded = false;
     bool is_status_line_checked = false; // of the response that is next
     bool has_invalid_status_line = false;
--- a/src/net/tests/slow_response_tests.cpp
+++ b/src/net/tests/slow_response_tests.cpp
@@ -44,6 +44,8 @@
 class slow_response_tests : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(slow_response_tests);
     CPPUNIT_TEST(reports_how_much_has_arrived);
+    CPPUNIT_TEST(reads_a_steady_response_to_its_end);
+    CPPUNIT_TEST(ends_a_call_without_steady_progress);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -68,6 +70,61 @@
             CPPUNIT_ASSERT_EQUAL(std::size_t{0}, outcome.error().received_bytes);
         });
     }
+
+    // Guards against a link that carries an answer steadily, but never within the time of a call, so that
+    // each call ends in the same way (review case 12).
+    void reads_a_steady_response_to_its_end()
+    {
+        section("a response takes three times as long as the call may last", [] {
+            const auto [outcome, elapsed] =
+                fetch_slowly(make_response(steady_bytes), steady_pace, steady_options());
+            CPPUNIT_ASSERT(elapsed > 3 * 2 * steady_options().timeout);
+            CPPUNIT_ASSERT(outcome.has_value());
+            CPPUNIT_ASSERT_EQUAL(steady_bytes, outcome->body.size());
+        });
+        section("without a rate that counts as steady, the call ends at twice its timeout", [] {
+            auto options = steady_options();
+            options.min_rate = 0;
+            const auto [outcome, elapsed] = fetch_slowly(make_response(steady_bytes), steady_pace, options);
+            CPPUNIT_ASSERT(!outcome && outcome.error().cause.code == result_code::timed_out);
+            CPPUNIT_ASSERT(elapsed < 4 * options.timeout);
+        });
+    }
+
+    void ends_a_call_without_steady_progress()
+    {
+        const auto options = steady_options();
+        section("a trickle is noticed as fast as by a call that waits for no steady response", [&] {
+            const auto [outcome, elapsed] =
+                fetch_slowly(make_response(steady_bytes), {10, 20ms, {}}, options);
+            CPPUNIT_ASSERT(!outcome && outcome.error().cause.code == result_code::timed_out);
+            CPPUNIT_ASSERT(elapsed < 4 * options.timeout);
+        });
+        section("a silent server is, too", [&] {
+            const auto [outcome, elapsed] = fetch_slowly(make_response(steady_bytes), {0, 20ms, 0}, options);
+            CPPUNIT_ASSERT(!outcome && outcome.error().cause.code == result_code::timed_out);
+            CPPUNIT_ASSERT(elapsed < 2 * options.timeout);
+        });
+        section("a response that stops midway ends the call within its timeout", [&] {
+            auto rate = steady_pace;
+            rate.stop_after = steady_bytes / 2;
+            const auto [outcome, elapsed] = fetch_slowly(make_response(steady_bytes), rate, options);
+            CPPUNIT_ASSERT(!outcome && outcome.error().cause.code == result_code::timed_out);
+            CPPUNIT_ASSERT(elapsed < 8 * options.timeout);
+        });
+    }
+
+private:
+    static constexpr std::size_t steady_bytes = 80'000;
+    static constexpr pace steady_pace{1'000, 20ms, {}}; // 50,000 bytes per second
+
+    static http_call_options steady_options()
+    {
+        http_call_options options;
+        options.timeout = 250ms;
+        options.min_rate = 20'000;
+        return options;
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(slow_response_tests);
--- a/standins/proxy/fault_proxy.cpp
+++ b/standins/proxy/fault_proxy.cpp
@@ -26,8 +26,13 @@
 // Forwards one direction of a connection.
 class proxied_direction {
 public:
-    proxied_direction(fault_registry& faults, event_loop& loop, std::string stall_fault)
-        : faults(faults), loop(loop), stall_fault(std::move(stall_fault))
+    // `link_free_at` is shared by all connections whose bytes the link carries in this direction; null if it
+    // has no limit.
+    proxied_direction(fault_registry& faults,
+                      event_loop& loop,
+                      std::string stall_fault,
+                      std::chrono::steady_clock::time_point* link_free_at)
+        : faults(faults), loop(loop), stall_fault(std::move(stall_fault)), link_free_at(link_free_at)
     {
     }
 
@@ -50,7 +55,7 @@
             return;
         }
         const std::chrono::milliseconds delay{this->faults.value("delay_ms")};
-        if (delay.count() == 0 && this->held.empty()) {
+        if (delay.count() == 0 && this->link_rate() == 0 && this->held.empty()) {
             bufferevent_write_buffer(this->sink, input);
             return;
         }
@@ -64,8 +69,30 @@
     struct held_bytes {
         std::string bytes;
         std::chrono::steady_clock::time_point due_at;
+        bool is_on_link = false;
     };
 
+    std::uint64_t link_rate() const
+    {
+        return this->link_free_at == nullptr ? 0 : this->faults.value("bytes_per_second");
+    }
+
+    // Returns whether the first bytes that are held have to wait until the link has carried them.
+    bool wait_for_link()
+    {
+        auto& first = this->held.front();
+        const auto rate = this->link_rate();
+        if (rate == 0 || first.is_on_link) {
+            return false;
+        }
+        constexpr std::uint64_t microseconds_per_second = 1'000'000;
+        const std::chrono::microseconds carry_time{first.bytes.size() * microseconds_per_second / rate};
+        *this->link_free_at = std::max(*this->link_free_at, std::chrono::steady_clock::now()) + carry_time;
+        first.due_at = *this->link_free_at;
+        first.is_on_link = true;
+        return true;
+    }
+
     void schedule()
     {
         if (this->timer != nullptr || this->held.empty()) {
@@ -79,7 +106,7 @@
     void release()
     {
         const auto now = std::chrono::steady_clock::now();
-        while (!this->held.empty() && this->held.front().due_at <= now) {
+        while (!this->held.empty() && this->held.front().due_at <= now && !this->wait_for_link()) {
             bufferevent_write(this->sink, this->held.front().bytes.data(), this->held.front().bytes.size());
             this->held.pop_front();
         }
@@ -90,6 +117,7 @@
     fault_registry& faults;
     event_loop& loop;
     std::string stall_fault;
+    std::chrono::steady_clock::time_point* link_free_at;
     bufferevent* source = nullptr;
     bufferevent* sink = nullptr;
     std::deque<held_bytes> held;
@@ -98,12 +126,16 @@
 
 class proxied_connection {
 public:
-    proxied_connection(fault_proxy& owner, fault_registry& faults, event_loop& loop, int descriptor)
+    proxied_connection(fault_proxy& owner,
+                       fault_registry& faults,
+                       event_loop& loop,
+                       std::chrono::steady_clock::time_point& link_free_at,
+                       int descriptor)
         : owner(owner),
           caller(bufferevent_socket_new(loop.native_handle(), descriptor, BEV_OPT_CLOSE_ON_FREE)),
           server(bufferevent_socket_new(loop.native_handle(), -1, BEV_OPT_CLOSE_ON_FREE)),
-          up(faults, loop, "stall_up"),
-          down(faults, loop, "stall_down")
+          up(faults, loop, "stall_up", nullptr),
+          down(faults, loop, "stall_down", &link_free_at)
     {
         this->up.connect(this->caller, this->server);
         this->down.connect(this->server, this->caller);
@@ -221,7 +253,8 @@
         close(descriptor);
         return;
     }
-    auto connection = std::make_unique<proxied_connection>(proxy, proxy.faults, proxy.loop, descriptor);
+    auto connection =
+        std::make_unique<proxied_connection>(proxy, proxy.faults, proxy.loop, proxy.link_free_at, descriptor);
     connection->connect(proxy.target);
     proxy.connections.insert(std::move(connection));
 }
--- a/standins/proxy/fault_proxy.h
+++ b/standins/proxy/fault_proxy.h
@@ -5,6 +5,7 @@
 #include "net/types/http_types.h"
 #include "standins/support/fault_registry.h"
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <set>
@@ -19,7 +20,8 @@
 class proxied_connection;
 
 // Faults, each active while its value is above 0: `cut` (open and new connections are closed), `stall_up` and
-// `stall_down` (bytes towards the target or back are held), `delay_ms` (bytes are forwarded after that time).
+// `stall_down` (bytes towards the target or back are held), `delay_ms` (bytes are forwarded after that time),
+// `bytes_per_second` (what all connections together carry back from the target; no limit if 0).
 class fault_proxy {
 public:
     fault_proxy(event_loop& loop, socket_address target);
@@ -45,6 +47,7 @@
     event_loop& loop;
     socket_address target;
     fault_registry faults;
+    std::chrono::steady_clock::time_point link_free_at; // when the link back has carried what it was given
     evconnlistener* listener = nullptr;
     std::set<std::unique_ptr<proxied_connection>> connections;
 };
--- a/standins/site/fake_object_store.cpp
+++ b/standins/site/fake_object_store.cpp
@@ -190,10 +190,25 @@
                                  "}"});
 }
 
+std::vector<versioned_object> fake_object_store::versions_since(const std::string& prefix,
+                                                                std::uint64_t since_revision) const
+{
+    std::vector<versioned_object> versions;
+    for (const auto& write : this->writes) {
+        if (write.name.starts_with(prefix) && write.version > since_revision) {
+            versions.push_back({write.name, write.version, !write.value, write.value.value_or("")});
+        }
+    }
+    return versions;
+}
+
 std::string fake_object_store::events_since(const std::string& prefix, std::uint64_t since_revision) const
 {
     std::string events;
-    for (const auto& object : this->table.changed_since(prefix, since_revision)) {
+    const auto changed = this->faults.value("every_version") > 0
+                             ? this->versions_since(prefix, since_revision)
+                             : this->table.changed_since(prefix, since_revision);
+    for (const auto& object : changed) {
         events += testing::concatenate({events.empty() ? "" : ",",
                                         R"({"deleted":)",
                                         object.deleted ? "true" : "false",
@@ -299,7 +314,7 @@
 {
     const auto version = value ? this->table.put(name, *value, expected) : this->table.remove(name, expected);
     if (version) {
-        this->writes.push_back({steady_clock::now(), name, value});
+        this->writes.push_back({steady_clock::now(), name, value, *version});
     }
     return version;
 }
@@ -315,8 +330,9 @@
         }
         const auto current = this->table.get(write.name);
         const auto version = current ? current->version : 0;
-        write.value ? this->table.put(write.name, *write.value, version)
-                    : this->table.remove(write.name, version);
+        const auto restored = write.value ? this->table.put(write.name, *write.value, version)
+                                          : this->table.remove(write.name, version);
+        write.version = restored.value_or(version);
         this->writes.push_back(std::move(write));
     }
     ++this->era;
--- a/standins/site/fake_object_store.h
+++ b/standins/site/fake_object_store.h
@@ -26,7 +26,8 @@
 // a moment and comes back from a copy of that age, in a new era; it gives the revisions since out again, and
 // the operators and backend servers write their objects again soon after), `page_size` (level: names on a
 // page of a list, in the order of their bytes; all on one page if 0), `numeric_names` (level: names of digits
-// are sent as JSON numbers), `unreadable_servers` (level: lists of servers are sent as invalid JSON).
+// are sent as JSON numbers), `unreadable_servers` (level: lists of servers are sent as invalid JSON),
+// `every_version` (level: a watch gets each version of an object since its revision, not the newest alone).
 //
 // Names may hold any bytes. They are sent as they are, encoded surrogates as escapes. A target that holds a
 // character which must be percent-encoded, or an unknown parameter, gets a 400.
@@ -50,6 +51,7 @@
         steady_clock::time_point at;
         std::string name;
         std::optional<std::string> value; // none for a removal
+        std::uint64_t version = 0;
     };
 
     struct pending_watch {
@@ -65,6 +67,8 @@
     void serve_list(http_exchange& exchange, const request_target& target, const std::string& prefix);
     std::string name_text(const std::string& name) const;
     std::string object_text(const versioned_object& object) const;
+    std::vector<versioned_object> versions_since(const std::string& prefix,
+                                                 std::uint64_t since_revision) const;
     std::string events_since(const std::string& prefix, std::uint64_t since_revision) const;
     std::string watch_response(const std::string& events) const;
     void complete_watches();
--- a/tests/support/gateway_group.h
+++ b/tests/support/gateway_group.h
@@ -50,6 +50,12 @@
     gateway_group(gateway_group&&) = delete;
     gateway_group& operator=(gateway_group&&) = delete;
 
+    // Gateways that start on this host reach the store at another address, such as that of a proxy.
+    void set_store_address(const std::string& host, const std::string& address)
+    {
+        this->store_addresses[host] = address;
+    }
+
     struct member {
         std::unique_ptr<child_process> process;
         std::string address;
@@ -156,6 +162,12 @@
     std::map<std::string, member> members;
 
 private:
+    std::string store_address_of(const std::string& host) const
+    {
+        const auto own = this->store_addresses.find(host);
+        return own == this->store_addresses.end() ? this->store_address : own->second;
+    }
+
     std::string write_settings(const std::string& host)
     {
         std::string path = (std::filesystem::temp_directory_path() / "tanager-group-XXXXXX").string();
@@ -164,7 +176,7 @@
                             << "\ndata_centre = here\nregion = r\nstop_grace_seconds = 8\n"
                                "[http]\nlisten = 127.0.0.1:0\n[pages]\nlisten = 127.0.0.1:0\n"
                                "[peers]\nlisten = 127.0.0.1:0\n[store]\naddress = "
-                            << this->store_address << "\n"
+                            << this->store_address_of(host) << "\n"
                             << this->more_settings;
         if (!this->duty_settings.empty()) {
             std::ofstream(path, std::ios::app)
@@ -178,6 +190,7 @@
     // The sections that follow, up to the keys of [duties] without its address; empty without duties.
     std::string duty_settings;
     std::vector<std::string> settings_paths;
+    std::map<std::string, std::string> store_addresses; // by host, where it is not `store_address`
     std::uint64_t last_request_number = 0;
 };
 
