--- a/src/relay/internal/watch_relay.cpp
+++ b/src/relay/internal/watch_relay.cpp
@@ -41,6 +41,12 @@
     return std::chrono::milliseconds{static_cast<std::int64_t>(static_cast<double>(span.count()) * ratio)};
 }
 
+// Returns the feed of an object, or of a prefix itself.
+std::string prefix_of(const std::string& name)
+{
+    return name.substr(0, name.find('/') + 1);
+}
+
 std::string to_text(duration span)
 {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
@@ -86,24 +92,27 @@
 void watch_relay::list(const std::string& prefix, listing_callback callback)
 {
     this->feed_of(prefix);
-    this->held_reads.emplace_back(
-        [this, prefix, callback = std::move(callback)] { this->call_list(prefix, callback); });
-    this->start_held_reads();
+    this->hold_read(prefix,
+                    [this, prefix, callback = std::move(callback)] { this->call_list(prefix, callback); });
 }
 
 void watch_relay::call_list(const std::string& prefix, const listing_callback& callback)
 {
-    const bool is_probe = this->breaker.begin_call();
     const auto asked_at = this->time.now();
     this->store.list(prefix,
-                     [this, prefix, callback, is_probe, asked_at, weak = std::weak_ptr(this->lifetime)](
-                         const auto& listing) {
+                     [this,
+                      prefix,
+                      callback,
+                      asked_at,
+                      call = this->breaker.begin_call(prefix),
+                      weak = std::weak_ptr(this->lifetime)](const auto& listing) {
                          if (weak.expired()) {
                              return;
                          }
-                         if (!this->record_result(is_probe, listing) && is_probe) {
-                             this->held_reads.emplace_back(
-                                 [this, prefix, callback] { this->call_list(prefix, callback); });
+                         if (!this->record_result(call, listing) && call.is_probe()) {
+                             this->held_reads.push_back({prefix, [this, prefix, callback] {
+                                                             this->call_list(prefix, callback);
+                                                         }});
                              return;
                          }
                          if (listing) {
@@ -115,43 +124,86 @@
 
 void watch_relay::call_get(const std::string& name, const object_callback& callback)
 {
-    const bool is_probe = this->breaker.begin_call();
-    this->store.get(
-        name, [this, name, callback, is_probe, weak = std::weak_ptr(this->lifetime)](const auto& object) {
-            if (weak.expired()) {
-                return;
-            }
-            if (!this->record_result(is_probe, object) && is_probe) {
-                this->held_reads.emplace_back([this, name, callback] { this->call_get(name, callback); });
-                return;
-            }
-            callback(object);
-        });
+    this->store.get(name,
+                    [this,
+                     name,
+                     callback,
+                     call = this->breaker.begin_call(prefix_of(name)),
+                     weak = std::weak_ptr(this->lifetime)](const auto& object) {
+                        if (weak.expired()) {
+                            return;
+                        }
+                        if (!this->record_result(call, object) && call.is_probe()) {
+                            this->held_reads.push_back({call.feed, [this, name, callback] {
+                                                            this->call_get(name, callback);
+                                                        }});
+                            return;
+                        }
+                        callback(object);
+                    });
 }
 
 // Takes the result of a call for the breaker, and starts what waits for an answer; returns whether the store
 // answered.
 template <typename value>
-bool watch_relay::record_result(bool was_probe, const result<value>& outcome)
+bool watch_relay::record_result(const store_circuit_breaker::store_call& call, const result<value>& outcome)
 {
     if (!outcome && outcome.error().code == result_code::store_unavailable) {
-        this->breaker.record_failure(was_probe);
+        this->breaker.record_failure(call);
         return false;
     }
-    this->breaker.record_answer(was_probe);
+    this->breaker.record_answer(call);
     this->start_held_reads();
     return true;
 }
 
+void watch_relay::hold_read(const std::string& name, std::function<void()> start)
+{
+    this->held_reads.push_back({prefix_of(name), std::move(start)});
+    this->start_held_reads();
+    this->start_probe();
+}
+
 void watch_relay::start_held_reads()
 {
-    while (!this->held_reads.empty() && this->breaker.may_call(store_circuit_breaker::urgency::starting)) {
+    while (!this->held_reads.empty() && !this->breaker.is_open()) {
         const auto read = std::move(this->held_reads.front());
         this->held_reads.pop_front();
-        read();
+        read.start();
     }
 }
 
+// Makes the next probe, if one is due, of the feed whose turn it is.
+void watch_relay::start_probe()
+{
+    if (!this->breaker.is_open()) {
+        return;
+    }
+    std::vector<store_circuit_breaker::waiting_call> waiting;
+    for (const auto& read : this->held_reads) {
+        waiting.push_back({read.feed, store_circuit_breaker::urgency::starting});
+    }
+    std::vector<std::shared_ptr<feed_state>> due_feeds;
+    for (const auto& [prefix, feed] : this->feeds) {
+        if (this->is_call_due(*feed)) {
+            waiting.push_back({prefix, this->urgency_of(*feed)});
+            due_feeds.push_back(feed);
+        }
+    }
+    const auto chosen = this->breaker.choose_probe(waiting);
+    if (!chosen) {
+        return;
+    }
+    if (*chosen >= this->held_reads.size()) {
+        this->call_store(*due_feeds[*chosen - this->held_reads.size()]);
+        return;
+    }
+    const auto read = this->held_reads.begin() + static_cast<std::ptrdiff_t>(*chosen);
+    const auto start = std::move(read->start);
+    this->held_reads.erase(read);
+    start();
+}
+
 void watch_relay::watch(const std::string& prefix,
                         std::uint64_t since,
                         std::chrono::milliseconds max_wait,
@@ -167,9 +219,7 @@
 
 void watch_relay::get(const std::string& name, object_callback callback)
 {
-    this->held_reads.emplace_back(
-        [this, name, callback = std::move(callback)] { this->call_get(name, callback); });
-    this->start_held_reads();
+    this->hold_read(name, [this, name, callback = std::move(callback)] { this->call_get(name, callback); });
 }
 
 void watch_relay::put(const std::string& name,
@@ -209,14 +259,25 @@
     if (feed.is_calling || this->time.now() < feed.retry_at) {
         return;
     }
-    // A store that has failed is called until it responds, since this gateway cannot be elected before.
-    const bool relies_on_peers = !this->is_elected() && !feed.is_bridged && is_confirmed(feed);
-    this->set_relies_on_peers(feed, relies_on_peers);
-    if (!relies_on_peers && this->breaker.may_call(this->urgency_of(feed))) {
+    this->set_relies_on_peers(feed, this->may_rely_on_peers(feed));
+    if (this->is_call_due(feed) && !this->breaker.is_open()) {
         this->call_store(feed);
     }
 }
 
+// A store that has failed is called until it responds, since this gateway cannot be elected before.
+bool watch_relay::may_rely_on_peers(const feed_state& feed) const
+{
+    return !this->is_elected() && !feed.is_bridged && is_confirmed(feed);
+}
+
+// Returns whether the pending watch has to be answered by the store itself.
+bool watch_relay::is_call_due(const feed_state& feed) const
+{
+    return feed.callback && !feed.is_calling && this->time.now() >= feed.retry_at &&
+           !this->may_rely_on_peers(feed);
+}
+
 // A call is not urgent once the store has answered a peer since it stopped answering this gateway.
 store_circuit_breaker::urgency watch_relay::urgency_of(const feed_state& feed) const
 {
@@ -276,8 +337,8 @@
 void watch_relay::call_store(feed_state& feed)
 {
     feed.is_calling = true;
-    const bool is_probe = this->breaker.begin_call();
-    const auto wait = is_probe || feed.has_failed || feed.is_bridged
+    const auto call = this->breaker.begin_call(feed.prefix);
+    const auto wait = call.is_probe() || feed.has_failed || feed.is_bridged
                           ? probe_wait
                           : draw_between(scale(feed.max_wait, min_wait_ratio), feed.max_wait, this->random);
     const auto since = feed.tracker.known_revision();
@@ -285,13 +346,13 @@
         feed.prefix,
         since,
         wait,
-        [this, is_probe, since, asked_at = this->time.now(), weak = std::weak_ptr(this->feeds[feed.prefix])](
+        [this, call, since, asked_at = this->time.now(), weak = std::weak_ptr(this->feeds[feed.prefix])](
             const auto& listing) {
             const auto called = weak.lock();
             if (called == nullptr) {
                 return;
             }
-            this->record_result(is_probe, listing);
+            this->record_result(call, listing);
             if (era_of(since) < era_of(called->tracker.known_revision())) {
                 // The feed has been listed in a new era meanwhile.
                 called->is_calling = false;
@@ -419,6 +480,7 @@
     for (const auto& [prefix, feed] : this->feeds) {
         this->advance(*feed);
     }
+    this->start_probe();
 }
 
 } // namespace tanager
--- a/src/relay/tests/store_outage_tests.cpp
+++ b/src/relay/tests/store_outage_tests.cpp
@@ -10,7 +10,10 @@
 #include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 #include <deque>
+#include <map>
 #include <optional>
+#include <set>
+#include <string>
 #include <utility>
 
 namespace tanager {
@@ -28,25 +31,29 @@
 public:
     explicit outage_store(const clock& time) : time(time) {}
 
-    void list(const std::string& /*prefix*/, listing_callback callback) override
+    void list(const std::string& prefix, listing_callback callback) override
     {
-        this->begin(0ms, {0, revision, true, {}}, std::move(callback));
+        this->begin(prefix, 0ms, {0, revision, true, {}}, std::move(callback));
     }
 
-    void watch(const std::string& /*prefix*/,
+    void watch(const std::string& prefix,
                std::uint64_t since,
                std::chrono::milliseconds max_wait,
                listing_callback callback) override
     {
-        this->begin(max_wait, {since, revision, false, {}}, std::move(callback));
+        this->begin(prefix, max_wait, {since, revision, false, {}}, std::move(callback));
     }
 
     void step()
     {
         for (auto& call : std::exchange(this->calls, {})) {
-            if (this->is_down) {
+            const bool is_failing = this->failing.contains(call.prefix);
+            if (this->is_down || (is_failing && this->time.now() >= call.began_at + this->failure_time)) {
                 call.callback(fail(result_code::store_unavailable, "down"));
+            } else if (is_failing) {
+                this->calls.push_back(std::move(call));
             } else if (this->time.now() >= call.ends_at) {
+                this->answered_at[call.prefix] = this->time.now();
                 call.callback(call.listing);
             } else {
                 this->calls.push_back(std::move(call));
@@ -55,19 +62,28 @@
     }
 
     bool is_down = false;
+    std::set<std::string> failing;             // prefixes whose calls fail although the store answers others
+    std::chrono::milliseconds failure_time{0}; // until they do
     int call_count = 0;
+    std::map<std::string, time_point> answered_at; // the last call of a prefix
 
 private:
     struct pending_call {
+        std::string prefix;
+        time_point began_at;
         time_point ends_at;
         object_listing listing;
         listing_callback callback;
     };
 
-    void begin(std::chrono::milliseconds wait, object_listing listing, listing_callback callback)
+    void begin(const std::string& prefix,
+               std::chrono::milliseconds wait,
+               object_listing listing,
+               listing_callback callback)
     {
         ++this->call_count;
-        this->calls.push_back({this->time.now() + wait, std::move(listing), std::move(callback)});
+        const auto now = this->time.now();
+        this->calls.push_back({prefix, now, now + wait, std::move(listing), std::move(callback)});
     }
 
     static constexpr std::uint64_t revision = 7;
@@ -80,7 +96,7 @@
 class feed_follower {
 public:
     feed_follower(const clock& time, object_store& store, std::string prefix, std::chrono::milliseconds wait)
-        : time(time), store(store), prefix(std::move(prefix)), wait(wait)
+        : prefix(std::move(prefix)), time(time), store(store), wait(wait)
     {
     }
 
@@ -101,6 +117,7 @@
     }
 
     std::optional<time_point> listed_at;
+    std::string prefix;
 
 private:
     void on_listing(const result<object_listing>& listing)
@@ -122,7 +139,6 @@
 
     const clock& time;
     object_store& store;
-    std::string prefix;
     std::chrono::milliseconds wait;
     bool is_waiting = false;
     time_point next_call_at;
@@ -161,6 +177,22 @@
                                    [](const auto& each) { return each.listed_at.has_value(); });
     }
 
+    // Returns the longest time for which a feed other than those that fail had no answer of the store, while
+    // the gateway runs for `span`.
+    duration longest_wait(duration span)
+    {
+        duration longest{0};
+        for (const auto until = this->time.now() + span; this->time.now() < until;) {
+            this->run(5ms);
+            for (const auto& [prefix, answered_at] : this->store.answered_at) {
+                if (!this->store.failing.contains(prefix)) {
+                    longest = std::max(longest, this->time.now() - answered_at);
+                }
+            }
+        }
+        return longest;
+    }
+
     // What an elected peer reports: nothing changed up to the revision of the store.
     void confirm_feeds()
     {
@@ -185,6 +217,8 @@
     CPPUNIT_TEST(counts_as_connected_soon_after_an_outage);
     CPPUNIT_TEST(probes_rarely_while_peers_confirm);
     CPPUNIT_TEST(resumes_single_calls_at_once);
+    CPPUNIT_TEST(answers_other_feeds_while_one_fails);
+    CPPUNIT_TEST(starts_while_one_feed_fails);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -281,6 +315,88 @@
             });
         });
     }
+
+    // Guards against a feed that takes every probe and fails each time, so that the gateway does not notice
+    // that servers leave (review case 11). It fails whichever way: at once, or when a call has timed out.
+    void answers_other_feeds_while_one_fails()
+    {
+        for (const auto failure_time : {0ms, 20ms, 1'000ms, 5'000ms}) {
+            for (const std::string prefix : {"configuration/", "gateways/", "quarantines/", "servers/"}) {
+                section("the calls of " + prefix + " fail after " + std::to_string(failure_time.count()) +
+                            " ms each, since the store has turned the gateway away",
+                        [&] {
+                            following_gateway gateway;
+                            gateway.run(1s);
+                            gateway.store.is_down = true;
+                            gateway.run(3s);
+                            gateway.store.failing = {prefix};
+                            gateway.store.failure_time = failure_time;
+                            gateway.store.is_down = false;
+                            section("the others are answered after at most one probe", [&] {
+                                const auto returned_at = gateway.time.now();
+                                gateway.run(2 * max_probe_delay + max_probe_time + step_slack);
+                                for (const auto& follower : gateway.followers) {
+                                    CPPUNIT_ASSERT(follower.prefix == prefix ||
+                                                   gateway.store.answered_at[follower.prefix] >= returned_at);
+                                }
+                            });
+                            section("and their watches are answered for as long as it fails", [&] {
+                                const auto longest = gateway.longest_wait(60s);
+                                CPPUNIT_ASSERT(longest <=
+                                               long_wait + 2 * max_probe_delay + max_probe_time + step_slack);
+                            });
+                            section("it is answered soon after its cause is gone", [&] {
+                                gateway.store.failing.clear();
+                                const auto mended_at = gateway.time.now();
+                                gateway.run(long_wait + 2s);
+                                CPPUNIT_ASSERT(gateway.store.answered_at[prefix] >= mended_at);
+                                CPPUNIT_ASSERT(!gateway.relay.is_store_failing());
+                            });
+                        });
+            }
+        }
+        section("two feeds fail, and the two others wait for no more than two probes", [&] {
+            following_gateway gateway;
+            gateway.run(1s);
+            gateway.store.is_down = true;
+            gateway.run(3s);
+            gateway.store.failing = {"configuration/", "gateways/"};
+            gateway.store.failure_time = 1'000ms;
+            gateway.store.is_down = false;
+            const auto returned_at = gateway.time.now();
+            gateway.run(3 * max_probe_delay + 2 * max_probe_time + step_slack);
+            CPPUNIT_ASSERT(gateway.store.answered_at["servers/"] >= returned_at);
+            CPPUNIT_ASSERT(gateway.store.answered_at["quarantines/"] >= returned_at);
+        });
+    }
+
+    void starts_while_one_feed_fails()
+    {
+        section("a gateway starts while the store is down, and one list fails for ever after that", [] {
+            for (const std::string prefix : {"configuration/", "gateways/", "quarantines/", "servers/"}) {
+                following_gateway gateway;
+                gateway.store.is_down = true;
+                gateway.run(2s);
+                gateway.store.failing = {prefix};
+                gateway.store.failure_time = 1'000ms;
+                gateway.store.is_down = false;
+                gateway.run(2 * max_starting_delay + max_probe_time + step_slack);
+                section("the others have been listed after at most one probe: " + prefix, [&] {
+                    for (const auto& follower : gateway.followers) {
+                        CPPUNIT_ASSERT(follower.listed_at.has_value() == (follower.prefix != prefix));
+                    }
+                });
+            }
+        });
+    }
+
+private:
+    // A probe that is not answered by then does not delay the next one.
+    static constexpr std::chrono::milliseconds max_probe_time{1'000};
+    // Between two probes, of a gateway that follows the store and of one that starts.
+    static constexpr std::chrono::milliseconds max_probe_delay{600};
+    static constexpr std::chrono::milliseconds max_starting_delay{200};
+    static constexpr std::chrono::milliseconds step_slack{50};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(store_outage_tests);
--- a/src/relay/watch_relay.h
+++ b/src/relay/watch_relay.h
@@ -41,9 +41,9 @@
 // to their data centre and confirm in their load reports up to which revision they know everything. The
 // others leave a watch pending, without a call, while their feed is confirmed; they call the store when it is
 // not, or when changes are missing. A gateway that the store does not answer keeps its watch pending while
-// its peers confirm the feed. While the store does not answer, the watches and reads of all feeds share one
-// probe, and the answer to it starts those that wait. Watches from an earlier era than one that peers know
-// end with history_lost.
+// its peers confirm the feed. While the store does not answer, the watches and reads of all feeds take turns
+// with one probe, and the answer to it starts those that wait (see store_circuit_breaker). Watches from an
+// earlier era than one that peers know end with history_lost.
 class watch_relay final : public object_store {
 public:
     // `time` must count the time for which the host is suspended. The references must outlive the relay.
@@ -88,6 +88,12 @@
     void check();
 
 private:
+    // A list or get that waits for the store to answer.
+    struct held_read {
+        std::string feed;
+        std::function<void()> start;
+    };
+
     // One feed and the watch that is pending on it.
     struct feed_state {
         feed_state(std::string prefix, const clock& time);
@@ -111,6 +117,8 @@
     feed_state& feed_of(const std::string& prefix);
     bool is_elected() const;
     static bool is_confirmed(const feed_state& feed);
+    bool may_rely_on_peers(const feed_state& feed) const;
+    bool is_call_due(const feed_state& feed) const;
     store_circuit_breaker::urgency urgency_of(const feed_state& feed) const;
     void set_relies_on_peers(feed_state& feed, bool relies_on_peers) const;
     void advance(feed_state& feed);
@@ -121,16 +129,18 @@
     void on_store_failure(feed_state& feed, const error& cause);
     void call_list(const std::string& prefix, const listing_callback& callback);
     void call_get(const std::string& name, const object_callback& callback);
+    void hold_read(const std::string& name, std::function<void()> start);
     void start_held_reads();
+    void start_probe();
     template <typename value>
-    bool record_result(bool was_probe, const result<value>& outcome);
+    bool record_result(const store_circuit_breaker::store_call& call, const result<value>& outcome);
 
     const clock& time;
     random_source& random;
     object_store& store;
     relay_channel* channel = nullptr;
     store_circuit_breaker breaker;
-    std::deque<std::function<void()>> held_reads; // lists and gets that wait for the store to answer
+    std::deque<held_read> held_reads;
     std::map<std::string, std::shared_ptr<feed_state>> feeds;
     std::optional<time_point> channel_idle_at;
     std::shared_ptr<char> lifetime = std::make_shared<char>();
