--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -21,6 +21,7 @@
     error cause;
     call_progress progress = call_progress::maybe_sent;
     std::size_t received_bytes = 0; // of the response, heads and framing included
+    bool is_too_long = false;       // the response exceeds max_collected_bytes
 
     friend bool operator==(const http_failure&, const http_failure&) = default;
 };
@@ -138,7 +139,7 @@
     using owner_check = std::function<response_owner(int status, const http_headers& headers)>;
 
     // Starts a call whose response is collected in memory. A body that is too long fails with
-    // reply_malformed. `owner_of` is that of http_response_handler.
+    // reply_malformed, as soon as its length is known. `owner_of` is that of http_response_handler.
     std::shared_ptr<http_call> fetch(const socket_address& peer,
                                      const http_request& request,
                                      const http_call_options& options,
--- a/src/net/internal/http_client.cpp
+++ b/src/net/internal/http_client.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -609,6 +610,10 @@
     {
         this->response.status = status;
         this->response.headers = headers;
+        const auto length = parse_length(find_header(headers, "Content-Length"));
+        if (length > this->max_bytes) {
+            this->abandon("a response of " + std::to_string(*length) + " bytes");
+        }
     }
 
     void set_call(const std::shared_ptr<http_call>& started_call)
@@ -622,7 +627,7 @@
             this->response.body += data;
             return;
         }
-        this->abandon("a reply without end");
+        this->abandon("a response of more than " + std::to_string(this->max_bytes) + " bytes");
     }
 
     void on_end() override
@@ -636,12 +641,22 @@
     }
 
 private:
+    static std::optional<std::uint64_t> parse_length(std::string_view text)
+    {
+        std::uint64_t length = 0;
+        const auto parsed = std::from_chars(text.data(), text.data() + text.size(), length);
+        return parsed.ec == std::errc{} ? std::optional{length} : std::nullopt;
+    }
+
     void abandon(const std::string& reason)
     {
         if (const auto alive = this->call.lock()) {
             alive->cancel();
         }
-        this->on_failure({{result_code::reply_malformed, reason}, call_progress::maybe_sent});
+        this->on_failure({{result_code::reply_malformed, reason},
+                          call_progress::maybe_sent,
+                          this->response.body.size(),
+                          true});
     }
 
     std::size_t max_bytes;
--- a/src/net/tests/slow_response_tests.cpp
+++ b/src/net/tests/slow_response_tests.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(reports_how_much_has_arrived);
     CPPUNIT_TEST(reads_a_steady_response_to_its_end);
     CPPUNIT_TEST(ends_a_call_without_steady_progress);
+    CPPUNIT_TEST(abandons_a_response_that_is_too_long);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -114,6 +115,34 @@
         });
     }
 
+    // Guards against a call that reads for seconds what it cannot keep.
+    void abandons_a_response_that_is_too_long()
+    {
+        auto options = steady_options();
+        options.max_collected_bytes = steady_bytes / 2;
+        section("its length is stated: the call ends with the head", [&] {
+            const auto [outcome, elapsed] = fetch_slowly(make_response(steady_bytes), steady_pace, options);
+            CPPUNIT_ASSERT(!outcome && outcome.error().cause.code == result_code::reply_malformed);
+            CPPUNIT_ASSERT(outcome.error().is_too_long);
+            CPPUNIT_ASSERT(elapsed < options.timeout);
+        });
+        section("it is sent in chunks: the call ends at the limit", [&] {
+            const auto chunk = "3e8\r\n" + std::string(1'000, 'x') + "\r\n";
+            std::string response = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+            for (std::size_t sent = 0; sent < steady_bytes; sent += 1'000) {
+                response += chunk;
+            }
+            const auto [outcome, elapsed] = fetch_slowly(response, steady_pace, options);
+            CPPUNIT_ASSERT(!outcome && outcome.error().is_too_long);
+            CPPUNIT_ASSERT(outcome.error().received_bytes <= options.max_collected_bytes);
+        });
+        section("a response of just the limit is read", [&] {
+            options.max_collected_bytes = steady_bytes;
+            const auto [outcome, elapsed] = fetch_slowly(make_response(steady_bytes), steady_pace, options);
+            CPPUNIT_ASSERT(outcome.has_value());
+        });
+    }
+
 private:
     static constexpr std::size_t steady_bytes = 80'000;
     static constexpr pace steady_pace{1'000, 20ms, {}}; // 50,000 bytes per second
--- a/src/store/internal/object_watcher.cpp
+++ b/src/store/internal/object_watcher.cpp
@@ -87,6 +87,9 @@
             this->handler.on_store_recovered();
         }
         this->retry_delay = min_retry_delay;
+        if (!listing->is_snapshot) {
+            this->relist_delay = min_retry_delay;
+        }
         this->has_listed = this->has_listed || listing->is_snapshot;
         if (listing->is_snapshot) {
             this->plan_relist(listing->is_incomplete);
@@ -120,8 +123,9 @@
                         {{"prefix", this->prefix},
                          {"known_revision", std::to_string(this->handler.known_revision())},
                          {"detail", cause.detail}});
-            // Without a delay, a store that reports history_lost each time would be called in a tight loop.
-            this->next_call_timer = this->loop.run_after(min_retry_delay, [this] { this->list(); });
+            // A store that reports history_lost each time is listed less and less often.
+            this->next_call_timer =
+                this->loop.run_after(this->draw_delay(this->relist_delay), [this] { this->list(); });
             return;
         }
         if (!this->is_store_unavailable) {
@@ -132,11 +136,7 @@
                          {"detail", cause.detail}});
             this->handler.on_store_unavailable(cause);
         }
-        const auto jitter_range = static_cast<std::uint64_t>(this->retry_delay.count());
-        const std::chrono::milliseconds jitter{static_cast<std::int64_t>(this->random.next() % jitter_range)};
-        const auto jittered_delay = this->retry_delay / 2 + jitter;
-        this->retry_delay = std::min(this->retry_delay * 2, max_retry_delay);
-        this->next_call_timer = this->loop.run_after(jittered_delay, [this] {
+        this->next_call_timer = this->loop.run_after(this->draw_delay(this->retry_delay), [this] {
             if (this->has_listed) {
                 this->watch();
             } else {
@@ -145,6 +145,16 @@
         });
     }
 
+    // Returns a random delay around `delay`, which is then doubled up to the upper bound.
+    std::chrono::milliseconds draw_delay(std::chrono::milliseconds& delay)
+    {
+        const auto jitter_range = static_cast<std::uint64_t>(delay.count());
+        const std::chrono::milliseconds jitter{static_cast<std::int64_t>(this->random.next() % jitter_range)};
+        const auto drawn = delay / 2 + jitter;
+        delay = std::min(delay * 2, max_retry_delay);
+        return drawn;
+    }
+
     event_loop& loop;
     object_store& store;
     random_source& random;
@@ -156,6 +166,7 @@
     bool has_listed = false;
     std::uint64_t generation = 0;
     std::chrono::milliseconds retry_delay = min_retry_delay;
+    std::chrono::milliseconds relist_delay = min_retry_delay; // after history_lost
     std::unique_ptr<loop_timer> next_call_timer;
     bool is_relist_due = false;
     std::unique_ptr<loop_timer> relist_timer;
--- a/src/store/object_store.h
+++ b/src/store/object_store.h
@@ -12,8 +12,8 @@
 // All calls are asynchronous; callbacks run on the event loop. Errors are store_unavailable,
 // store_call_rejected (the store does not accept the form of the call), version_conflict, object_unknown,
 // from `list` and `get`, store_answer_malformed, or, from `watch`, history_lost: the changes after `since`
-// were dropped or cannot be parsed, or `since` is of an earlier era. After store_unavailable a write may
-// nevertheless have taken effect.
+// were dropped, cannot be parsed or are longer than a list, or `since` is of an earlier era. After
+// store_unavailable a write may nevertheless have taken effect.
 //
 // Versions and revisions rise over the eras of the store (see store/types/fencing_token.h), so that those of
 // a store that came back from a copy are higher than any before. The eras of answers never fall.
--- a/src/store/tests/store_tests.cpp
+++ b/src/store/tests/store_tests.cpp
@@ -45,6 +45,12 @@
         this->deliver_changes();
     }
 
+    void lose_history()
+    {
+        const auto deliver = std::exchange(this->pending_watch, nullptr);
+        deliver(fail(result_code::history_lost, "too long"));
+    }
+
     // Returns whether a watch is pending, that is, waits for the next change.
     bool has_pending_watch() const
     {
@@ -99,6 +105,7 @@
     CPPUNIT_TEST_SUITE(store_tests);
     CPPUNIT_TEST(coalesces_changes_that_follow_at_once);
     CPPUNIT_TEST(repeats_incomplete_lists);
+    CPPUNIT_TEST(lists_ever_less_often_while_no_watch_is_answered);
     CPPUNIT_TEST(orders_revisions_over_eras);
     CPPUNIT_TEST_SUITE_END();
 
@@ -149,6 +156,42 @@
         });
     }
 
+    // Load pattern: versions of a large configuration go on coming, each list is followed by changes that are
+    // too long for a watch, and hundreds of gateways do the same.
+    void lists_ever_less_often_while_no_watch_is_answered()
+    {
+        const auto loop = std::move(*event_loop::create());
+        fake_watch_store store;
+        seeded_random random(seed);
+        recording_watch_handler handler;
+        const auto watcher = object_watcher::create(*loop, store, random, "kind/", handler, {});
+        watcher->start();
+        const auto lose_history_for = [&](duration span) {
+            bool is_over = false;
+            const auto timer = loop->run_after(span, [&] { is_over = true; });
+            const auto lists_before = store.list_count;
+            while (!is_over) {
+                if (store.has_pending_watch()) {
+                    store.lose_history();
+                }
+                loop->run_once();
+            }
+            return store.list_count - lists_before;
+        };
+        section("the first lists follow at once", [&] { CPPUNIT_ASSERT(lose_history_for(200ms) >= 2); });
+        section("after a second there are two of them in a second at most on average", [&] {
+            lose_history_for(800ms);
+            CPPUNIT_ASSERT(lose_history_for(2'000ms) <= 2 * 2 + 2);
+        });
+        section("the first answer to a watch ends that", [&] {
+            while (!store.has_pending_watch()) {
+                loop->run_once();
+            }
+            store.change();
+            CPPUNIT_ASSERT(lose_history_for(200ms) >= 2);
+        });
+    }
+
     void orders_revisions_over_eras()
     {
         section("a revision that is given out again in the next era has a higher token", [] {
--- a/tests/tests/store_link_tests.cpp
+++ b/tests/tests/store_link_tests.cpp
@@ -82,6 +82,7 @@
 class store_link_tests : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(store_link_tests);
     CPPUNIT_TEST(catches_up_over_a_slow_link);
+    CPPUNIT_TEST(catches_up_with_more_than_a_call_may_read);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -107,6 +108,28 @@
             });
         });
     }
+
+    // Guards against a gateway that goes on with an old configuration because the versions that it has missed
+    // are longer together than what one call may read (review case 13). A link of 10 Mbit/s carries one of
+    // them in less than a second, and all nine in more than seven.
+    void catches_up_with_more_than_a_call_may_read()
+    {
+        constexpr int routes = 5'500;
+        for (const std::string rate : {"0", "1250000"}) {
+            section("a configuration of 1 MB changes nine times meanwhile, bytes a second: " + rate, [&] {
+                store_link_scenario scenario(routes);
+                CPPUNIT_ASSERT(9 * scenario.configuration_bytes() > std::size_t{8} * 1024 * 1024);
+                scenario.set_link("cut=1");
+                for (int change = 0; change < 9; ++change) {
+                    scenario.change_configuration();
+                }
+                scenario.wait_for_newest("g-other");
+                scenario.set_link("cut=0&bytes_per_second=" + rate);
+                section("it has the newest version as soon as its link can carry that one",
+                        [&] { CPPUNIT_ASSERT(scenario.wait_for_newest("g-slow") <= max_catch_up_time); });
+            });
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(store_link_tests);
