Relay: on-call sees how far a gateway is behind the store

Change: gauges by kind of object: tanager_feed_age_seconds, tanager_feed_missing_seconds, tanager_feed_missing_revisions; lines 2023 feed_behind (after a second) and 2024 feed_caught_up, one each an episode. Measured: feed_currency_tests, shows_how_far_a_feed_is_behind (new; the interface is new).

--- a/src/gateway/gateway_setup.cpp
+++ b/src/gateway/gateway_setup.cpp
@@ -627,6 +627,17 @@
             this->metrics.set_gauge("tanager_configuration_age_seconds",
                                     std::chrono::duration<double>(*age).count());
         }
+        for (const auto& feed : this->relay.feed_statuses()) {
+            const auto series = R"(prefix=")" + feed.prefix + '"';
+            this->metrics.set_gauge("tanager_feed_age_seconds",
+                                    std::chrono::duration<double>(feed.confirmation_age).count(),
+                                    series);
+            this->metrics.set_gauge("tanager_feed_missing_seconds",
+                                    std::chrono::duration<double>(feed.missing_for).count(),
+                                    series);
+            this->metrics.set_gauge(
+                "tanager_feed_missing_revisions", static_cast<double>(feed.missing_revisions), series);
+        }
         this->metrics.set_gauge("tanager_configuration_version", static_cast<double>(this->routes.version()));
         const auto& quarantined = this->quarantine.quarantined();
         const auto contents = std::ranges::count_if(quarantined, &request_trait::is_content);
--- a/src/logging/internal/log_event.cpp
+++ b/src/logging/internal/log_event.cpp
@@ -70,6 +70,8 @@
     event_row{log_event::store_era_changed, "store_era_changed", log_level::warning},
     event_row{log_event::store_era_rejected, "store_era_rejected", log_level::warning},
     event_row{log_event::store_registration_renewed, "store_registration_renewed", log_level::info},
+    event_row{log_event::feed_behind, "feed_behind", log_level::warning},
+    event_row{log_event::feed_caught_up, "feed_caught_up", log_level::info},
     event_row{log_event::log_lines_dropped, "log_lines_dropped", log_level::warning},
     event_row{log_event::settings_reloaded, "settings_reloaded", log_level::info},
     event_row{log_event::address_in_use, "address_in_use", log_level::warning},
--- a/src/logging/types/log_event.h
+++ b/src/logging/types/log_event.h
@@ -45,6 +45,8 @@
     store_registration_renewed = 2020,
     store_list_incomplete = 2021,
     server_leaving = 2022,
+    feed_behind = 2023,
+    feed_caught_up = 2024,
 
     // 3000: entry
     request_refused = 3001,
--- a/src/relay/feed_tracker.h
+++ b/src/relay/feed_tracker.h
@@ -68,6 +68,11 @@
     // Returns whether changes are known to be missing, and did not follow within a grace time.
     bool is_missing_changes() const;
 
+    // Returns since when changes are known to be missing, and the highest revision at which the feed is known
+    // to have changed.
+    std::optional<time_point> missing_changes_since() const;
+    std::uint64_t required_revision() const;
+
     // Returns whether a peer knows a later era of the store than that of the last snapshot.
     bool is_in_earlier_era() const;
 
--- a/src/relay/internal/feed_tracker.cpp
+++ b/src/relay/internal/feed_tracker.cpp
@@ -196,6 +196,16 @@
     return this->missing_since && this->time.now() - *this->missing_since >= missing_changes_grace;
 }
 
+std::optional<time_point> feed_tracker::missing_changes_since() const
+{
+    return this->missing_since;
+}
+
+std::uint64_t feed_tracker::required_revision() const
+{
+    return this->required;
+}
+
 bool feed_tracker::is_in_earlier_era() const
 {
     return era_of(this->required) > era_of(this->known);
--- a/src/relay/internal/watch_relay.cpp
+++ b/src/relay/internal/watch_relay.cpp
@@ -26,6 +26,8 @@
 // All gateways list all feeds when the store is in a new era. Spread over this, a few hundred of them make
 // fewer calls than the store takes, and a configuration is still in force within its bound of seconds.
 constexpr std::chrono::milliseconds new_era_spread{1'000};
+// A gateway that misses changes for longer says so in its log; a change is usually known within half of it.
+constexpr std::chrono::seconds missing_changes_report_time{1};
 // Up to 10 to 19 s between lists in vain.
 constexpr unsigned max_list_delay_doublings = 5;
 
@@ -47,6 +49,14 @@
     return name.substr(0, name.find('/') + 1);
 }
 
+// Returns 0 across eras, whose revisions are not counted on.
+std::uint64_t missing_revisions(const feed_tracker& tracker)
+{
+    const auto known = tracker.known_revision();
+    const auto required = tracker.required_revision();
+    return era_of(known) == era_of(required) && required > known ? required - known : 0;
+}
+
 std::string to_text(duration span)
 {
     return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
@@ -467,6 +477,42 @@
     return own;
 }
 
+std::vector<watch_relay::feed_status> watch_relay::feed_statuses() const
+{
+    std::vector<feed_status> statuses;
+    for (const auto& [prefix, feed] : this->feeds) {
+        const auto& tracker = feed->tracker;
+        feed_status status{prefix, tracker.confirmation_age(), duration{0}, 0};
+        if (const auto since = tracker.missing_changes_since()) {
+            status.missing_for = this->time.now() - *since;
+            status.missing_revisions = missing_revisions(tracker);
+        }
+        statuses.push_back(std::move(status));
+    }
+    return statuses;
+}
+
+void watch_relay::report_missing_changes(feed_state& feed) const
+{
+    const auto now = this->time.now();
+    const auto missing_since = feed.tracker.missing_changes_since();
+    if (!feed.behind_since && missing_since && now - *missing_since >= missing_changes_report_time) {
+        feed.behind_since = missing_since;
+        write_event(log_event::feed_behind,
+                    {{"prefix", feed.prefix},
+                     {"known_revision", std::to_string(feed.tracker.known_revision())},
+                     {"revisions", std::to_string(missing_revisions(feed.tracker))},
+                     {"missing_ms", to_text(now - *missing_since)},
+                     {"age_ms", to_text(feed.tracker.confirmation_age())}});
+    } else if (feed.behind_since && !missing_since) {
+        write_event(log_event::feed_caught_up,
+                    {{"prefix", feed.prefix},
+                     {"revision", std::to_string(feed.tracker.known_revision())},
+                     {"missing_ms", to_text(now - *feed.behind_since)}});
+        feed.behind_since.reset();
+    }
+}
+
 bool watch_relay::is_store_failing() const
 {
     return this->breaker.is_open() || std::ranges::any_of(this->feeds, [](const auto& entry) {
@@ -479,6 +525,7 @@
     this->start_held_reads();
     for (const auto& [prefix, feed] : this->feeds) {
         this->advance(*feed);
+        this->report_missing_changes(*feed);
     }
     this->start_probe();
 }
--- a/src/relay/tests/feed_currency_tests.cpp
+++ b/src/relay/tests/feed_currency_tests.cpp
@@ -116,6 +116,7 @@
     CPPUNIT_TEST(survives_standstills);
     CPPUNIT_TEST(waits_for_writes_that_a_copy_lacks);
     CPPUNIT_TEST(counts_no_changes_that_a_list_took_back);
+    CPPUNIT_TEST(shows_how_far_a_feed_is_behind);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -248,6 +249,29 @@
         });
     }
 
+    // Guards against a gateway that is behind for many seconds while its log only says that the store does
+    // not answer.
+    void shows_how_far_a_feed_is_behind()
+    {
+        follower gateway;
+        const auto status = [&] {
+            return gateway.relay.feed_statuses().front();
+        };
+        section("nothing has changed for a while", [&] {
+            gateway.run(900ms);
+            CPPUNIT_ASSERT((status() == watch_relay::feed_status{prefix, 900ms, 0ms, 0}));
+        });
+        section("a peer confirms changes that have not come here", [&] {
+            gateway.hear(17, 18, 0ms);
+            gateway.run(1'500ms);
+            CPPUNIT_ASSERT((status() == watch_relay::feed_status{prefix, 2'400ms, 1'500ms, 8}));
+        });
+        section("the store answers with them", [&] {
+            gateway.store.answer(object_listing{10, 18, false, {{"rules/a", 17, false, "1"}}});
+            CPPUNIT_ASSERT((status() == watch_relay::feed_status{prefix, 0ms, 0ms, 0}));
+        });
+    }
+
     void waits_for_writes_that_a_copy_lacks()
     {
         manual_clock time;
--- a/src/relay/watch_relay.h
+++ b/src/relay/watch_relay.h
@@ -80,6 +80,17 @@
     // Returns this gateway's own confirmations, for its load reports.
     std::vector<feed_confirmation> confirmations() const;
 
+    // How far each feed is behind the store, as far as this gateway and its peers know.
+    struct feed_status {
+        std::string prefix;
+        duration confirmation_age{0};        // since the store's last response that confirmed the feed
+        duration missing_for{0};             // 0 unless changes are known to be missing
+        std::uint64_t missing_revisions = 0; // of the store, from the known one to the last known change
+
+        friend bool operator==(const feed_status&, const feed_status&) = default;
+    };
+    std::vector<feed_status> feed_statuses() const;
+
     // Returns whether the store failed this gateway's last call for any feed.
     bool is_store_failing() const;
 
@@ -110,8 +121,9 @@
         bool relies_on_peers = false; // they confirm the feed, so the store is not called
         time_point failed_at;
         time_point retry_at;
-        std::optional<time_point> era_ends_at; // set while peers know a later era of the store
-        unsigned lists_in_vain = 0;            // since then
+        std::optional<time_point> era_ends_at;  // set while peers know a later era of the store
+        unsigned lists_in_vain = 0;             // since then
+        std::optional<time_point> behind_since; // set from the log line that says so to the one that ends it
     };
 
     feed_state& feed_of(const std::string& prefix);
@@ -123,6 +135,7 @@
     void set_relies_on_peers(feed_state& feed, bool relies_on_peers) const;
     void advance(feed_state& feed);
     static void deliver(feed_state& feed);
+    void report_missing_changes(feed_state& feed) const;
     bool leave_earlier_era(feed_state& feed);
     void call_store(feed_state& feed);
     void on_store_response(feed_state& feed, const result<object_listing>& listing, time_point asked_at);
