Configuration: of several versions that come at once, only the newest is decoded

Cause: a gateway that catches up applied each version that it had missed, one after the other. Change: the newest version of a listing is applied; an earlier one only if the newer ones cannot be decoded.

--- a/src/gateway/internal/configuration_observer.cpp
+++ b/src/gateway/internal/configuration_observer.cpp
@@ -3,6 +3,8 @@
 #include "logging/event_log.h"
 
 #include <algorithm>
+#include <utility>
+#include <vector>
 
 namespace tanager {
 
@@ -18,23 +20,32 @@
 
 watch_action configuration_observer::on_listing(const object_listing& listing)
 {
+    std::vector<const stored_object*> versions;
     for (const auto& object : listing.objects) {
         if (object.name == this->codec.configuration_object_name() && !object.deleted) {
-            this->apply(object);
+            versions.push_back(&object);
+        }
+    }
+    // Decoding a large configuration takes a slow host more than a tenth of a second, so versions that a
+    // newer one of the same listing replaces are left out.
+    for (bool is_newest = true, is_usable = false; !versions.empty() && !is_usable; versions.pop_back()) {
+        is_usable = this->apply(*versions.back());
+        if (std::exchange(is_newest, false)) {
+            this->is_newest_rejected = !is_usable;
         }
     }
     this->revision = std::max(this->revision, listing.revision);
     return watch_action::continue_watching;
 }
 
-void configuration_observer::apply(const stored_object& object)
+// Returns whether the object describes a configuration, which is then in force unless it is older than that.
+bool configuration_observer::apply(const stored_object& object)
 {
     auto table = this->codec.decode_configuration(object);
-    this->is_newest_rejected = !table;
     if (!table) {
         write_event(log_event::configuration_rejected,
                     {{"revision", std::to_string(object.version)}, {"detail", table.error().detail}});
-        return;
+        return false;
     }
     const auto version = table->version;
     const auto size = table->routes.size();
@@ -46,7 +57,7 @@
                 {{"version", std::to_string(version)},
                  {"detail", "older than " + std::to_string(previous_version) + ", which is in force"}});
         }
-        return;
+        return true;
     }
     if (const auto& organisations = this->routes.organisations()) {
         for (const auto& problem : organisations->problems()) {
@@ -59,6 +70,7 @@
                  {"before", std::to_string(previous_version)},
                  {"revision", std::to_string(object.version)},
                  {"routes", std::to_string(size)}});
+    return true;
 }
 
 bool configuration_observer::is_newest_in_force() const
--- a/src/gateway/internal/configuration_observer.h
+++ b/src/gateway/internal/configuration_observer.h
@@ -20,7 +20,7 @@
     bool is_newest_in_force() const;
 
 private:
-    void apply(const stored_object& object);
+    bool apply(const stored_object& object);
 
     const store_codec& codec;
     route_directory& routes;
